--- /dev/null
+++ b/Makefile
@@ -0,0 +1,87 @@
+# Builds libmustardspread, the daemon, the command line and the tests.
+#
+#   make            optimised build in build/
+#   make run        the brief's deployment on loopback, with a table of outcomes
+#   make check      all tests; ends with "N passed, N failed"
+#   make lint       clang-format and clang-tidy
+#   make asan|tsan  sanitizer builds in build-asan/ and build-tsan/
+
+BUILD ?= build
+CC = gcc
+CXX = g++
+OPTIMISE ?= -O2 -g
+SANITIZE ?=
+PACKAGES = glib-2.0 jansson libmicrohttpd libcurl ck libprotobuf-c
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Werror
+CPPFLAGS += -D_GNU_SOURCE -DG_LOG_DOMAIN='"mustardspread"' -Iinclude -Isrc
+CFLAGS = -std=c11 $(OPTIMISE) $(WARN) $(SANITIZE) $(shell pkg-config --cflags $(PACKAGES))
+CXXFLAGS = -std=c++17 -O1 -w $(SANITIZE)
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lstdc++ -lpthread -lm
+LDFLAGS += $(SANITIZE)
+
+LIB_SOURCES = $(filter-out src/daemon/% src/cli/%,$(wildcard src/*/*.c))
+LIB_OBJECTS = $(LIB_SOURCES:%.c=$(BUILD)/%.o) $(BUILD)/src/config/toml_json.o
+LIB = $(BUILD)/libmustardspread.a
+TEST_SOURCES = $(wildcard tests/unit/*.c)
+TEST_OBJECTS = $(TEST_SOURCES:%.c=$(BUILD)/%.o)
+SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | grep -v pb-c)
+
+PROGRAMS = $(BUILD)/mustardspreadd $(BUILD)/mustardspread
+TEST_PROGRAMS = $(BUILD)/unit-tests $(BUILD)/differential $(BUILD)/bench-policy $(BUILD)/bench-detector
+EXAMPLES = $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
+
+all: $(LIB) $(PROGRAMS)
+
+$(LIB): $(LIB_OBJECTS)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(BUILD)/mustardspreadd: $(BUILD)/src/daemon/main.o $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/mustardspread: $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/cli/*.c)) $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/unit-tests: $(TEST_OBJECTS) $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
+
+$(BUILD)/differential: $(BUILD)/tests/naive/differential.o $(BUILD)/tests/naive/world.o $(BUILD)/tests/naive/naive.o $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/bench-policy: $(BUILD)/bench/policy.o $(BUILD)/tests/naive/world.o $(BUILD)/tests/naive/naive.o $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/bench-detector: $(BUILD)/bench/detector.o $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/example-%: $(BUILD)/examples/%.o $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/src/wire/inner.pb-c.o: WARN =
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	@echo CC $<; $(CC) $(CPPFLAGS) $(CFLAGS) -Itests -MMD -MP -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(dir $@)
+	@echo CXX $<; $(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+proto:
+	cd src/wire && protoc-c --c_out=. inner.proto
+
+deps:
+	scripts/install-packages.sh
+
+clean:
+	rm -rf build build-asan build-tsan
+
+.PHONY: all proto deps clean
+
+run: deps
+	@$(MAKE) --no-print-directory all
+	/usr/bin/python3 scripts/run.py $(RUN_OPTIONS)
+
+.PHONY: run
--- /dev/null
+++ b/src/backend/ops.c
@@ -0,0 +1,240 @@
+/*
+ * ops.c - task operations on backend servers.
+ *
+ * Operations for one server go out in order, one call at a time; what gathers
+ * meanwhile goes with the next call.  A call without an answer is sent again
+ * on a new connection: operations are idempotent.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "backend/private.h"
+#include "obs/log.h"
+
+#define OPS_PER_CALL 64
+#define OPS_TIMEOUT_MS 500L
+#define OPS_RETRY_MS 100
+#define OPS_ATTEMPTS_MAX 5
+#define TASK_KEY_MAX (MS_ID_MAX + 16)
+
+static void
+task_key(const struct ms_server_op *op, char *key)
+{
+    snprintf(key, TASK_KEY_MAX, "%s#%u#%u", op->id, op->member, op->attempt);
+}
+
+/* Notes the operations that concern lease renewals; true when OP was one. */
+static bool
+note_renewal(struct ms_link_state *link, const struct ms_server_op *op)
+{
+    char key[TASK_KEY_MAX];
+    task_key(op, key);
+    switch (op->op) {
+    case MS_OP_WITHHOLD:
+        g_hash_table_add(link->withheld, g_strdup(key));
+        return true;
+    case MS_OP_RENEW:
+        g_hash_table_remove(link->withheld, key);
+        return true;
+    case MS_OP_ACK:
+        g_hash_table_remove(link->withheld, key);
+        return false;
+    case MS_OP_PREPARE:
+    case MS_OP_START:
+    case MS_OP_GO:
+    case MS_OP_STOP:
+    case MS_OP_CHECKPOINT:
+    case MS_OP_THROTTLE:
+        break;
+    }
+    return false;
+}
+
+/*
+ * Tells the node that an operation that was to start a task did not.  Where an
+ * earlier call may have started it, nothing is told: the node's time limits
+ * and the server's own report settle it.
+ */
+static void
+report_refused(const struct ms_backend *backend, GPtrArray *events, const struct ms_server_op *op)
+{
+    if (op->op != MS_OP_PREPARE && op->op != MS_OP_START && op->op != MS_OP_GO) {
+        return;
+    }
+    if (op->uncertain || op->generation != backend->generation) {
+        return;
+    }
+    struct ms_owned_event *owned = ms_backend_event(events, MS_EVENT_TASK_REFUSED);
+    struct ms_task_event *task = &owned->event.task;
+    g_strlcpy(task->server, op->server, sizeof(task->server));
+    g_strlcpy(task->id, op->id, sizeof(task->id));
+    task->member = op->member;
+    task->attempt = op->attempt;
+}
+
+void
+ms_ops_queue(struct ms_backend *backend, struct ms_link_state *link, struct ms_server_op *op)
+{
+    op->generation = backend->generation;
+    if (!link->held) {
+        /* Nothing was sent, so "refused" is true. */
+        GPtrArray *events = g_ptr_array_new_with_free_func(ms_owned_event_free);
+        report_refused(backend, events, op);
+        ms_backend_tell(backend, events);
+        ms_server_op_free(op);
+        return;
+    }
+    if (note_renewal(link, op)) {
+        ms_server_op_free(op);
+        return;
+    }
+    g_queue_push_tail(link->waiting, op);
+}
+
+static json_t *
+op_json(const struct ms_server_op *op)
+{
+    json_t *json = json_object();
+    json_object_set_new(json, "op", json_string(ms_op_name(op->op)));
+    json_object_set_new(json, "id", json_string(op->id));
+    json_object_set_new(json, "member", json_integer(op->member));
+    json_object_set_new(json, "attempt", json_integer(op->attempt));
+    if (op->op != MS_OP_PREPARE && op->op != MS_OP_START) {
+        return json;
+    }
+    const struct ms_job_spec *spec = &op->spec;
+    json_object_set_new(json, "account", json_string(spec->account));
+    json_object_set_new(json, "key", json_string(spec->key));
+    json_object_set_new(json, "tasks", json_integer(spec->tasks));
+    json_object_set_new(json, "accels", json_integer(spec->accels));
+    json_object_set_new(json, "adjacent", json_string(ms_adjacency_name(spec->adjacency)));
+    json_object_set_new(json, "class", json_string(ms_class_name(spec->job_class)));
+    json_object_set_new(json, "idempotent", json_boolean(spec->idempotent));
+    json_object_set_new(json, "checkpointable", json_boolean(spec->checkpointable));
+    json_object_set_new(json, "declared_ms", json_integer(spec->declared_ms));
+    if (op->payload != NULL) {
+        gsize length = 0;
+        const char *payload = g_bytes_get_data(op->payload, &length);
+        json_object_set_new(json, "payload", json_stringn(payload, length));
+    }
+    return json;
+}
+
+void
+ms_ops_start(struct ms_backend *backend, struct ms_link_state *link)
+{
+    json_t *ops = json_array();
+    while (g_queue_get_length(link->sent) < OPS_PER_CALL && !g_queue_is_empty(link->waiting)) {
+        g_queue_push_tail(link->sent, g_queue_pop_head(link->waiting));
+    }
+    for (GList *node = link->sent->head; node != NULL; node = node->next) {
+        json_array_append_new(ops, op_json(node->data));
+    }
+    json_t *body = json_object();
+    json_object_set_new(body, "fence", json_integer((json_int_t)link->fence));
+    json_object_set_new(body, "ops", ops);
+    char *url = g_strdup_printf("%s/ops", link->url);
+    ms_http_prepare(link->ops, url, body, OPS_TIMEOUT_MS, link->send_failures > 0);
+    g_free(url);
+    ms_counter_add(backend->counters, MS_COUNT_TASK_OPS, g_queue_get_length(link->sent));
+    link->sending = true;
+    curl_multi_add_handle(backend->multi, link->ops->easy);
+}
+
+/* The event that a successful operation stands for; -1 when there is none. */
+static int
+confirmed_event(enum ms_task_op op)
+{
+    switch (op) {
+    case MS_OP_PREPARE:
+        return MS_EVENT_TASK_PREPARED;
+    case MS_OP_START:
+    case MS_OP_GO:
+        return MS_EVENT_TASK_STARTED;
+    case MS_OP_STOP:
+    case MS_OP_CHECKPOINT:
+    case MS_OP_THROTTLE:
+    case MS_OP_ACK:
+    case MS_OP_WITHHOLD:
+    case MS_OP_RENEW:
+        break;
+    }
+    return -1;
+}
+
+static void
+report_results(const struct ms_backend *backend, const struct ms_link_state *link,
+               const json_t *results, GPtrArray *events)
+{
+    size_t index = 0;
+    for (GList *node = link->sent->head; node != NULL; node = node->next, index++) {
+        const struct ms_server_op *op = node->data;
+        const char *result = json_string_value(json_array_get(results, index));
+        int kind = confirmed_event(op->op);
+        if (kind < 0 || op->generation != backend->generation) {
+            continue;
+        }
+        if (g_strcmp0(result, "ok") != 0) {
+            report_refused(backend, events, op);
+            continue;
+        }
+        struct ms_owned_event *owned = ms_backend_event(events, (enum ms_event_kind)kind);
+        struct ms_task_event *task = &owned->event.task;
+        g_strlcpy(task->server, op->server, sizeof(task->server));
+        g_strlcpy(task->id, op->id, sizeof(task->id));
+        task->member = op->member;
+        task->attempt = op->attempt;
+    }
+}
+
+/* Puts the operations of a call without an answer back for another try. */
+static void
+retry_or_drop(struct ms_backend *backend, struct ms_link_state *link)
+{
+    ms_counter_add(backend->counters, MS_COUNT_TASK_OPS_FAILED, g_queue_get_length(link->sent));
+    link->send_failures++;
+    if (link->send_failures >= OPS_ATTEMPTS_MAX || !link->held) {
+        /* The node's time limits for starts and stops take over. */
+        g_queue_clear_full(link->sent, ms_server_op_free);
+        link->send_failures = 0;
+        return;
+    }
+    link->send_at = ms_backend_now() + OPS_RETRY_MS;
+    while (!g_queue_is_empty(link->sent)) {
+        struct ms_server_op *op = g_queue_pop_tail(link->sent);
+        op->uncertain = true;
+        g_queue_push_head(link->waiting, op);
+    }
+}
+
+void
+ms_ops_done(struct ms_backend *backend, struct ms_link_state *link, CURLcode code)
+{
+    long status = 0;
+    json_t *answer = ms_http_finish(link->ops, code, &status);
+    const json_t *results = json_object_get(answer, "results");
+    GPtrArray *events = g_ptr_array_new_with_free_func(ms_owned_event_free);
+    link->sending = false;
+    ms_counter_add(backend->counters, MS_COUNT_BACKEND_BYTES, ms_http_bytes(link->ops));
+    if (status == 200 && json_is_array(results)) {
+        link->send_failures = 0;
+        report_results(backend, link, results, events);
+        g_queue_clear_full(link->sent, ms_server_op_free);
+    }
+    else if (status == 409) {
+        /* Another host holds the server; nothing of this call was done. */
+        for (GList *node = link->sent->head; node != NULL; node = node->next) {
+            report_refused(backend, events, node->data);
+        }
+        g_queue_clear_full(link->sent, ms_server_op_free);
+    }
+    else {
+        retry_or_drop(backend, link);
+    }
+    json_decref(answer);
+    if (link->removed || backend->generation == 0) {
+        g_ptr_array_unref(events);
+        return;
+    }
+    ms_backend_tell(backend, events);
+}
--- /dev/null
+++ b/src/caller/caller.c
@@ -0,0 +1,360 @@
+/*
+ * caller.c - the HTTP interface of an entry host.
+ *
+ * libmicrohttpd runs one thread.  A connection whose call is with the node is
+ * suspended; ms_call_answer() resumes it.
+ */
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <jansson.h>
+#include <microhttpd.h>
+
+#include "caller/caller.h"
+#include "caller/parse.h"
+#include "node/message.h"
+#include "obs/log.h"
+
+#define BODY_MAX (4u << 20)       /* bytes of a request body */
+#define CONNECTIONS_MAX 2048u
+#define IDLE_TIMEOUT_S 300u
+#define BUSY_RETRY_MS 200
+
+struct ms_caller {
+    struct MHD_Daemon *daemon;
+    struct ms_counters *counters;
+    struct ms_ring *node_ring;
+};
+
+/* State of one HTTP exchange, kept by libmicrohttpd between its callbacks. */
+struct exchange {
+    GByteArray *body;
+    bool too_large;
+    bool asked;           /* the call was pushed to the node */
+    struct ms_call *call; /* owned once answered */
+};
+
+struct ms_call *
+ms_call_new(enum ms_call_kind kind)
+{
+    struct ms_call *call = g_new0(struct ms_call, 1);
+    call->kind = kind;
+    return call;
+}
+
+void
+ms_call_free(struct ms_call *call)
+{
+    if (call == NULL) {
+        return;
+    }
+    if (call->payload != NULL) {
+        g_bytes_unref(call->payload);
+    }
+    if (call->outcome.output != NULL) {
+        g_bytes_unref(call->outcome.output);
+    }
+    free(call->json);
+    g_free(call->text);
+    g_free(call);
+}
+
+void
+ms_call_answer(struct ms_call *call)
+{
+    MHD_resume_connection(call->connection);
+}
+
+static enum MHD_Result
+reply(struct MHD_Connection *connection, unsigned int status, const char *type, const char *body)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(strlen(body), (void *)body,
+                                                                    MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+    if (status == MHD_HTTP_SERVICE_UNAVAILABLE) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, "1");
+    }
+    enum MHD_Result result = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static enum MHD_Result
+reply_error(struct MHD_Connection *connection, unsigned int status, const char *error)
+{
+    json_t *root = json_object();
+    json_object_set_new(root, "error", json_string(error));
+    json_object_set_new(root, "ran", json_string("no"));
+    char *text = json_dumps(root, JSON_COMPACT);
+    json_decref(root);
+    enum MHD_Result result = reply(connection, status, "application/json", text);
+    free(text);
+    return result;
+}
+
+/* Sends what the node put into the call. */
+static enum MHD_Result
+reply_answered(struct MHD_Connection *connection, const struct ms_call *call)
+{
+    if (call->json != NULL) {
+        return reply(connection, call->status, "application/json", call->json);
+    }
+    char *text = ms_outcome_json(call->id, &call->outcome);
+    enum MHD_Result result = reply(connection, call->status, "application/json", text);
+    free(text);
+    return result;
+}
+
+static bool
+query_flag(struct MHD_Connection *connection, const char *name)
+{
+    const char *value = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
+    return value != NULL && strcmp(value, "1") == 0;
+}
+
+static int64_t
+query_wait(struct MHD_Connection *connection)
+{
+    const char *value = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, "wait_ms");
+    gint64 wait = 0;
+    if (value == NULL || !g_ascii_string_to_signed(value, 10, 0, MS_WAIT_MAX_MS, &wait, NULL)) {
+        return 0;
+    }
+    return wait;
+}
+
+/* The call for a path below /v1/jobs/, or NULL. */
+static struct ms_call *
+job_call(struct MHD_Connection *connection, const char *rest, const char *method)
+{
+    enum ms_call_kind kind = MS_CALL_JOB;
+    size_t length = strlen(rest);
+    if (strcmp(method, "DELETE") == 0) {
+        kind = MS_CALL_CANCEL;
+    }
+    else if (strcmp(method, "GET") != 0) {
+        return NULL;
+    }
+    else if (query_flag(connection, "explain")) {
+        kind = MS_CALL_EXPLAIN;
+    }
+    if (length == 0 || length >= MS_ID_MAX) {
+        return NULL;
+    }
+    struct ms_call *call = ms_call_new(kind);
+    memcpy(call->id, rest, length);
+    call->wait_ms = query_wait(connection);
+    return call;
+}
+
+static struct ms_call *
+text_call(enum ms_call_kind kind, const struct exchange *exchange)
+{
+    struct ms_call *call = ms_call_new(kind);
+    call->text = g_strndup((const char *)exchange->body->data, exchange->body->len);
+    return call;
+}
+
+/* A call without a body. */
+static struct ms_call *
+plain_call(const char *path)
+{
+    static const struct {
+        const char *path;
+        enum ms_call_kind kind;
+    } plain[] = {
+        {"/v1/rules", MS_CALL_RULES_SHOW},  {"/v1/rules/history", MS_CALL_RULES_HISTORY},
+        {"/v1/status", MS_CALL_STATUS},     {"/v1/state", MS_CALL_STATE_COPY},
+        {"/health/ready", MS_CALL_READY},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(plain); i++) {
+        if (strcmp(plain[i].path, path) == 0) {
+            return ms_call_new(plain[i].kind);
+        }
+    }
+    return NULL;
+}
+
+/* The call that a request stands for; NULL with ERROR set when it is malformed. */
+static struct ms_call *
+make_call(struct MHD_Connection *connection, const char *path, const char *method,
+          const struct exchange *exchange, char *error, size_t size)
+{
+    struct ms_call *call = NULL;
+    error[0] = '\0';
+    if (strcmp(path, "/v1/jobs") == 0 && strcmp(method, "POST") == 0) {
+        call = ms_call_new(MS_CALL_SUBMIT);
+        const char *parent = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "traceparent");
+        g_strlcpy(call->trace_parent, parent != NULL ? parent : "", sizeof(call->trace_parent));
+        if (ms_parse_submit((const char *)exchange->body->data, exchange->body->len, call, error,
+                            size) != MS_OK) {
+            ms_call_free(call);
+            return NULL;
+        }
+        return call;
+    }
+    if (g_str_has_prefix(path, "/v1/jobs/")) {
+        return job_call(connection, path + strlen("/v1/jobs/"), method);
+    }
+    if (strcmp(path, "/v1/rules") == 0 && strcmp(method, "POST") == 0) {
+        call = text_call(MS_CALL_RULES_APPLY, exchange);
+        call->replace_all = query_flag(connection, "replace");
+        call->check_only = query_flag(connection, "check");
+        return call;
+    }
+    if (strcmp(path, "/v1/state") == 0 && strcmp(method, "POST") == 0) {
+        return text_call(MS_CALL_RULES_RELAY, exchange);
+    }
+    return strcmp(method, "GET") == 0 ? plain_call(path) : NULL;
+}
+
+/* Pushes the call to the node and suspends the connection. */
+static enum MHD_Result
+ask_node(struct ms_caller *caller, struct MHD_Connection *connection, struct exchange *exchange,
+         struct ms_call *call)
+{
+    struct ms_message *message = ms_message_new(MS_MESSAGE_CALL);
+    message->call = call;
+    call->connection = connection;
+    exchange->call = call;
+    exchange->asked = true;
+    /* Suspended first: the node may answer before the push returns. */
+    MHD_suspend_connection(connection);
+    if (ms_ring_push(caller->node_ring, message)) {
+        return MHD_YES;
+    }
+    ms_message_free(message);
+    ms_counter_add(caller->counters, MS_COUNT_BUSY, 1);
+    call->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+    call->outcome = (struct ms_call_outcome){
+        .code = MS_OUTCOME_UNAVAILABLE, .ran = MS_RAN_NO, .retry_after_ms = BUSY_RETRY_MS};
+    g_strlcpy(call->outcome.detail, "this entry host is busy", sizeof(call->outcome.detail));
+    MHD_resume_connection(connection);
+    return MHD_YES;
+}
+
+static enum MHD_Result
+answer_request(struct ms_caller *caller, struct MHD_Connection *connection, const char *path,
+               const char *method, struct exchange *exchange)
+{
+    char error[MS_DETAIL_MAX * 2];
+    if (exchange->too_large) {
+        ms_counter_add(caller->counters, MS_COUNT_BAD_REQUESTS, 1);
+        snprintf(error, sizeof(error), "body: larger than %u bytes", BODY_MAX);
+        return reply_error(connection, MHD_HTTP_CONTENT_TOO_LARGE, error);
+    }
+    if (strcmp(path, "/metrics") == 0) {
+        char *text = ms_counters_text(caller->counters);
+        enum MHD_Result result = reply(connection, MHD_HTTP_OK, "text/plain; version=0.0.4", text);
+        g_free(text);
+        return result;
+    }
+    if (strcmp(path, "/health/live") == 0) {
+        return reply(connection, MHD_HTTP_OK, "text/plain", "ok\n");
+    }
+    struct ms_call *call = make_call(connection, path, method, exchange, error, sizeof(error));
+    if (call == NULL) {
+        ms_counter_add(caller->counters, MS_COUNT_BAD_REQUESTS, 1);
+        if (error[0] != '\0') {
+            return reply_error(connection, MHD_HTTP_BAD_REQUEST, error);
+        }
+        return reply_error(connection, MHD_HTTP_NOT_FOUND, "path: no such resource or method");
+    }
+    return ask_node(caller, connection, exchange, call);
+}
+
+static enum MHD_Result
+handle_request(void *opaque, struct MHD_Connection *connection, const char *path,
+               const char *method, const char *version, const char *data, size_t *data_size,
+               void **state)
+{
+    struct ms_caller *caller = opaque;
+    struct exchange *exchange = *state;
+    (void)version;
+    if (exchange == NULL) {
+        exchange = g_new0(struct exchange, 1);
+        exchange->body = g_byte_array_new();
+        *state = exchange;
+        return MHD_YES;
+    }
+    if (*data_size > 0) {
+        if (exchange->body->len + *data_size > BODY_MAX) {
+            exchange->too_large = true;
+        }
+        else {
+            g_byte_array_append(exchange->body, (const guint8 *)data, (guint)*data_size);
+        }
+        *data_size = 0;
+        return MHD_YES;
+    }
+    if (exchange->asked) {
+        return reply_answered(connection, exchange->call);
+    }
+    return answer_request(caller, connection, path, method, exchange);
+}
+
+static void
+request_completed(void *opaque, struct MHD_Connection *connection, void **state,
+                  enum MHD_RequestTerminationCode code)
+{
+    struct exchange *exchange = *state;
+    (void)opaque;
+    (void)connection;
+    (void)code;
+    if (exchange == NULL) {
+        return;
+    }
+    g_byte_array_unref(exchange->body);
+    ms_call_free(exchange->call);
+    g_free(exchange);
+    *state = NULL;
+}
+
+struct ms_caller *
+ms_caller_start(const struct ms_settings *settings, struct ms_counters *counters,
+                struct ms_ring *node_ring)
+{
+    char host[MS_ADDRESS_MAX];
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    struct ms_caller *caller = g_new0(struct ms_caller, 1);
+    caller->counters = counters;
+    caller->node_ring = node_ring;
+    g_strlcpy(host, settings->caller_address, sizeof(host));
+    char *colon = strrchr(host, ':');
+    *colon = '\0';
+    address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
+    inet_pton(AF_INET, host, &address.sin_addr);
+    caller->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_request,
+        caller, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
+        MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
+        request_completed, caller, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+    if (caller->daemon == NULL) {
+        g_free(caller);
+        return NULL;
+    }
+    return caller;
+}
+
+void
+ms_caller_quiesce(struct ms_caller *caller)
+{
+    MHD_socket fd = MHD_quiesce_daemon(caller->daemon);
+    if (fd != MHD_INVALID_SOCKET) {
+        shutdown(fd, SHUT_RDWR);
+        close(fd);
+    }
+}
+
+void
+ms_caller_stop(struct ms_caller *caller)
+{
+    if (caller == NULL) {
+        return;
+    }
+    MHD_stop_daemon(caller->daemon);
+    g_free(caller);
+}
--- /dev/null
+++ b/src/core/list.h
@@ -0,0 +1,64 @@
+/*
+ * list.h - intrusive doubly linked lists.
+ *
+ * A list head and every member embed a struct ms_link.  An empty head points
+ * to itself, and so does a link that is in no list.
+ */
+#ifndef MS_LIST_H
+#define MS_LIST_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+struct ms_link {
+    struct ms_link *next;
+    struct ms_link *prev;
+};
+
+/* The struct of type TYPE whose field MEMBER is the link LINK. */
+#define MS_CONTAINER(link, type, member) ((type *)(void *)((char *)(link)-offsetof(type, member)))
+
+/* Iterates over HEAD; the body may unlink CURSOR's own element. */
+#define MS_LIST_EACH(cursor, head)                                                                 \
+    for (struct ms_link *cursor = (head)->next, *cursor##_next = cursor->next; cursor != (head);   \
+         cursor = cursor##_next, cursor##_next = cursor->next)
+
+static inline void
+ms_link_init(struct ms_link *link)
+{
+    link->next = link;
+    link->prev = link;
+}
+
+static inline bool
+ms_list_empty(const struct ms_link *head)
+{
+    return head->next == head;
+}
+
+/* Removes LINK from its list; harmless when it is in none. */
+static inline void
+ms_list_remove(struct ms_link *link)
+{
+    link->prev->next = link->next;
+    link->next->prev = link->prev;
+    ms_link_init(link);
+}
+
+/* Inserts LINK, which is in no list, before POSITION. */
+static inline void
+ms_list_insert_before(struct ms_link *position, struct ms_link *link)
+{
+    link->prev = position->prev;
+    link->next = position;
+    position->prev->next = link;
+    position->prev = link;
+}
+
+static inline void
+ms_list_append(struct ms_link *head, struct ms_link *link)
+{
+    ms_list_insert_before(head, link);
+}
+
+#endif
--- /dev/null
+++ b/src/core/place.c
@@ -0,0 +1,479 @@
+/*
+ * place.c - choice of servers for the tasks of a job.
+ *
+ * Best fit by groups: the group (server, rack or data centre, after the job's
+ * adjacency) that holds the whole job and leaves the least free accelerators
+ * behind is taken, and within it the fullest servers first.  Whole servers and
+ * whole racks thus stay free for later gangs.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "sched.h"
+
+uint32_t
+ms_rack_intern(struct ms_sched *sched, const char *name)
+{
+    uint32_t known = GPOINTER_TO_UINT(g_hash_table_lookup(sched->rack_index, name));
+    if (known > 0) {
+        return known - 1;
+    }
+    uint32_t count = g_hash_table_size(sched->rack_index);
+    g_hash_table_insert(sched->rack_index, g_strdup(name), GUINT_TO_POINTER(count + 1));
+    g_array_set_size(sched->rack_totals, count + 1);
+    return count;
+}
+
+/* Work that may be stopped and later run again or resumed. */
+bool
+ms_job_stoppable(const struct ms_job *job)
+{
+    return job->spec.idempotent || job->spec.checkpointable;
+}
+
+/* Whether SERVER takes new tasks of JOB at all. */
+bool
+ms_server_usable(const struct ms_sched *sched, const struct ms_server *server,
+                 const struct ms_job *job)
+{
+    (void)sched;
+    if (ms_health_avoids(job, server)) {
+        return false;
+    }
+    if (server->state == MS_SERVER_PROBING) {
+        return job->spec.tasks == 1 && ms_list_empty(&server->tasks) && ms_job_stoppable(job);
+    }
+    return server->state == MS_SERVER_UP;
+}
+
+/* Tasks of ACCELS accelerators that fit into the given room. */
+static int32_t
+tasks_in(int32_t slots, int32_t accels, uint32_t task_accels)
+{
+    if (slots <= 0 || accels < 0) {
+        return 0;
+    }
+    if (task_accels == 0) {
+        return slots;
+    }
+    return MIN(slots, accels / (int32_t)task_accels);
+}
+
+/* Room that stopping less urgent work outside of cells would give. */
+static void
+stoppable_room(const struct ms_server *server, int32_t *slots, int32_t *accels)
+{
+    *slots = 0;
+    *accels = 0;
+    MS_LIST_EACH(link, &server->tasks)
+    {
+        const struct ms_task *task = MS_CONTAINER(link, struct ms_task, server_link);
+        const struct ms_job *job = task->job;
+        if (task->cell != NULL || job->state == MS_JOB_ABORTING || !ms_job_stoppable(job) ||
+            job->spec.job_class == MS_CLASS_URGENT || job->state == MS_JOB_RECLAIMING) {
+            continue;
+        }
+        *slots += 1;
+        *accels += (int32_t)job->spec.accels;
+    }
+}
+
+/* Tasks of JOB that fit on SERVER now, or after stopping less urgent work. */
+static int32_t
+server_fit(const struct ms_sched *sched, const struct ms_server *server, const struct ms_job *job,
+           bool by_stopping)
+{
+    if (!ms_server_usable(sched, server, job)) {
+        return 0;
+    }
+    if (!by_stopping && !ms_backfill_admits(sched, server, job)) {
+        return 0;
+    }
+    int32_t slots = server->slots_free;
+    int32_t accels = server->accels_free;
+    if (by_stopping) {
+        int32_t more_slots = 0;
+        int32_t more_accels = 0;
+        stoppable_room(server, &more_slots, &more_accels);
+        slots += more_slots;
+        accels += more_accels;
+    }
+    if (!ms_job_stoppable(job)) {
+        slots = MIN(slots, (int32_t)(server->slots - server->cell_slots - server->fixed_slots));
+        accels = MIN(accels, (int32_t)(server->accels - server->cell_accels - server->fixed_accels));
+    }
+    int32_t fit = tasks_in(slots, accels, job->spec.accels);
+    if (server->state == MS_SERVER_PROBING) {
+        fit = MIN(fit, 1);
+    }
+    return fit;
+}
+
+static struct ms_rack_total *
+rack_total(const struct ms_sched *sched, uint32_t rack_id)
+{
+    return &g_array_index(sched->rack_totals, struct ms_rack_total, rack_id);
+}
+
+/* Fills in server->scratch and the totals of the racks; returns all that fits. */
+static uint32_t
+measure_fit(struct ms_sched *sched, const struct ms_job *job, bool by_stopping)
+{
+    uint32_t total = 0;
+    memset(sched->rack_totals->data, 0, sched->rack_totals->len * sizeof(struct ms_rack_total));
+    MS_LIST_EACH(link, &sched->servers)
+    {
+        struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
+        server->scratch = server_fit(sched, server, job, by_stopping);
+        struct ms_rack_total *rack = rack_total(sched, server->rack_id);
+        rack->fit += (uint32_t)server->scratch;
+        rack->free += (uint32_t)MAX(server->accels_free, 0);
+        total += (uint32_t)server->scratch;
+    }
+    return total;
+}
+
+/* Collects the servers that may be used together, in the best group. */
+static bool
+best_server(struct ms_sched *sched, const struct ms_job *job)
+{
+    struct ms_server *best = NULL;
+    MS_LIST_EACH(link, &sched->servers)
+    {
+        struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
+        if (server->scratch < (int32_t)job->spec.tasks) {
+            continue;
+        }
+        if (best == NULL || server->accels_free < best->accels_free ||
+            (server->accels_free == best->accels_free &&
+             rack_total(sched, server->rack_id)->free < rack_total(sched, best->rack_id)->free)) {
+            best = server;
+        }
+    }
+    if (best == NULL) {
+        return false;
+    }
+    g_ptr_array_add(sched->candidates, best);
+    return true;
+}
+
+static bool
+best_rack(struct ms_sched *sched, const struct ms_job *job)
+{
+    int best = -1;
+    for (guint i = 0; i < sched->rack_totals->len; i++) {
+        const struct ms_rack_total *rack = rack_total(sched, i);
+        if (rack->fit < job->spec.tasks) {
+            continue;
+        }
+        if (best < 0 || rack->free < rack_total(sched, (uint32_t)best)->free) {
+            best = (int)i;
+        }
+    }
+    if (best < 0) {
+        return false;
+    }
+    MS_LIST_EACH(link, &sched->servers)
+    {
+        struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
+        if (server->rack_id == (uint32_t)best && server->scratch > 0) {
+            g_ptr_array_add(sched->candidates, server);
+        }
+    }
+    return true;
+}
+
+static void
+all_servers(struct ms_sched *sched)
+{
+    MS_LIST_EACH(link, &sched->servers)
+    {
+        struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
+        if (server->scratch > 0) {
+            g_ptr_array_add(sched->candidates, server);
+        }
+    }
+}
+
+static int
+by_free_accels(const void *a, const void *b)
+{
+    const struct ms_server *left = *(struct ms_server *const *)a;
+    const struct ms_server *right = *(struct ms_server *const *)b;
+    if (left->accels_free != right->accels_free) {
+        return left->accels_free < right->accels_free ? -1 : 1;
+    }
+    return strcmp(left->name, right->name);
+}
+
+/* Charges the tasks of JOB to the candidates, the fullest servers first. */
+static void
+fill_candidates(struct ms_sched *sched, struct ms_job *job)
+{
+    qsort(sched->candidates->pdata, sched->candidates->len, sizeof(gpointer), by_free_accels);
+    uint32_t member = 0;
+    for (guint i = 0; i < sched->candidates->len && member < job->spec.tasks; i++) {
+        struct ms_server *server = g_ptr_array_index(sched->candidates, i);
+        for (int32_t n = server->scratch; n > 0 && member < job->spec.tasks; n--) {
+            ms_task_charge(sched, &job->tasks[member], server, NULL);
+            member++;
+        }
+    }
+}
+
+/* Finds a group for JOB and charges its tasks there. */
+static bool
+place(struct ms_sched *sched, struct ms_job *job, bool by_stopping)
+{
+    g_ptr_array_set_size(sched->candidates, 0);
+    if (measure_fit(sched, job, by_stopping) < job->spec.tasks) {
+        return false;
+    }
+    bool found = false;
+    if (job->spec.tasks == 1 || job->spec.adjacency == MS_ADJACENT_SERVER) {
+        found = best_server(sched, job);
+    }
+    else if (job->spec.adjacency == MS_ADJACENT_RACK) {
+        found = best_rack(sched, job);
+    }
+    else {
+        found = best_rack(sched, job);
+        if (!found) {
+            all_servers(sched);
+            found = true;
+        }
+    }
+    if (found) {
+        fill_candidates(sched, job);
+    }
+    return found;
+}
+
+bool
+ms_place(struct ms_sched *sched, struct ms_job *job)
+{
+    return place(sched, job, false);
+}
+
+/* Places JOB where stopping less urgent work makes room, and stops that work. */
+bool
+ms_place_by_stopping(struct ms_sched *sched, struct ms_job *job)
+{
+    if (!place(sched, job, true)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < job->spec.tasks; i++) {
+        ms_make_room(sched, job->tasks[i].server, job);
+    }
+    return true;
+}
+
+/* Whether stopping A costs less than stopping B. */
+static bool
+cheaper_victim(const struct ms_job *a, const struct ms_job *b)
+{
+    if (a->spec.job_class != b->spec.job_class) {
+        return a->spec.job_class > b->spec.job_class;
+    }
+    if (a->spec.checkpointable != b->spec.checkpointable) {
+        return a->spec.checkpointable;
+    }
+    if (a->started_at != b->started_at) {
+        return a->started_at > b->started_at;
+    }
+    return a->sequence > b->sequence;
+}
+
+/* The task on SERVER whose job costs least to stop, or NULL. */
+static struct ms_task *
+pick_victim(const struct ms_server *server, const struct ms_job *claimant)
+{
+    struct ms_task *best = NULL;
+    MS_LIST_EACH(link, &server->tasks)
+    {
+        struct ms_task *task = MS_CONTAINER(link, struct ms_task, server_link);
+        const struct ms_job *job = task->job;
+        if (job == claimant || task->cell != NULL || job->state == MS_JOB_ABORTING ||
+            !ms_job_stoppable(job)) {
+            continue;
+        }
+        if (best == NULL || cheaper_victim(job, best->job)) {
+            best = task;
+        }
+    }
+    return best;
+}
+
+/* Resources of SERVER that are free once the work being stopped has ended. */
+static void
+future_room(const struct ms_server *server, int32_t *slots, int32_t *accels)
+{
+    *slots = server->slots_free;
+    *accels = server->accels_free;
+    MS_LIST_EACH(link, &server->tasks)
+    {
+        const struct ms_task *task = MS_CONTAINER(link, struct ms_task, server_link);
+        if (task->job->state == MS_JOB_ABORTING) {
+            *slots += 1;
+            *accels += (int32_t)task->job->spec.accels;
+        }
+    }
+}
+
+/* Stops stoppable work on SERVER until what is charged there fits. */
+void
+ms_make_room(struct ms_sched *sched, struct ms_server *server, const struct ms_job *claimant)
+{
+    for (;;) {
+        int32_t slots = 0;
+        int32_t accels = 0;
+        future_room(server, &slots, &accels);
+        if (slots >= 0 && accels >= 0) {
+            return;
+        }
+        struct ms_task *victim = pick_victim(server, claimant);
+        if (victim == NULL) {
+            return;
+        }
+        char detail[MS_DETAIL_MAX];
+        snprintf(detail, sizeof(detail), "stopped to make room for %.120s", claimant->id);
+        ms_gang_abort(sched, victim->job, MS_AFTER_RETRY, MS_OUTCOME_DONE, detail);
+    }
+}
+
+/* Adds (sign 1) or takes away (sign -1) the part of TASK that cannot be stopped. */
+static void
+count_fixed(struct ms_server *server, const struct ms_task *task, int sign)
+{
+    if (task->cell != NULL || ms_job_stoppable(task->job)) {
+        return;
+    }
+    server->fixed_slots += (uint32_t)sign;
+    server->fixed_accels += (uint32_t)(sign * (int)task->job->spec.accels);
+}
+
+void
+ms_task_charge(struct ms_sched *sched, struct ms_task *task, struct ms_server *server,
+               struct ms_cell *cell)
+{
+    (void)sched;
+    uint32_t accels = task->job->spec.accels;
+    task->server = server;
+    task->state = MS_TASK_RESERVED;
+    task->started = false;
+    task->withheld = false;
+    task->seen = false;
+    task->stop_at = INT64_MAX;
+    task->cell = NULL;
+    ms_list_append(&server->tasks, &task->server_link);
+    server->slots_free -= 1;
+    server->accels_free -= (int32_t)accels;
+    task->job->account->used_accels += accels;
+    task->job->account->used_tasks += 1;
+    if (cell != NULL) {
+        cell->task = task;
+        task->cell = cell;
+    }
+    count_fixed(server, task, 1);
+}
+
+void
+ms_task_discharge(struct ms_sched *sched, struct ms_task *task)
+{
+    struct ms_server *server = task->server;
+    if (server == NULL) {
+        return;
+    }
+    uint32_t accels = task->job->spec.accels;
+    count_fixed(server, task, -1);
+    if (task->cell != NULL) {
+        task->cell->task = NULL;
+        task->cell = NULL;
+    }
+    ms_list_remove(&task->server_link);
+    server->slots_free += 1;
+    server->accels_free += (int32_t)accels;
+    task->job->account->used_accels -= accels;
+    task->job->account->used_tasks -= 1;
+    task->server = NULL;
+    sched->dirty = true;
+    sched->cells_dirty = true;
+    ms_gang_room_check(sched, server);
+}
+
+/* Moves a charged task out of its cell, which is being unbound. */
+void
+ms_cell_leave(struct ms_cell *cell)
+{
+    struct ms_task *task = cell->task;
+    if (task == NULL) {
+        return;
+    }
+    cell->task = NULL;
+    task->cell = NULL;
+    if (task->server != NULL) {
+        count_fixed(task->server, task, 1);
+    }
+}
+
+/* Moves a charged task that is in no cell into CELL, bound to its server. */
+void
+ms_cell_take(struct ms_cell *cell, struct ms_task *task)
+{
+    count_fixed(task->server, task, -1);
+    cell->task = task;
+    task->cell = cell;
+}
+
+/* Whether the servers of this data centre, all empty, could hold JOB. */
+bool
+ms_job_could_ever_fit(const struct ms_sched *sched, const struct ms_job *job)
+{
+    uint32_t total = 0;
+    uint32_t best_one = 0;
+    uint32_t best_in_rack = 0;
+    memset(sched->rack_totals->data, 0, sched->rack_totals->len * sizeof(struct ms_rack_total));
+    MS_LIST_EACH(link, &sched->servers)
+    {
+        const struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
+        uint32_t fit = (uint32_t)tasks_in((int32_t)server->slots, (int32_t)server->accels,
+                                          job->spec.accels);
+        struct ms_rack_total *rack = rack_total(sched, server->rack_id);
+        rack->fit += fit;
+        total += fit;
+        best_one = MAX(best_one, fit);
+        best_in_rack = MAX(best_in_rack, rack->fit);
+    }
+    if (ms_list_empty(&sched->servers)) {
+        return true; /* nothing is known yet */
+    }
+    switch (job->spec.adjacency) {
+    case MS_ADJACENT_SERVER:
+        return best_one >= job->spec.tasks;
+    case MS_ADJACENT_RACK:
+        return best_in_rack >= job->spec.tasks;
+    case MS_ADJACENT_DC:
+        break;
+    }
+    return total >= job->spec.tasks;
+}
+
+/* Most tasks of JOB that could start together now. */
+uint32_t
+ms_place_capacity(struct ms_sched *sched, const struct ms_job *job)
+{
+    uint32_t total = measure_fit(sched, job, false);
+    if (job->spec.adjacency == MS_ADJACENT_DC) {
+        return total;
+    }
+    uint32_t best = 0;
+    MS_LIST_EACH(link, &sched->servers)
+    {
+        const struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
+        uint32_t fit = job->spec.adjacency == MS_ADJACENT_SERVER
+                           ? (uint32_t)server->scratch
+                           : rack_total(sched, server->rack_id)->fit;
+        best = MAX(best, fit);
+    }
+    return best;
+}
--- /dev/null
+++ b/src/core/sched.c
@@ -0,0 +1,629 @@
+/*
+ * sched.c - the step function of the decision core.
+ *
+ * Algorithm.  One event changes the state of a server, a job or a rule; then
+ * due timers run, unbound guarantee cells are bound, and one pass over the
+ * waiting jobs starts what may start.  Cells follow the idea of virtual
+ * private clusters (Zhao et al., "HiveD: Sharing a GPU Cluster for Deep
+ * Learning with Guarantees", OSDI 2020), reduced to cells of one task each.
+ * Leases with fencing follow Gray and Cheriton, "Leases: An Efficient
+ * Fault-Tolerant Mechanism for Distributed File Cache Consistency", SOSP 1989.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched.h"
+
+#define FIRST_ACTION_CAPACITY 64
+
+static void *
+default_alloc(void *opaque, size_t size)
+{
+    (void)opaque;
+    return malloc(size);
+}
+
+static void
+default_release(void *opaque, void *memory)
+{
+    (void)opaque;
+    free(memory);
+}
+
+void *
+ms_sched_alloc(struct ms_sched *sched, size_t size)
+{
+    return sched->hooks.alloc(sched->hooks.opaque, size);
+}
+
+void
+ms_sched_release(struct ms_sched *sched, void *memory)
+{
+    if (memory != NULL) {
+        sched->hooks.release(sched->hooks.opaque, memory);
+    }
+}
+
+void
+ms_sched_defaults(struct ms_sched_limits *limits)
+{
+    *limits = (struct ms_sched_limits){
+        .lease_ms = 3000,
+        .gang_start_ms = 2000,
+        .checkpoint_ms = 1500,
+        .retry_base_ms = 100,
+        .retry_max_ms = 10000,
+        .attempts_max = 6,
+        .job_fail_servers = 3,
+        .server_fail_jobs = 3,
+        .quarantine_ms = 10000,
+        .backfill_wait_ms = 2000,
+        .queue_max = 2000,
+        .recent_max = 4096,
+    };
+}
+
+static bool
+limits_valid(const struct ms_sched_limits *limits)
+{
+    return limits->lease_ms > 0 && limits->gang_start_ms > 0 && limits->checkpoint_ms >= 0 &&
+           limits->retry_base_ms > 0 && limits->retry_max_ms >= limits->retry_base_ms &&
+           limits->attempts_max > 0 && limits->job_fail_servers > 0 &&
+           limits->job_fail_servers <= MS_FAIL_MEMORY && limits->server_fail_jobs > 0 &&
+           limits->server_fail_jobs <= MS_FAIL_MEMORY && limits->quarantine_ms > 0 &&
+           limits->backfill_wait_ms >= 0 && limits->queue_max > 0;
+}
+
+struct ms_sched *
+ms_sched_new(const char *dc, const struct ms_sched_limits *limits, const struct ms_hooks *hooks)
+{
+    struct ms_hooks used = {.alloc = default_alloc, .release = default_release};
+    if (hooks != NULL) {
+        used = *hooks;
+    }
+    struct ms_sched *sched = used.alloc(used.opaque, sizeof(*sched));
+    if (sched == NULL) {
+        return NULL;
+    }
+    memset(sched, 0, sizeof(*sched));
+    sched->hooks = used;
+    ms_sched_defaults(&sched->limits);
+    if (limits != NULL) {
+        sched->limits = *limits;
+    }
+    if (!limits_valid(&sched->limits)) {
+        ms_sched_release(sched, sched);
+        return NULL;
+    }
+    g_strlcpy(sched->dc, dc, sizeof(sched->dc));
+    sched->next_tick = INT64_MAX;
+    ms_link_init(&sched->servers);
+    ms_link_init(&sched->jobs);
+    ms_link_init(&sched->accounts);
+    ms_link_init(&sched->guarantees);
+    ms_link_init(&sched->recents);
+    sched->server_index = g_hash_table_new(g_str_hash, g_str_equal);
+    sched->job_index = g_hash_table_new(g_str_hash, g_str_equal);
+    sched->account_index = g_hash_table_new(g_str_hash, g_str_equal);
+    sched->recent_index = g_hash_table_new(g_str_hash, g_str_equal);
+    sched->rack_index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    sched->rack_totals = g_array_new(FALSE, TRUE, sizeof(struct ms_rack_total));
+    sched->candidates = g_ptr_array_new();
+    sched->dead_jobs = g_ptr_array_new();
+    sched->dead_recents = g_ptr_array_new();
+    return sched;
+}
+
+/* Frees what the actions of the last step pointed into. */
+static void
+free_dead(struct ms_sched *sched)
+{
+    for (guint i = 0; i < sched->dead_jobs->len; i++) {
+        ms_job_free(sched, g_ptr_array_index(sched->dead_jobs, i));
+    }
+    g_ptr_array_set_size(sched->dead_jobs, 0);
+    for (guint i = 0; i < sched->dead_recents->len; i++) {
+        ms_recent_free(sched, g_ptr_array_index(sched->dead_recents, i));
+    }
+    g_ptr_array_set_size(sched->dead_recents, 0);
+}
+
+static void
+release_actions(struct ms_sched *sched)
+{
+    for (size_t i = 0; i < sched->action_count; i++) {
+        if (sched->actions[i].kind == MS_ACTION_TOKEN) {
+            ms_sched_release(sched, (void *)sched->actions[i].token.servers);
+        }
+    }
+    sched->action_count = 0;
+}
+
+void
+ms_sched_free(struct ms_sched *sched)
+{
+    if (sched == NULL) {
+        return;
+    }
+    release_actions(sched);
+    free_dead(sched);
+    MS_LIST_EACH(link, &sched->jobs)
+    {
+        ms_job_free(sched, MS_CONTAINER(link, struct ms_job, link));
+    }
+    MS_LIST_EACH(link, &sched->recents)
+    {
+        ms_recent_free(sched, MS_CONTAINER(link, struct ms_recent, link));
+    }
+    MS_LIST_EACH(link, &sched->guarantees)
+    {
+        ms_guarantee_free(sched, MS_CONTAINER(link, struct ms_guarantee, link));
+    }
+    MS_LIST_EACH(link, &sched->accounts)
+    {
+        ms_sched_release(sched, MS_CONTAINER(link, struct ms_account, link));
+    }
+    MS_LIST_EACH(link, &sched->servers)
+    {
+        ms_sched_release(sched, MS_CONTAINER(link, struct ms_server, link));
+    }
+    g_hash_table_destroy(sched->server_index);
+    g_hash_table_destroy(sched->job_index);
+    g_hash_table_destroy(sched->account_index);
+    g_hash_table_destroy(sched->recent_index);
+    g_hash_table_destroy(sched->rack_index);
+    g_array_free(sched->rack_totals, TRUE);
+    g_ptr_array_free(sched->candidates, TRUE);
+    g_ptr_array_free(sched->dead_jobs, TRUE);
+    g_ptr_array_free(sched->dead_recents, TRUE);
+    ms_sched_release(sched, sched->actions);
+    ms_sched_release(sched, sched);
+}
+
+/*
+ * Appends an action.  Running out of memory here would leave a state change
+ * without its action, which is a broken invariant, so the process stops.
+ */
+struct ms_action *
+ms_emit(struct ms_sched *sched, enum ms_action_kind kind, const char *id)
+{
+    if (sched->action_count == sched->action_capacity) {
+        size_t capacity = MAX(sched->action_capacity * 2, FIRST_ACTION_CAPACITY);
+        struct ms_action *grown = ms_sched_alloc(sched, capacity * sizeof(*grown));
+        if (grown == NULL) {
+            g_error("event=out_of_memory where=actions count=%zu", capacity);
+        }
+        if (sched->action_count > 0) {
+            memcpy(grown, sched->actions, sched->action_count * sizeof(*grown));
+        }
+        ms_sched_release(sched, sched->actions);
+        sched->actions = grown;
+        sched->action_capacity = capacity;
+    }
+    struct ms_action *action = &sched->actions[sched->action_count++];
+    memset(action, 0, sizeof(*action));
+    action->kind = kind;
+    g_strlcpy(action->id, id, sizeof(action->id));
+    return action;
+}
+
+void
+ms_emit_task(struct ms_sched *sched, const struct ms_task *task, enum ms_task_op op)
+{
+    struct ms_action *action = ms_emit(sched, MS_ACTION_TASK, task->job->id);
+    action->task.op = op;
+    action->task.server = task->server->name;
+    action->task.member = (uint32_t)(task - task->job->tasks);
+    action->task.attempt = task->job->attempt;
+    action->task.spec = &task->job->spec;
+}
+
+void
+ms_set_timer(struct ms_sched *sched, int64_t at)
+{
+    sched->next_tick = MIN(sched->next_tick, at);
+}
+
+struct ms_server *
+ms_server_find(const struct ms_sched *sched, const char *name)
+{
+    return g_hash_table_lookup(sched->server_index, name);
+}
+
+struct ms_job *
+ms_job_find(const struct ms_sched *sched, const char *id)
+{
+    return g_hash_table_lookup(sched->job_index, id);
+}
+
+static struct ms_server *
+server_new(struct ms_sched *sched, const struct ms_server_event *event)
+{
+    struct ms_server *server = ms_sched_alloc(sched, sizeof(*server));
+    if (server == NULL) {
+        return NULL;
+    }
+    memset(server, 0, sizeof(*server));
+    g_strlcpy(server->name, event->name, sizeof(server->name));
+    ms_link_init(&server->tasks);
+    server->state = MS_SERVER_LOST;
+    struct ms_link *position = sched->servers.next;
+    while (position != &sched->servers &&
+           strcmp(MS_CONTAINER(position, struct ms_server, link)->name, server->name) < 0) {
+        position = position->next;
+    }
+    ms_list_insert_before(position, &server->link);
+    g_hash_table_insert(sched->server_index, server->name, server);
+    return server;
+}
+
+static enum ms_result
+server_up(struct ms_sched *sched, const struct ms_server_event *event)
+{
+    if (event->name[0] == '\0') {
+        return MS_E_INVALID;
+    }
+    struct ms_server *server = ms_server_find(sched, event->name);
+    if (server == NULL) {
+        server = server_new(sched, event);
+    }
+    if (server == NULL) {
+        return MS_E_NOMEM;
+    }
+    ms_guarantee_unbind_server(sched, server);
+    g_strlcpy(server->rack, event->rack, sizeof(server->rack));
+    server->rack_id = ms_rack_intern(sched, event->rack);
+    server->slots_free += (int32_t)event->slots - (int32_t)server->slots;
+    server->accels_free += (int32_t)event->accels - (int32_t)server->accels;
+    server->slots = event->slots;
+    server->accels = event->accels;
+    server->state = MS_SERVER_SYNCING;
+    server->seen_pending = event->seen_count;
+    MS_LIST_EACH(link, &server->tasks)
+    {
+        MS_CONTAINER(link, struct ms_task, server_link)->seen = false;
+    }
+    if (server->seen_pending == 0) {
+        ms_adopt_server_done(sched, server);
+    }
+    return MS_OK;
+}
+
+static void
+server_lost(struct ms_sched *sched, const char *name)
+{
+    struct ms_server *server = ms_server_find(sched, name);
+    if (server == NULL || server->state == MS_SERVER_LOST) {
+        return;
+    }
+    server->state = MS_SERVER_LOST;
+    server->lost_until = sched->now + sched->limits.lease_ms;
+    ms_set_timer(sched, server->lost_until);
+    ms_guarantee_unbind_server(sched, server);
+    if (server->kept_for != NULL) {
+        ms_backfill_clear(sched);
+    }
+    ms_gang_server_lost(sched, server);
+    sched->dirty = true;
+    sched->cells_dirty = true;
+}
+
+static void
+server_leaving(struct ms_sched *sched, const char *name)
+{
+    struct ms_server *server = ms_server_find(sched, name);
+    if (server == NULL || server->state == MS_SERVER_LOST || server->state == MS_SERVER_LEAVING) {
+        return;
+    }
+    server->state = MS_SERVER_LEAVING;
+    ms_guarantee_unbind_server(sched, server);
+    sched->cells_dirty = true;
+    sched->dirty = true;
+}
+
+/*
+ * Turns away every job that has not started, so that its entry host can offer
+ * it elsewhere.  Running work goes on.
+ */
+static void
+take_out(struct ms_sched *sched)
+{
+    char detail[MS_DETAIL_MAX];
+    snprintf(detail, sizeof(detail), "data centre %s is out of service", sched->dc);
+    MS_LIST_EACH(link, &sched->jobs)
+    {
+        struct ms_job *job = MS_CONTAINER(link, struct ms_job, link);
+        switch (job->state) {
+        case MS_JOB_WAITING:
+            ms_job_finish(sched, job, MS_OUTCOME_DC_OUT, detail);
+            break;
+        case MS_JOB_RECLAIMING:
+        case MS_JOB_TOKEN:
+        case MS_JOB_PREPARING:
+            ms_gang_abort(sched, job, MS_AFTER_OUTCOME, MS_OUTCOME_DC_OUT, detail);
+            break;
+        case MS_JOB_STARTING:
+        case MS_JOB_RUNNING:
+        case MS_JOB_ABORTING:
+        case MS_JOB_ADOPTING:
+            break;
+        }
+    }
+}
+
+static void
+rule_apply(struct ms_sched *sched, const struct ms_rule *rule)
+{
+    struct ms_account *account = NULL;
+    switch (rule->kind) {
+    case MS_RULE_ACCOUNT:
+        account = ms_account_get(sched, rule->name);
+        if (account != NULL) {
+            account->defined = !rule->removed;
+            account->share = MAX(rule->share, 1);
+        }
+        break;
+    case MS_RULE_LIMIT:
+        account = ms_account_get(sched, rule->name);
+        if (account != NULL) {
+            account->limit_accels = rule->removed ? 0 : rule->accels;
+            account->limit_running = rule->removed ? 0 : rule->running;
+            account->limit_queued = rule->removed ? 0 : rule->queued;
+        }
+        break;
+    case MS_RULE_GUARANTEE:
+        ms_guarantee_apply(sched, rule);
+        break;
+    case MS_RULE_DC:
+        if (strcmp(rule->name, sched->dc) == 0) {
+            sched->out = rule->out && !rule->removed;
+            if (sched->out) {
+                take_out(sched);
+            }
+        }
+        break;
+    }
+    sched->dirty = true;
+}
+
+/*
+ * The task that EVENT names, or NULL when it is not of the present attempt or
+ * runs on another server: such an event is late and has no effect.
+ */
+static struct ms_task *
+event_task(struct ms_sched *sched, const struct ms_task_event *event)
+{
+    struct ms_job *job = ms_job_find(sched, event->id);
+    if (job == NULL || event->member >= job->spec.tasks || event->attempt != job->attempt) {
+        return NULL;
+    }
+    struct ms_task *task = &job->tasks[event->member];
+    if (task->server == NULL || strcmp(task->server->name, event->server) != 0) {
+        return NULL;
+    }
+    return task;
+}
+
+/* Tells a server to forget an ended task that nothing here waits for. */
+static void
+acknowledge_unknown(struct ms_sched *sched, const struct ms_task_event *event)
+{
+    struct ms_server *server = ms_server_find(sched, event->server);
+    if (server == NULL || server->state == MS_SERVER_LOST) {
+        return;
+    }
+    struct ms_action *action = ms_emit(sched, MS_ACTION_TASK, event->id);
+    action->task.op = MS_OP_ACK;
+    action->task.server = server->name;
+    action->task.member = event->member;
+    action->task.attempt = event->attempt;
+}
+
+static void
+task_usage(struct ms_sched *sched, const struct ms_task_event *event)
+{
+    struct ms_task *task = event_task(sched, event);
+    if (task == NULL || task->state != MS_TASK_RUNNING) {
+        return;
+    }
+    if (event->used_accels > task->job->spec.accels) {
+        ms_emit_task(sched, task, MS_OP_THROTTLE);
+    }
+}
+
+static void
+task_step(struct ms_sched *sched, enum ms_event_kind kind, const struct ms_task_event *event)
+{
+    struct ms_task *task = event_task(sched, event);
+    if (task == NULL) {
+        if (kind == MS_EVENT_TASK_ENDED) {
+            acknowledge_unknown(sched, event);
+        }
+        return;
+    }
+    switch (kind) {
+    case MS_EVENT_TASK_PREPARED:
+        ms_gang_prepared(sched, task);
+        break;
+    case MS_EVENT_TASK_STARTED:
+        ms_gang_started(sched, task);
+        break;
+    case MS_EVENT_TASK_REFUSED:
+        ms_gang_refused(sched, task);
+        break;
+    case MS_EVENT_TASK_ENDED:
+        ms_gang_ended(sched, task, event);
+        break;
+    default:
+        break;
+    }
+}
+
+static enum ms_result
+task_seen(struct ms_sched *sched, const struct ms_task_event *event)
+{
+    char text[MS_DETAIL_MAX];
+    struct ms_server *server = ms_server_find(sched, event->server);
+    if (server == NULL || ms_job_spec_check(&event->spec, text, sizeof(text)) != MS_OK ||
+        event->member >= event->spec.tasks) {
+        return MS_E_INVALID;
+    }
+    if (server->state != MS_SERVER_SYNCING || server->seen_pending == 0) {
+        return MS_E_CONFLICT;
+    }
+    ms_adopt_seen(sched, server, event);
+    server->seen_pending--;
+    if (server->seen_pending == 0) {
+        ms_adopt_server_done(sched, server);
+    }
+    return MS_OK;
+}
+
+static enum ms_result
+submit(struct ms_sched *sched, const struct ms_submit_event *event)
+{
+    char text[MS_DETAIL_MAX];
+    if (ms_job_spec_check(&event->spec, text, sizeof(text)) != MS_OK) {
+        return MS_E_INVALID;
+    }
+    ms_job_submit(sched, event);
+    return MS_OK;
+}
+
+static enum ms_result
+apply_event(struct ms_sched *sched, const struct ms_event *event)
+{
+    struct ms_job *job = NULL;
+    switch (event->kind) {
+    case MS_EVENT_TICK:
+        break;
+    case MS_EVENT_RULE:
+        rule_apply(sched, &event->rule);
+        break;
+    case MS_EVENT_SERVER_UP:
+        return server_up(sched, &event->server);
+    case MS_EVENT_SERVER_LOST:
+        server_lost(sched, event->server.name);
+        break;
+    case MS_EVENT_SERVER_LEAVING:
+        server_leaving(sched, event->server.name);
+        break;
+    case MS_EVENT_TASK_SEEN:
+        return task_seen(sched, &event->task);
+    case MS_EVENT_SUBMIT:
+        return submit(sched, &event->submit);
+    case MS_EVENT_CANCEL:
+        job = ms_job_find(sched, event->job);
+        if (job != NULL) {
+            ms_job_cancel(sched, job);
+        }
+        break;
+    case MS_EVENT_ASK:
+        ms_job_ask(sched, event->job);
+        break;
+    case MS_EVENT_TASK_PREPARED:
+    case MS_EVENT_TASK_STARTED:
+    case MS_EVENT_TASK_REFUSED:
+    case MS_EVENT_TASK_ENDED:
+        task_step(sched, event->kind, &event->task);
+        break;
+    case MS_EVENT_USAGE:
+        task_usage(sched, &event->task);
+        break;
+    case MS_EVENT_TOKEN:
+        job = ms_job_find(sched, event->token.id);
+        if (job != NULL && job->state == MS_JOB_TOKEN && job->attempt == event->token.attempt) {
+            ms_gang_token(sched, job, event->token.answer);
+        }
+        break;
+    case MS_EVENT_PAUSE:
+        sched->paused = event->pause;
+        sched->dirty = true;
+        sched->cells_dirty = true;
+        break;
+    }
+    return MS_OK;
+}
+
+/* Ends the tasks of a server that has been lost for the length of a lease. */
+static void
+server_tick(struct ms_sched *sched, struct ms_server *server)
+{
+    if (server->state == MS_SERVER_LOST) {
+        if (sched->now < server->lost_until) {
+            ms_set_timer(sched, server->lost_until);
+            return;
+        }
+        MS_LIST_EACH(link, &server->tasks)
+        {
+            struct ms_task *task = MS_CONTAINER(link, struct ms_task, server_link);
+            struct ms_task_event lapsed = {.result = MS_TASK_LAPSED};
+            ms_gang_ended(sched, task, &lapsed);
+        }
+        return;
+    }
+    ms_health_tick(sched, server);
+}
+
+/* Runs every timer that is due and finds the next one. */
+static void
+run_timers(struct ms_sched *sched)
+{
+    if (sched->now < sched->next_tick) {
+        return;
+    }
+    sched->next_tick = INT64_MAX;
+    MS_LIST_EACH(link, &sched->servers)
+    {
+        server_tick(sched, MS_CONTAINER(link, struct ms_server, link));
+    }
+    MS_LIST_EACH(link, &sched->jobs)
+    {
+        ms_gang_tick(sched, MS_CONTAINER(link, struct ms_job, link));
+    }
+    /* A job may be gone by now, so the next times are read afterwards. */
+    MS_LIST_EACH(link, &sched->jobs)
+    {
+        ms_set_timer(sched, ms_gang_next(MS_CONTAINER(link, struct ms_job, link), sched->now));
+    }
+}
+
+enum ms_result
+ms_sched_step(struct ms_sched *sched, const struct ms_event *event, int64_t now)
+{
+    release_actions(sched);
+    free_dead(sched);
+    sched->now = MAX(sched->now, now);
+    enum ms_result result = apply_event(sched, event);
+    if (result != MS_OK) {
+        return result;
+    }
+    run_timers(sched);
+    if (sched->cells_dirty && !sched->paused) {
+        ms_guarantee_bind_all(sched);
+    }
+    if (sched->dirty && !sched->paused) {
+        sched->dirty = false;
+        ms_queue_pass(sched);
+    }
+    return MS_OK;
+}
+
+size_t
+ms_sched_action_count(const struct ms_sched *sched)
+{
+    return sched->action_count;
+}
+
+const struct ms_action *
+ms_sched_action(const struct ms_sched *sched, size_t index)
+{
+    return &sched->actions[index];
+}
+
+int64_t
+ms_sched_next_tick(const struct ms_sched *sched)
+{
+    return sched->next_tick;
+}
--- /dev/null
+++ b/src/logstate/logstate.c
@@ -0,0 +1,542 @@
+/*
+ * logstate.c - the state that the records of the platform's log add up to.
+ *
+ * A replicated state machine whose order is the log's (Schneider,
+ * "Implementing Fault-Tolerant Services Using the State Machine Approach", ACM
+ * Computing Surveys 1990): races are settled by the first record in log order.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "logstate/private.h"
+#include "wire/convert.h"
+
+void
+ms_token_free(void *token)
+{
+    ms__wire__token__free_unpacked(token, NULL);
+}
+
+void
+ms_outcome_free(void *outcome)
+{
+    ms__wire__outcome__free_unpacked(outcome, NULL);
+}
+
+void
+ms_accept_free(void *accept)
+{
+    struct ms_accept_entry *entry = accept;
+    g_free((void *)entry->spec.payload);
+    g_free(entry);
+}
+
+/* protobuf-c has no copy function, so copies go by way of the packed form. */
+Ms__Wire__Token *
+ms_token_copy(const Ms__Wire__Token *token)
+{
+    size_t size = ms__wire__token__get_packed_size(token);
+    uint8_t *packed = g_malloc(size + 1);
+    ms__wire__token__pack(token, packed);
+    Ms__Wire__Token *copy = ms__wire__token__unpack(NULL, size, packed);
+    g_free(packed);
+    return copy;
+}
+
+Ms__Wire__Outcome *
+ms_outcome_copy(const Ms__Wire__Outcome *outcome)
+{
+    size_t size = ms__wire__outcome__get_packed_size(outcome);
+    uint8_t *packed = g_malloc(size + 1);
+    ms__wire__outcome__pack(outcome, packed);
+    Ms__Wire__Outcome *copy = ms__wire__outcome__unpack(NULL, size, packed);
+    g_free(packed);
+    return copy;
+}
+
+struct ms_logstate *
+ms_logstate_new(void)
+{
+    struct ms_logstate *state = g_new0(struct ms_logstate, 1);
+    state->complete = true;
+    state->rules = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    state->tokens = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ms_token_free);
+    state->accepts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, ms_accept_free);
+    state->dones = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ms_outcome_free);
+    state->done_order = g_queue_new();
+    state->epochs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    state->history = g_queue_new();
+    state->part_sets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, ms_part_set_free);
+    state->held = g_queue_new();
+    return state;
+}
+
+static void
+held_free(void *memory)
+{
+    struct ms_held_record *held = memory;
+    g_bytes_unref(held->bytes);
+    g_free(held);
+}
+
+/* Empties the state, but not the history and the records that wait. */
+void
+ms_logstate_clear(struct ms_logstate *state)
+{
+    g_hash_table_remove_all(state->rules);
+    g_hash_table_remove_all(state->tokens);
+    g_hash_table_remove_all(state->accepts);
+    g_hash_table_remove_all(state->dones);
+    g_queue_clear_full(state->done_order, g_free);
+    g_hash_table_remove_all(state->epochs);
+}
+
+void
+ms_logstate_free(struct ms_logstate *state)
+{
+    if (state == NULL) {
+        return;
+    }
+    ms_logstate_clear(state);
+    g_hash_table_destroy(state->rules);
+    g_hash_table_destroy(state->tokens);
+    g_hash_table_destroy(state->accepts);
+    g_hash_table_destroy(state->dones);
+    g_queue_free_full(state->done_order, g_free);
+    g_hash_table_destroy(state->epochs);
+    g_queue_free_full(state->history, g_free);
+    g_hash_table_destroy(state->part_sets);
+    g_queue_free_full(state->held, held_free);
+    g_free(state);
+}
+
+uint64_t
+ms_logstate_next(const struct ms_logstate *state)
+{
+    return state->next;
+}
+
+bool
+ms_logstate_complete(const struct ms_logstate *state)
+{
+    return state->complete;
+}
+
+uint64_t
+ms_logstate_snapshot_offset(const struct ms_logstate *state)
+{
+    return state->snapshot_offset;
+}
+
+static void
+remember(struct ms_logstate *state, const Ms__Wire__RuleChange *change, uint64_t version,
+         const char *reason)
+{
+    struct ms_history_entry *entry = g_new0(struct ms_history_entry, 1);
+    entry->version = version;
+    entry->taken = reason == NULL;
+    g_strlcpy(entry->key, change->key, sizeof(entry->key));
+    g_strlcpy(entry->text, change->line, sizeof(entry->text));
+    g_strlcpy(entry->requester, change->requester, sizeof(entry->requester));
+    g_strlcpy(entry->reason, reason != NULL ? reason : "", sizeof(entry->reason));
+    g_queue_push_tail(state->history, entry);
+    if (g_queue_get_length(state->history) > MS_HISTORY_MAX) {
+        g_free(g_queue_pop_head(state->history));
+    }
+}
+
+/* Why CHANGE comes too late, or NULL when it may be taken. */
+static const char *
+rule_conflict(const struct ms_logstate *state, const Ms__Wire__RuleChange *change, char *reason,
+              size_t size)
+{
+    const struct ms_rule_entry *entry = g_hash_table_lookup(state->rules, change->key);
+    uint64_t current = entry != NULL ? entry->version : 0;
+    if (current != change->replaces) {
+        snprintf(reason, size, "version %" G_GUINT64_FORMAT " of the rule, by %.60s, came first",
+                 current, entry != NULL ? entry->line.requester : "nobody");
+        return reason;
+    }
+    bool guarantee = g_str_has_prefix(change->key, "guarantee ");
+    if (guarantee && change->guarantees_version != state->guarantees_version) {
+        snprintf(reason, size, "the guarantees changed in version %" G_GUINT64_FORMAT,
+                 state->guarantees_version);
+        return reason;
+    }
+    return NULL;
+}
+
+static enum ms_applied_kind
+apply_rule(struct ms_logstate *state, const Ms__Wire__RuleChange *change, uint64_t version)
+{
+    char reason[MS_DETAIL_MAX];
+    struct ms_rule_line line;
+    bool removed = change->line[0] == '\0';
+    char *with_comment = g_strdup_printf("%s # %s", change->line, change->requester);
+    enum ms_result parsed =
+        removed ? MS_OK : ms_rule_line_parse(with_comment, &line, reason, sizeof(reason));
+    g_free(with_comment);
+    if (parsed != MS_OK || strlen(change->key) >= MS_RULE_KEY_MAX) {
+        remember(state, change, version, "the record is malformed");
+        return MS_APPLIED_RULE_LOST;
+    }
+    const char *conflict = rule_conflict(state, change, reason, sizeof(reason));
+    if (conflict != NULL) {
+        remember(state, change, version, conflict);
+        return MS_APPLIED_RULE_LOST;
+    }
+    struct ms_rule_entry *entry = g_hash_table_lookup(state->rules, change->key);
+    if (entry == NULL) {
+        if (removed) {
+            return MS_APPLIED_NOTHING;
+        }
+        entry = g_new0(struct ms_rule_entry, 1);
+        g_strlcpy(entry->key, change->key, sizeof(entry->key));
+        g_hash_table_insert(state->rules, entry->key, entry);
+    }
+    if (!removed) {
+        entry->line = line;
+    }
+    g_strlcpy(entry->line.requester, change->requester, sizeof(entry->line.requester));
+    entry->removed = removed;
+    entry->line.rule.removed = removed;
+    entry->version = version;
+    state->rules_version = version;
+    if (g_str_has_prefix(change->key, "guarantee ")) {
+        state->guarantees_version = version;
+    }
+    remember(state, change, version, NULL);
+    return MS_APPLIED_RULE;
+}
+
+/*
+ * The first token of an id counts.  The same holder may name other servers
+ * for a later attempt; it does so only when the earlier one did not run.
+ */
+static enum ms_applied_kind
+apply_token(struct ms_logstate *state, const Ms__Wire__Token *token)
+{
+    const Ms__Wire__Token *first = g_hash_table_lookup(state->tokens, token->id);
+    const Ms__Wire__Outcome *done = g_hash_table_lookup(state->dones, token->id);
+    if (done != NULL) {
+        return MS_APPLIED_TOKEN_LOST;
+    }
+    bool same_holder = first != NULL && first->epoch == token->epoch &&
+                       strcmp(first->dc, token->dc) == 0 &&
+                       strcmp(first->holder, token->holder) == 0;
+    if (first != NULL && !same_holder) {
+        return MS_APPLIED_TOKEN_LOST;
+    }
+    Ms__Wire__Token *copy = ms_token_copy(token);
+    g_hash_table_replace(state->tokens, copy->id, copy);
+    return MS_APPLIED_TOKEN;
+}
+
+struct ms_accept_entry *
+ms_accept_new(const Ms__Wire__Accept *accept, uint64_t version)
+{
+    struct ms_accept_entry *entry = g_new0(struct ms_accept_entry, 1);
+    if (ms_spec_from_wire(accept->spec, 0, &entry->spec) != MS_OK) {
+        g_free(entry);
+        return NULL;
+    }
+    entry->deadline_left_ms = accept->spec->start_within_ms;
+    entry->spec.payload = g_memdup2(accept->spec->payload.data, accept->spec->payload.len);
+    g_strlcpy(entry->dc, accept->dc, sizeof(entry->dc));
+    entry->version = version;
+    return entry;
+}
+
+void
+ms_accept_to_wire(const struct ms_accept_entry *entry, Ms__Wire__Accept *accept,
+                  Ms__Wire__Spec *spec)
+{
+    ms__wire__accept__init(accept);
+    ms_spec_to_wire(&entry->spec, 0, spec);
+    spec->start_within_ms = entry->deadline_left_ms;
+    accept->spec = spec;
+    accept->dc = (char *)entry->dc;
+}
+
+static enum ms_applied_kind
+apply_accept(struct ms_logstate *state, const Ms__Wire__Accept *accept, uint64_t version)
+{
+    if (accept->spec == NULL) {
+        return MS_APPLIED_NOTHING;
+    }
+    char *id = g_strdup_printf("%s/%s", accept->spec->account, accept->spec->key);
+    const struct ms_accept_entry *current = g_hash_table_lookup(state->accepts, id);
+    uint64_t current_version = current != NULL ? current->version : 0;
+    if (current_version != accept->replaces || g_hash_table_contains(state->dones, id)) {
+        g_free(id);
+        return MS_APPLIED_ACCEPT_LOST;
+    }
+    struct ms_accept_entry *entry = ms_accept_new(accept, version);
+    if (entry == NULL) {
+        g_free(id);
+        return MS_APPLIED_NOTHING;
+    }
+    g_hash_table_replace(state->accepts, id, entry);
+    return MS_APPLIED_ACCEPT;
+}
+
+/* Keeps OUTCOME and forgets the oldest ones beyond the bound. */
+void
+ms_logstate_put_done(struct ms_logstate *state, const Ms__Wire__Outcome *outcome)
+{
+    Ms__Wire__Outcome *copy = ms_outcome_copy(outcome);
+    g_hash_table_replace(state->dones, copy->id, copy);
+    g_queue_push_tail(state->done_order, g_strdup(copy->id));
+    while (g_queue_get_length(state->done_order) > MS_DONE_MAX) {
+        char *oldest = g_queue_pop_head(state->done_order);
+        g_hash_table_remove(state->dones, oldest);
+        g_free(oldest);
+    }
+}
+
+/* An outcome that did not run leaves the key free for another try. */
+static enum ms_applied_kind
+apply_done(struct ms_logstate *state, const Ms__Wire__Done *done)
+{
+    if (done->outcome == NULL || g_hash_table_contains(state->dones, done->outcome->id)) {
+        return MS_APPLIED_NOTHING;
+    }
+    g_hash_table_remove(state->tokens, done->outcome->id);
+    bool accepted = g_hash_table_remove(state->accepts, done->outcome->id);
+    if (done->outcome->ran != MS_RAN_NO || accepted) {
+        ms_logstate_put_done(state, done->outcome);
+    }
+    return MS_APPLIED_DONE;
+}
+
+static enum ms_applied_kind
+apply_epoch(struct ms_logstate *state, const Ms__Wire__Epoch *epoch, uint64_t version)
+{
+    struct ms_epoch_entry *entry = g_hash_table_lookup(state->epochs, epoch->dc);
+    if (entry == NULL) {
+        entry = g_new0(struct ms_epoch_entry, 1);
+        g_strlcpy(entry->dc, epoch->dc, sizeof(entry->dc));
+        g_hash_table_insert(state->epochs, entry->dc, entry);
+    }
+    g_strlcpy(entry->host, epoch->host, sizeof(entry->host));
+    entry->number = version;
+    return MS_APPLIED_EPOCH;
+}
+
+static enum ms_applied_kind
+apply_record(struct ms_logstate *state, const Ms__Wire__LogRecord *record, uint64_t version)
+{
+    switch (record->body_case) {
+    case MS__WIRE__LOG_RECORD__BODY_RULE:
+        return apply_rule(state, record->rule, version);
+    case MS__WIRE__LOG_RECORD__BODY_TOKEN:
+        return apply_token(state, record->token);
+    case MS__WIRE__LOG_RECORD__BODY_ACCEPT:
+        return apply_accept(state, record->accept, version);
+    case MS__WIRE__LOG_RECORD__BODY_DONE:
+        return apply_done(state, record->done);
+    case MS__WIRE__LOG_RECORD__BODY_EPOCH:
+        return apply_epoch(state, record->epoch, version);
+    case MS__WIRE__LOG_RECORD__BODY_SNAPSHOT:
+        return MS_APPLIED_SNAPSHOT;
+    default:
+        return MS_APPLIED_NOTHING;
+    }
+}
+
+struct callback {
+    void (*function)(void *opaque, const struct ms_applied *applied);
+    void *opaque;
+};
+
+static void
+decode_and_apply(struct ms_logstate *state, uint64_t offset, const uint8_t *bytes, size_t length,
+                 const struct callback *callback)
+{
+    Ms__Wire__LogRecord *record = ms__wire__log_record__unpack(NULL, length, bytes);
+    if (record == NULL) {
+        return;
+    }
+    struct ms_applied applied = {.record = record, .version = offset + 1};
+    applied.kind = apply_record(state, record, offset + 1);
+    if (callback->function != NULL) {
+        callback->function(callback->opaque, &applied);
+    }
+    ms__wire__log_record__free_unpacked(record, NULL);
+}
+
+/* Applies the records that waited for the snapshot that was just restored. */
+static void
+apply_held(struct ms_logstate *state, const struct callback *callback)
+{
+    struct ms_held_record *held = NULL;
+    while ((held = g_queue_pop_head(state->held)) != NULL) {
+        if (held->offset >= state->next) {
+            gsize length = 0;
+            const uint8_t *bytes = g_bytes_get_data(held->bytes, &length);
+            decode_and_apply(state, held->offset, bytes, length, callback);
+            state->next = held->offset + 1;
+        }
+        held_free(held);
+    }
+}
+
+/* Reads a snapshot part; restores the state when it was the last missing one. */
+static void
+look_for_snapshot(struct ms_logstate *state, const uint8_t *bytes, size_t length,
+                  const struct callback *callback)
+{
+    Ms__Wire__LogRecord *record = ms__wire__log_record__unpack(NULL, length, bytes);
+    if (record == NULL) {
+        return;
+    }
+    if (record->body_case == MS__WIRE__LOG_RECORD__BODY_SNAPSHOT) {
+        uint64_t next = state->next;
+        if (ms_snapshot_take_part(state, record->snapshot)) {
+            apply_held(state, callback);
+        }
+        state->next = MAX(state->next, next);
+    }
+    ms__wire__log_record__free_unpacked(record, NULL);
+}
+
+enum ms_result
+ms_logstate_apply(struct ms_logstate *state, uint64_t offset, const uint8_t *bytes, size_t length,
+                  void (*function)(void *opaque, const struct ms_applied *applied), void *opaque)
+{
+    struct callback callback = {.function = function, .opaque = opaque};
+    if (offset != state->next) {
+        return MS_E_CONFLICT;
+    }
+    if (!state->complete) {
+        struct ms_held_record *held = g_new0(struct ms_held_record, 1);
+        held->offset = offset;
+        held->bytes = g_bytes_new(bytes, length);
+        g_queue_push_tail(state->held, held);
+    }
+    state->next = offset + 1;
+    look_for_snapshot(state, bytes, length, &callback);
+    if (state->complete) {
+        /* A record that completed a snapshot does nothing when applied again. */
+        decode_and_apply(state, offset, bytes, length, &callback);
+    }
+    return MS_OK;
+}
+
+bool
+ms_logstate_skip_to(struct ms_logstate *state, uint64_t offset)
+{
+    if (offset <= state->next) {
+        return false;
+    }
+    state->next = offset;
+    state->begin = offset;
+    state->complete = false;
+    g_queue_clear_full(state->held, held_free);
+    g_hash_table_remove_all(state->part_sets);
+    return true;
+}
+
+const struct ms_rule_entry *
+ms_logstate_rule(const struct ms_logstate *state, const char *key)
+{
+    return g_hash_table_lookup(state->rules, key);
+}
+
+const Ms__Wire__Token *
+ms_logstate_token(const struct ms_logstate *state, const char *id)
+{
+    return g_hash_table_lookup(state->tokens, id);
+}
+
+const struct ms_accept_entry *
+ms_logstate_accept(const struct ms_logstate *state, const char *id)
+{
+    return g_hash_table_lookup(state->accepts, id);
+}
+
+const Ms__Wire__Outcome *
+ms_logstate_done(const struct ms_logstate *state, const char *id)
+{
+    return g_hash_table_lookup(state->dones, id);
+}
+
+const struct ms_epoch_entry *
+ms_logstate_epoch(const struct ms_logstate *state, const char *dc)
+{
+    return g_hash_table_lookup(state->epochs, dc);
+}
+
+uint64_t
+ms_logstate_guarantees_version(const struct ms_logstate *state)
+{
+    return state->guarantees_version;
+}
+
+uint64_t
+ms_logstate_rules_version(const struct ms_logstate *state)
+{
+    return state->rules_version;
+}
+
+bool
+ms_logstate_dc_out(const struct ms_logstate *state, const char *dc)
+{
+    char key[MS_RULE_KEY_MAX];
+    snprintf(key, sizeof(key), "datacentre %s", dc);
+    const struct ms_rule_entry *entry = g_hash_table_lookup(state->rules, key);
+    return entry != NULL && !entry->removed && entry->line.rule.out;
+}
+
+static gint
+by_key(gconstpointer a, gconstpointer b)
+{
+    const struct ms_rule_entry *left = *(const struct ms_rule_entry *const *)a;
+    const struct ms_rule_entry *right = *(const struct ms_rule_entry *const *)b;
+    return strcmp(left->key, right->key);
+}
+
+GPtrArray *
+ms_logstate_rules(const struct ms_logstate *state)
+{
+    GPtrArray *rules = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, state->rules);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct ms_rule_entry *entry = value;
+        if (!entry->removed) {
+            g_ptr_array_add(rules, entry);
+        }
+    }
+    g_ptr_array_sort(rules, by_key);
+    return rules;
+}
+
+GPtrArray *
+ms_logstate_accepted_ids(const struct ms_logstate *state)
+{
+    GPtrArray *ids = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    g_hash_table_iter_init(&iterator, state->accepts);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        g_ptr_array_add(ids, key);
+    }
+    return ids;
+}
+
+const GQueue *
+ms_logstate_history(const struct ms_logstate *state)
+{
+    return state->history;
+}
+
+void
+ms_logstate_counts(const struct ms_logstate *state, struct ms_logstate_counts *counts)
+{
+    counts->rules = g_hash_table_size(state->rules);
+    counts->tokens = g_hash_table_size(state->tokens);
+    counts->accepts = g_hash_table_size(state->accepts);
+    counts->dones = g_hash_table_size(state->dones);
+}
--- /dev/null
+++ b/src/logstate/snapshot.c
@@ -0,0 +1,289 @@
+/*
+ * snapshot.c - snapshots of the state, as records of the log.
+ *
+ * The log keeps records for a limited time only, so the whole state is
+ * published again before the oldest record that it depends on goes.  Any host
+ * may publish; a snapshot changes nothing where the state is as new.
+ */
+#include <string.h>
+
+#include "logstate/private.h"
+
+void
+ms_part_set_free(void *memory)
+{
+    struct ms_part_set *set = memory;
+    for (uint32_t i = 0; i < set->parts; i++) {
+        if (set->data[i] != NULL) {
+            g_byte_array_unref(set->data[i]);
+        }
+    }
+    g_free(set->data);
+    g_free(set);
+}
+
+/* Messages of a snapshot under construction; all freed together. */
+struct builder {
+    Ms__Wire__Snapshot snapshot;
+    GPtrArray *memory;
+};
+
+static void *
+builder_alloc(struct builder *builder, size_t size)
+{
+    void *memory = g_malloc0(size);
+    g_ptr_array_add(builder->memory, memory);
+    return memory;
+}
+
+static void
+build_rules(struct builder *builder, const struct ms_logstate *state)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    size_t count = g_hash_table_size(state->rules);
+    builder->snapshot.rules = builder_alloc(builder, (count + 1) * sizeof(void *));
+    g_hash_table_iter_init(&iterator, state->rules);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct ms_rule_entry *entry = value;
+        Ms__Wire__RuleState *rule = builder_alloc(builder, sizeof(*rule));
+        ms__wire__rule_state__init(rule);
+        rule->key = entry->key;
+        rule->line = entry->line.text;
+        rule->version = entry->version;
+        rule->requester = entry->line.requester;
+        rule->removed = entry->removed;
+        builder->snapshot.rules[builder->snapshot.n_rules++] = rule;
+    }
+}
+
+static void
+build_tokens(struct builder *builder, const struct ms_logstate *state)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    size_t count = g_hash_table_size(state->tokens);
+    builder->snapshot.tokens = builder_alloc(builder, (count + 1) * sizeof(void *));
+    g_hash_table_iter_init(&iterator, state->tokens);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        Ms__Wire__TokenState *token = builder_alloc(builder, sizeof(*token));
+        ms__wire__token_state__init(token);
+        token->token = value;
+        builder->snapshot.tokens[builder->snapshot.n_tokens++] = token;
+    }
+}
+
+static void
+build_accepts(struct builder *builder, const struct ms_logstate *state)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    size_t count = g_hash_table_size(state->accepts);
+    builder->snapshot.accepts = builder_alloc(builder, (count + 1) * sizeof(void *));
+    g_hash_table_iter_init(&iterator, state->accepts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_accept_entry *entry = value;
+        Ms__Wire__AcceptState *accept = builder_alloc(builder, sizeof(*accept));
+        ms__wire__accept_state__init(accept);
+        accept->accept = builder_alloc(builder, sizeof(*accept->accept));
+        ms_accept_to_wire(entry, accept->accept, builder_alloc(builder, sizeof(Ms__Wire__Spec)));
+        accept->version = entry->version;
+        builder->snapshot.accepts[builder->snapshot.n_accepts++] = accept;
+    }
+}
+
+static void
+build_epochs(struct builder *builder, const struct ms_logstate *state)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    size_t count = g_hash_table_size(state->epochs);
+    builder->snapshot.epochs = builder_alloc(builder, (count + 1) * sizeof(void *));
+    g_hash_table_iter_init(&iterator, state->epochs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct ms_epoch_entry *entry = value;
+        Ms__Wire__EpochState *epoch = builder_alloc(builder, sizeof(*epoch));
+        ms__wire__epoch_state__init(epoch);
+        epoch->epoch = builder_alloc(builder, sizeof(*epoch->epoch));
+        ms__wire__epoch__init(epoch->epoch);
+        epoch->epoch->dc = entry->dc;
+        epoch->epoch->host = entry->host;
+        epoch->number = entry->number;
+        builder->snapshot.epochs[builder->snapshot.n_epochs++] = epoch;
+    }
+}
+
+static void
+build_dones(struct builder *builder, const struct ms_logstate *state)
+{
+    size_t count = g_queue_get_length(state->done_order);
+    builder->snapshot.dones = builder_alloc(builder, (count + 1) * sizeof(void *));
+    for (GList *node = state->done_order->head; node != NULL; node = node->next) {
+        Ms__Wire__Outcome *outcome = g_hash_table_lookup(state->dones, node->data);
+        if (outcome == NULL) {
+            continue;
+        }
+        Ms__Wire__DoneState *done = builder_alloc(builder, sizeof(*done));
+        ms__wire__done_state__init(done);
+        done->outcome = outcome;
+        builder->snapshot.dones[builder->snapshot.n_dones++] = done;
+    }
+}
+
+GByteArray *
+ms_logstate_snapshot(const struct ms_logstate *state)
+{
+    struct builder builder = {.memory = g_ptr_array_new_with_free_func(g_free)};
+    ms__wire__snapshot__init(&builder.snapshot);
+    builder.snapshot.as_of = state->next;
+    builder.snapshot.guarantees_version = state->guarantees_version;
+    build_rules(&builder, state);
+    build_tokens(&builder, state);
+    build_accepts(&builder, state);
+    build_epochs(&builder, state);
+    build_dones(&builder, state);
+    size_t size = ms__wire__snapshot__get_packed_size(&builder.snapshot);
+    GByteArray *bytes = g_byte_array_new();
+    g_byte_array_set_size(bytes, (guint)size);
+    ms__wire__snapshot__pack(&builder.snapshot, bytes->data);
+    g_ptr_array_free(builder.memory, TRUE);
+    return bytes;
+}
+
+static void
+restore_rule(struct ms_logstate *state, const Ms__Wire__RuleState *rule)
+{
+    char reason[MS_DETAIL_MAX];
+    struct ms_rule_entry *entry = g_new0(struct ms_rule_entry, 1);
+    char *text = g_strdup_printf("%s # %s", rule->line, rule->requester);
+    if (ms_rule_line_parse(text, &entry->line, reason, sizeof(reason)) == MS_OK) {
+        g_strlcpy(entry->key, rule->key, sizeof(entry->key));
+        entry->version = rule->version;
+        entry->removed = rule->removed;
+        entry->line.rule.removed = rule->removed;
+        state->rules_version = MAX(state->rules_version, rule->version);
+        g_hash_table_replace(state->rules, entry->key, entry);
+    }
+    else {
+        g_free(entry);
+    }
+    g_free(text);
+}
+
+static void
+restore_epoch(struct ms_logstate *state, const Ms__Wire__EpochState *epoch)
+{
+    if (epoch->epoch == NULL) {
+        return;
+    }
+    struct ms_epoch_entry *entry = g_new0(struct ms_epoch_entry, 1);
+    g_strlcpy(entry->dc, epoch->epoch->dc, sizeof(entry->dc));
+    g_strlcpy(entry->host, epoch->epoch->host, sizeof(entry->host));
+    entry->number = epoch->number;
+    g_hash_table_replace(state->epochs, entry->dc, entry);
+}
+
+static void
+restore_accept(struct ms_logstate *state, const Ms__Wire__AcceptState *accept)
+{
+    if (accept->accept == NULL || accept->accept->spec == NULL) {
+        return;
+    }
+    struct ms_accept_entry *entry = ms_accept_new(accept->accept, accept->version);
+    if (entry != NULL) {
+        char *id = g_strdup_printf("%s/%s", entry->spec.account, entry->spec.key);
+        g_hash_table_replace(state->accepts, id, entry);
+    }
+}
+
+enum ms_result
+ms_logstate_restore(struct ms_logstate *state, const uint8_t *bytes, size_t length)
+{
+    Ms__Wire__Snapshot *snapshot = ms__wire__snapshot__unpack(NULL, length, bytes);
+    if (snapshot == NULL) {
+        return MS_E_INVALID;
+    }
+    if (state->complete && snapshot->as_of <= state->next) {
+        ms__wire__snapshot__free_unpacked(snapshot, NULL);
+        return MS_E_CONFLICT;
+    }
+    ms_logstate_clear(state);
+    state->guarantees_version = snapshot->guarantees_version;
+    for (size_t i = 0; i < snapshot->n_rules; i++) {
+        restore_rule(state, snapshot->rules[i]);
+    }
+    for (size_t i = 0; i < snapshot->n_tokens; i++) {
+        if (snapshot->tokens[i]->token != NULL) {
+            Ms__Wire__Token *token = ms_token_copy(snapshot->tokens[i]->token);
+            g_hash_table_replace(state->tokens, token->id, token);
+        }
+    }
+    for (size_t i = 0; i < snapshot->n_accepts; i++) {
+        restore_accept(state, snapshot->accepts[i]);
+    }
+    for (size_t i = 0; i < snapshot->n_epochs; i++) {
+        restore_epoch(state, snapshot->epochs[i]);
+    }
+    for (size_t i = 0; i < snapshot->n_dones; i++) {
+        if (snapshot->dones[i]->outcome != NULL) {
+            ms_logstate_put_done(state, snapshot->dones[i]->outcome);
+        }
+    }
+    state->next = snapshot->as_of;
+    state->complete = true;
+    ms__wire__snapshot__free_unpacked(snapshot, NULL);
+    return MS_OK;
+}
+
+/* The set that PART belongs to; one that is for another offset is replaced. */
+static struct ms_part_set *
+part_set_for(struct ms_logstate *state, const Ms__Wire__SnapshotPart *part)
+{
+    struct ms_part_set *set = g_hash_table_lookup(state->part_sets, part->publisher);
+    if (set != NULL && set->as_of == part->as_of && set->parts == part->parts) {
+        return set;
+    }
+    set = g_new0(struct ms_part_set, 1);
+    set->as_of = part->as_of;
+    set->parts = part->parts;
+    set->data = g_new0(GByteArray *, part->parts);
+    g_hash_table_replace(state->part_sets, g_strdup(part->publisher), set);
+    return set;
+}
+
+static GByteArray *
+join_parts(const struct ms_part_set *set)
+{
+    GByteArray *whole = g_byte_array_new();
+    for (uint32_t i = 0; i < set->parts; i++) {
+        g_byte_array_append(whole, set->data[i]->data, set->data[i]->len);
+    }
+    return whole;
+}
+
+bool
+ms_snapshot_take_part(struct ms_logstate *state, const Ms__Wire__SnapshotPart *part)
+{
+    if (part->parts == 0 || part->part >= part->parts || part->parts > 65536) {
+        return false;
+    }
+    struct ms_part_set *set = part_set_for(state, part);
+    if (set->data[part->part] == NULL) {
+        set->data[part->part] = g_byte_array_new();
+        g_byte_array_append(set->data[part->part], part->data.data, (guint)part->data.len);
+        set->received++;
+    }
+    if (set->received < set->parts) {
+        return false;
+    }
+    state->snapshot_offset = MAX(state->snapshot_offset, set->as_of);
+    bool restored = false;
+    /* One that ends before the first record read would leave a gap. */
+    if (!state->complete && set->as_of >= state->begin) {
+        GByteArray *whole = join_parts(set);
+        restored = ms_logstate_restore(state, whole->data, whole->len) == MS_OK;
+        g_byte_array_unref(whole);
+    }
+    g_hash_table_remove(state->part_sets, part->publisher);
+    return restored;
+}
--- /dev/null
+++ b/src/membership/claim.c
@@ -0,0 +1,96 @@
+/*
+ * claim.c - which host places the work of a data centre.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "membership/claim.h"
+
+bool
+ms_rendezvous_above(const char *key, const char *a, const char *b)
+{
+    char *text_a = g_strdup_printf("%s|%s", key, a);
+    char *text_b = g_strdup_printf("%s|%s", key, b);
+    char *hash_a = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text_a, -1);
+    char *hash_b = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text_b, -1);
+    bool above = strcmp(hash_a, hash_b) > 0;
+    g_free(text_a);
+    g_free(text_b);
+    g_free(hash_a);
+    g_free(hash_b);
+    return above;
+}
+
+const char *
+ms_claim_winner(const struct ms_claim_view *view)
+{
+    const char *winner = view->draining ? NULL : view->self;
+    for (size_t i = 0; i < view->host_count; i++) {
+        const struct ms_claim_host *host = &view->hosts[i];
+        if (!host->alive || host->draining) {
+            continue;
+        }
+        if (winner == NULL || ms_rendezvous_above(view->dc, host->name, winner)) {
+            winner = host->name;
+        }
+    }
+    return winner;
+}
+
+/* Whether the claim of HOST goes before ours. */
+static bool
+outranks(const struct ms_claim_view *view, const struct ms_claim_host *host)
+{
+    if (host->epoch != view->epoch) {
+        return host->epoch > view->epoch;
+    }
+    return ms_rendezvous_above(view->dc, host->name, view->self);
+}
+
+static enum ms_claim_decision
+decide_as_holder(const struct ms_claim_view *view)
+{
+    if (view->draining) {
+        return MS_CLAIM_STEP_DOWN;
+    }
+    if (view->log_epoch > view->epoch && view->log_host != NULL &&
+        strcmp(view->log_host, view->self) != 0) {
+        return MS_CLAIM_STEP_DOWN;
+    }
+    for (size_t i = 0; i < view->host_count; i++) {
+        const struct ms_claim_host *host = &view->hosts[i];
+        if (host->alive && host->claims && outranks(view, host)) {
+            return MS_CLAIM_STEP_DOWN;
+        }
+    }
+    /* A claim made without the log is confirmed once the log is back. */
+    bool confirmed = view->log_host != NULL && strcmp(view->log_host, view->self) == 0 &&
+                     view->log_epoch == view->epoch;
+    return !confirmed && view->log_reachable && !view->asked ? MS_CLAIM_ASK : MS_CLAIM_STAY;
+}
+
+enum ms_claim_decision
+ms_claim_decide(const struct ms_claim_view *view)
+{
+    if (view->claims) {
+        return decide_as_holder(view);
+    }
+    if (view->draining || !view->settled) {
+        return MS_CLAIM_STAY;
+    }
+    for (size_t i = 0; i < view->host_count; i++) {
+        const struct ms_claim_host *host = &view->hosts[i];
+        if (host->alive && host->claims && !host->draining) {
+            return MS_CLAIM_STAY;
+        }
+    }
+    const char *winner = ms_claim_winner(view);
+    if (winner == NULL || strcmp(winner, view->self) != 0) {
+        return MS_CLAIM_STAY;
+    }
+    if (!view->log_reachable || (view->asked && view->asked_too_long)) {
+        return MS_CLAIM_TENTATIVE;
+    }
+    return view->asked ? MS_CLAIM_STAY : MS_CLAIM_ASK;
+}
--- /dev/null
+++ b/src/node/jobs.c
@@ -0,0 +1,805 @@
+/*
+ * jobs.c - jobs that callers of this entry host wait for.
+ *
+ * A job is offered to the placing host of one data centre at a time and sent
+ * again until that host confirms it.  When the host is lost, or refuses a job
+ * that did not run, another one is tried.  Whether a second run would be wrong
+ * is not decided here: the run token in the log decides it.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "node/private.h"
+#include "obs/log.h"
+#include "wire/convert.h"
+
+#define RESEND_MS 1000            /* before an unconfirmed job is sent again */
+#define RESENDS_PER_S 200.0       /* budget for jobs sent again, this host */
+#define RESEND_BURST 400.0
+#define UNROUTABLE_MS 8000        /* without a placing host before a refusal */
+#define ACCEPT_GIVE_UP_MS 5000
+#define IDLE_PENDING_MS 600000    /* without callers before it is forgotten */
+#define RETRY_AFTER_MS 1000
+#define QUEUE_RETRY_AFTER_MS 5000
+#define REHOME_LOOK_MS 1000
+
+unsigned int
+ms_outcome_status(const struct ms_call_outcome *outcome)
+{
+    if (outcome->pending) {
+        return 202;
+    }
+    switch (outcome->code) {
+    case MS_OUTCOME_DONE:
+    case MS_OUTCOME_FAILED:
+    case MS_OUTCOME_CANCELLED:
+        return 200;
+    case MS_OUTCOME_DEADLINE:
+        return 408;
+    case MS_OUTCOME_NEVER_FITS:
+        return 422;
+    case MS_OUTCOME_LIMIT:
+        return 429;
+    case MS_OUTCOME_NO_ACCOUNT:
+        return 403;
+    case MS_OUTCOME_DC_OUT:
+    case MS_OUTCOME_UNAVAILABLE:
+        return 503;
+    case MS_OUTCOME_LOST_CONTACT:
+        return 502;
+    case MS_OUTCOME_DUPLICATE:
+        return 409;
+    }
+    return 500;
+}
+
+static void
+outcome_set(struct ms_call_outcome *outcome, enum ms_outcome_code code, enum ms_ran ran,
+            const char *detail)
+{
+    memset(outcome, 0, sizeof(*outcome));
+    outcome->code = code;
+    outcome->ran = ran;
+    g_strlcpy(outcome->detail, detail, sizeof(outcome->detail));
+    if (ran == MS_RAN_NO && (code == MS_OUTCOME_UNAVAILABLE || code == MS_OUTCOME_DC_OUT)) {
+        outcome->retry_after_ms = RETRY_AFTER_MS;
+    }
+    if (code == MS_OUTCOME_LIMIT) {
+        outcome->retry_after_ms = QUEUE_RETRY_AFTER_MS;
+    }
+}
+
+static void
+count_outcome(struct ms_node *node, const struct ms_call_outcome *outcome)
+{
+    enum ms_counter counter = MS_COUNT_OUTCOME_DONE;
+    if (outcome->ran == MS_RAN_UNKNOWN) {
+        counter = MS_COUNT_OUTCOME_UNKNOWN;
+    }
+    else if (outcome->ran == MS_RAN_NO) {
+        counter = MS_COUNT_OUTCOME_REFUSED;
+    }
+    ms_counter_add(node->counters, counter, 1);
+}
+
+/* Answers one call with a copy of OUTCOME. */
+static void
+answer_call(struct ms_node *node, struct ms_call *call, const struct ms_call_outcome *outcome)
+{
+    call->outcome = *outcome;
+    if (outcome->output != NULL) {
+        call->outcome.output = g_bytes_ref(outcome->output);
+    }
+    if (!outcome->pending) {
+        count_outcome(node, outcome);
+    }
+    call->status = ms_outcome_status(outcome);
+    ms_call_answer(call);
+}
+
+static void
+pending_free(struct ms_pending *pending)
+{
+    if (pending->payload != NULL) {
+        g_bytes_unref(pending->payload);
+    }
+    g_ptr_array_free(pending->calls, TRUE);
+    g_free(pending);
+}
+
+static struct ms_pending *
+pending_get(struct ms_node *node, const char *id)
+{
+    struct ms_pending *pending = g_hash_table_lookup(node->pending, id);
+    if (pending == NULL) {
+        pending = g_new0(struct ms_pending, 1);
+        g_strlcpy(pending->id, id, sizeof(pending->id));
+        pending->calls = g_ptr_array_new();
+        pending->created_at = node->now;
+        g_hash_table_insert(node->pending, pending->id, pending);
+    }
+    return pending;
+}
+
+/* Answers every caller and forgets the job. */
+static void
+finish(struct ms_node *node, struct ms_pending *pending, const struct ms_call_outcome *outcome)
+{
+    char note[MS_DETAIL_MAX];
+    for (guint i = 0; i < pending->calls->len; i++) {
+        answer_call(node, g_ptr_array_index(pending->calls, i), outcome);
+    }
+    if (pending->has_spec) {
+        snprintf(note, sizeof(note), "%s, ran=%s, sent %u times", ms_outcome_name(outcome->code),
+                 ms_ran_name(outcome->ran), pending->sends);
+        ms_span_end(node->spans, &pending->span, note);
+    }
+    g_hash_table_remove(node->pending, pending->id);
+    pending_free(pending);
+}
+
+/*
+ * A refusal says "not run" only when that is certain: an earlier host that had
+ * the job may have started it.
+ */
+static void
+make_true(const struct ms_pending *pending, struct ms_call_outcome *outcome)
+{
+    if (outcome->ran != MS_RAN_NO || !pending->uncertain) {
+        return;
+    }
+    outcome->ran = MS_RAN_UNKNOWN;
+    outcome->code = MS_OUTCOME_LOST_CONTACT;
+    outcome->retry_after_ms = 0;
+    g_strlcpy(outcome->detail, "a host that had the job was lost; it may have run",
+              sizeof(outcome->detail));
+}
+
+static void
+refuse(struct ms_node *node, struct ms_pending *pending, enum ms_outcome_code code,
+       const char *detail)
+{
+    struct ms_call_outcome outcome;
+    outcome_set(&outcome, code, MS_RAN_NO, detail);
+    make_true(pending, &outcome);
+    finish(node, pending, &outcome);
+}
+
+static bool
+take_resend_budget(struct ms_node *node)
+{
+    double elapsed = (double)(node->now - node->resend_refilled_at) / 1000.0;
+    node->resend_refilled_at = node->now;
+    node->resend_budget = MIN(node->resend_budget + elapsed * RESENDS_PER_S, RESEND_BURST);
+    if (node->resend_budget < 1) {
+        return false;
+    }
+    node->resend_budget -= 1;
+    return true;
+}
+
+/* Sends the job to the placing host HOST of data centre DC. */
+static void
+send_to(struct ms_node *node, struct ms_pending *pending, const char *dc, const char *host)
+{
+    Ms__Wire__Envelope envelope;
+    Ms__Wire__Submit submit;
+    Ms__Wire__Spec spec;
+    char header[MS_TRACE_PARENT_MAX];
+    g_strlcpy(pending->dc, dc, sizeof(pending->dc));
+    g_strlcpy(pending->host, host, sizeof(pending->host));
+    pending->received = false;
+    pending->sent_at = node->now;
+    pending->sends++;
+    ms_counter_add(node->counters, pending->sends == 1 ? MS_COUNT_FORWARDED : MS_COUNT_RESENT, 1);
+    ms_span_header(&pending->span, header, sizeof(header));
+    if (strcmp(host, node->settings->name) == 0) {
+        ms_hold_submit(node, &pending->spec, host, pending->uncertain, header);
+        return;
+    }
+    ms__wire__envelope__init(&envelope);
+    ms__wire__submit__init(&submit);
+    ms_spec_to_wire(&pending->spec, node->now, &spec);
+    submit.spec = &spec;
+    submit.trace_parent = header;
+    submit.may_have_run = pending->uncertain;
+    envelope.body_case = MS__WIRE__ENVELOPE__BODY_SUBMIT;
+    envelope.submit = &submit;
+    ms_peers_send(node->peers, host, &envelope);
+}
+
+/* The data centre that alone may run the job, or NULL when any may. */
+static const char *
+bound_dc(const struct ms_node *node, const struct ms_pending *pending)
+{
+    const Ms__Wire__Token *token = ms_logstate_token(node->log, pending->id);
+    if (token != NULL) {
+        return token->dc;
+    }
+    const struct ms_accept_entry *accept = ms_logstate_accept(node->log, pending->id);
+    return accept != NULL ? accept->dc : NULL;
+}
+
+static bool
+deadline_passed(const struct ms_node *node, const struct ms_pending *pending)
+{
+    return pending->spec.deadline_ms > 0 && pending->spec.deadline_ms <= node->now;
+}
+
+/* No placing host can be reached: wait a while, then refuse. */
+static void
+cannot_route(struct ms_node *node, struct ms_pending *pending)
+{
+    if (pending->unroutable_since == 0) {
+        pending->unroutable_since = node->now;
+    }
+    bool late = node->now - pending->unroutable_since >= UNROUTABLE_MS;
+    if (pending->accepted || (!late && !deadline_passed(node, pending))) {
+        return;
+    }
+    if (pending->tried_count > 0) {
+        struct ms_call_outcome outcome = pending->last_refusal;
+        make_true(pending, &outcome);
+        finish(node, pending, &outcome);
+        return;
+    }
+    refuse(node, pending, MS_OUTCOME_UNAVAILABLE, "no host that places work can be reached");
+}
+
+/* Offers the job to the best data centre, or to the one that it is bound to. */
+static void
+offer(struct ms_node *node, struct ms_pending *pending)
+{
+    const char *bound = bound_dc(node, pending);
+    const char *dc = bound != NULL ? bound : ms_route_choose(node, pending);
+    if (dc == NULL && pending->tried_count > 0) {
+        /* Every data centre that can be reached has refused it. */
+        struct ms_call_outcome outcome = pending->last_refusal;
+        make_true(pending, &outcome);
+        finish(node, pending, &outcome);
+        return;
+    }
+    const char *host = dc != NULL ? ms_members_holder(node, dc) : NULL;
+    if (host == NULL) {
+        cannot_route(node, pending);
+        return;
+    }
+    pending->unroutable_since = 0;
+    if (pending->sends > 0 && !take_resend_budget(node)) {
+        return; /* a later tick offers it */
+    }
+    send_to(node, pending, dc, host);
+}
+
+/* Answers a call from what the log says already; true when it did. */
+static bool
+answer_from_log(struct ms_node *node, struct ms_call *call)
+{
+    const Ms__Wire__Outcome *done = ms_logstate_done(node->log, call->id);
+    if (done == NULL) {
+        return false;
+    }
+    struct ms_call_outcome outcome;
+    outcome_set(&outcome, (enum ms_outcome_code)done->code, (enum ms_ran)done->ran, done->detail);
+    g_strlcpy(outcome.dc, done->dc, sizeof(outcome.dc));
+    g_strlcpy(outcome.server, done->server, sizeof(outcome.server));
+    outcome.queued_ms = done->queued_ms;
+    outcome.ran_ms = done->ran_ms;
+    if (done->output.len > 0) {
+        outcome.output = g_bytes_new(done->output.data, done->output.len);
+    }
+    answer_call(node, call, &outcome);
+    if (outcome.output != NULL) {
+        g_bytes_unref(outcome.output);
+    }
+    return true;
+}
+
+/* Why a new job cannot be taken at all; NULL when it can. */
+static const char *
+cannot_take(const struct ms_node *node, const struct ms_call *call, enum ms_outcome_code *code)
+{
+    char key[MS_RULE_KEY_MAX];
+    *code = MS_OUTCOME_UNAVAILABLE;
+    if (node->draining) {
+        return "this entry host is shutting down";
+    }
+    if (!ms_logstate_complete(node->log) || ms_logstate_next(node->log) == 0) {
+        return "this entry host has no configuration yet";
+    }
+    snprintf(key, sizeof(key), "account %s", call->spec.account);
+    const struct ms_rule_entry *entry = ms_logstate_rule(node->log, key);
+    if (entry == NULL || entry->removed) {
+        *code = MS_OUTCOME_NO_ACCOUNT;
+        return "no rule creates the client account";
+    }
+    if (!node->log_reachable && (call->spec.detached || !call->spec.idempotent)) {
+        return call->spec.detached ? "the log cannot be reached, so the job cannot be accepted"
+                                   : "the log cannot be reached, and a second run must be ruled out";
+    }
+    return NULL;
+}
+
+/* Puts the acceptance of a detached job into the log. */
+static void
+accept_job(struct ms_node *node, struct ms_pending *pending)
+{
+    Ms__Wire__LogRecord record;
+    Ms__Wire__Accept accept;
+    Ms__Wire__Spec spec;
+    const char *dc = ms_route_choose(node, pending);
+    ms__wire__log_record__init(&record);
+    ms__wire__accept__init(&accept);
+    ms_spec_to_wire(&pending->spec, node->now, &spec);
+    accept.spec = &spec;
+    accept.dc = (char *)(dc != NULL ? dc : node->settings->dc);
+    record.body_case = MS__WIRE__LOG_RECORD__BODY_ACCEPT;
+    record.accept = &accept;
+    if (!ms_records_append(node, &record, pending->accept_writer, ACCEPT_GIVE_UP_MS)) {
+        refuse(node, pending, MS_OUTCOME_UNAVAILABLE, "too many records wait for the log");
+        return;
+    }
+    pending->accepting = true;
+}
+
+static void
+pending_take_spec(struct ms_pending *pending, struct ms_call *call)
+{
+    pending->spec = call->spec;
+    if (call->payload != NULL) {
+        pending->payload = g_bytes_ref(call->payload);
+        pending->spec.payload = g_bytes_get_data(pending->payload, &pending->spec.payload_len);
+    }
+    pending->has_spec = true;
+    ms_span_begin(&pending->span, pending->id, "entry", call->trace_parent);
+}
+
+void
+ms_jobs_submit(struct ms_node *node, struct ms_call *call)
+{
+    enum ms_outcome_code code = MS_OUTCOME_UNAVAILABLE;
+    if (answer_from_log(node, call)) {
+        return;
+    }
+    struct ms_pending *pending = g_hash_table_lookup(node->pending, call->id);
+    bool known = (pending != NULL && pending->has_spec) ||
+                 ms_logstate_token(node->log, call->id) != NULL ||
+                 ms_logstate_accept(node->log, call->id) != NULL;
+    const char *reason = known ? NULL : cannot_take(node, call, &code);
+    if (reason != NULL) {
+        struct ms_call_outcome outcome;
+        outcome_set(&outcome, code, MS_RAN_NO, reason);
+        answer_call(node, call, &outcome);
+        return;
+    }
+    pending = pending_get(node, call->id);
+    g_ptr_array_add(pending->calls, call);
+    if (pending->has_spec) {
+        return; /* the same request again: it waits with the first */
+    }
+    pending_take_spec(pending, call);
+    pending->accepted = ms_logstate_accept(node->log, call->id) != NULL;
+    if (call->spec.detached && !pending->accepted) {
+        accept_job(node, pending);
+        return;
+    }
+    offer(node, pending);
+}
+
+/* The acceptance of a job was seen in the log, in first place or not. */
+void
+ms_jobs_accepted(struct ms_node *node, const char *writer, const char *id, bool taken)
+{
+    struct ms_pending *pending = g_hash_table_lookup(node->pending, id);
+    (void)taken; /* another acceptance of the same id serves as well */
+    if (pending == NULL || !pending->accepting || strcmp(pending->accept_writer, writer) != 0) {
+        return;
+    }
+    struct ms_call_outcome outcome = {.pending = true};
+    g_strlcpy(outcome.detail, "accepted", sizeof(outcome.detail));
+    pending->accepting = false;
+    pending->accepted = true;
+    for (guint i = pending->calls->len; i > 0; i--) {
+        struct ms_call *call = g_ptr_array_index(pending->calls, i - 1);
+        if (call->kind == MS_CALL_SUBMIT) {
+            g_ptr_array_remove_index(pending->calls, i - 1);
+            answer_call(node, call, &outcome);
+        }
+    }
+    node->routes_due = true;
+}
+
+/* Sends ENVELOPE to all other placing hosts: any of them may have the job. */
+static void
+tell_holders(struct ms_node *node, const Ms__Wire__Envelope *envelope)
+{
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    g_hash_table_iter_init(&iterator, node->regions);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const char *holder = ms_members_holder(node, key);
+        if (holder != NULL && strcmp(holder, node->settings->name) != 0) {
+            ms_peers_send(node->peers, holder, envelope);
+        }
+    }
+}
+
+void
+ms_jobs_query(struct ms_node *node, struct ms_call *call)
+{
+    if (answer_from_log(node, call)) {
+        return;
+    }
+    Ms__Wire__Envelope envelope;
+    Ms__Wire__Follow follow;
+    char id[MS_ID_MAX];
+    ms__wire__envelope__init(&envelope);
+    ms__wire__follow__init(&follow);
+    follow.id = call->id;
+    envelope.body_case = MS__WIRE__ENVELOPE__BODY_FOLLOW;
+    envelope.follow = &follow;
+    tell_holders(node, &envelope);
+    g_strlcpy(id, call->id, sizeof(id));
+    g_ptr_array_add(pending_get(node, id)->calls, call);
+    ms_hold_follow(node, id, node->settings->name);
+}
+
+void
+ms_jobs_cancel(struct ms_node *node, struct ms_call *call)
+{
+    Ms__Wire__Envelope envelope;
+    Ms__Wire__Cancel cancel;
+    char id[MS_ID_MAX];
+    if (answer_from_log(node, call)) {
+        return;
+    }
+    ms__wire__envelope__init(&envelope);
+    ms__wire__cancel__init(&cancel);
+    cancel.id = call->id;
+    envelope.body_case = MS__WIRE__ENVELOPE__BODY_CANCEL;
+    envelope.cancel = &cancel;
+    tell_holders(node, &envelope);
+    g_strlcpy(id, call->id, sizeof(id));
+    g_ptr_array_add(pending_get(node, id)->calls, call);
+    ms_hold_cancel(node, id, node->settings->name);
+}
+
+/* Whether a job that ended so may be offered to another data centre. */
+static bool
+may_go_elsewhere(const struct ms_pending *pending, const struct ms_call_outcome *outcome)
+{
+    if (!pending->has_spec || pending->accepted ||
+        (outcome->ran != MS_RAN_NO && !pending->spec.idempotent)) {
+        return false;
+    }
+    switch (outcome->code) {
+    case MS_OUTCOME_DC_OUT:
+    case MS_OUTCOME_UNAVAILABLE:
+    case MS_OUTCOME_NEVER_FITS:
+    case MS_OUTCOME_LIMIT:
+    case MS_OUTCOME_LOST_CONTACT:
+        return pending->tried_count < MS_TRIED_MAX;
+    case MS_OUTCOME_DONE:
+    case MS_OUTCOME_FAILED:
+    case MS_OUTCOME_CANCELLED:
+    case MS_OUTCOME_DEADLINE:
+    case MS_OUTCOME_NO_ACCOUNT:
+    case MS_OUTCOME_DUPLICATE:
+        break;
+    }
+    return false;
+}
+
+static void
+outcome_from_wire(const Ms__Wire__Outcome *message, struct ms_call_outcome *outcome)
+{
+    outcome_set(outcome, (enum ms_outcome_code)message->code, (enum ms_ran)message->ran,
+                message->detail);
+    g_strlcpy(outcome->dc, message->dc, sizeof(outcome->dc));
+    g_strlcpy(outcome->server, message->server, sizeof(outcome->server));
+    outcome->queued_ms = message->queued_ms;
+    outcome->ran_ms = message->ran_ms;
+    if (message->output.len > 0) {
+        outcome->output = g_bytes_new(message->output.data, message->output.len);
+    }
+}
+
+/* Remembers a refusal and marks the job to be offered elsewhere. */
+static void
+try_elsewhere(struct ms_node *node, struct ms_pending *pending,
+              const struct ms_call_outcome *outcome, const char *dc)
+{
+    if (!ms_route_tried(pending, dc)) {
+        g_strlcpy(pending->tried[pending->tried_count++], dc, MS_NAME_MAX);
+    }
+    pending->uncertain |= outcome->ran != MS_RAN_NO;
+    pending->last_refusal = *outcome;
+    pending->last_refusal.output = NULL;
+    pending->dc[0] = '\0';
+    pending->host[0] = '\0';
+    pending->received = false;
+    node->routes_due = true;
+}
+
+/* The placing host of another data centre told the outcome of a job. */
+void
+ms_jobs_outcome(struct ms_node *node, const Ms__Wire__Outcome *message)
+{
+    struct ms_pending *pending = g_hash_table_lookup(node->pending, message->id);
+    struct ms_call_outcome outcome;
+    if (pending == NULL || message->code > MS_OUTCOME_DUPLICATE || message->ran > MS_RAN_UNKNOWN) {
+        return;
+    }
+    outcome_from_wire(message, &outcome);
+    bool stale = pending->has_spec && outcome.ran == MS_RAN_NO && pending->dc[0] != '\0' &&
+                 strcmp(pending->dc, message->dc) != 0;
+    if (stale) {
+        /* A late refusal of a data centre that the job has left. */
+    }
+    else if (outcome.code == MS_OUTCOME_DUPLICATE && pending->has_spec) {
+        /* Another holder has the token: wait for it, by the log. */
+        pending->dc[0] = '\0';
+        pending->host[0] = '\0';
+        pending->received = false;
+        pending->sent_at = node->now;
+    }
+    else if (may_go_elsewhere(pending, &outcome)) {
+        try_elsewhere(node, pending, &outcome, message->dc);
+    }
+    else {
+        make_true(pending, &outcome);
+        finish(node, pending, &outcome);
+    }
+    if (outcome.output != NULL) {
+        g_bytes_unref(outcome.output);
+    }
+}
+
+/* The log has the outcome of a job. */
+void
+ms_jobs_done(struct ms_node *node, const Ms__Wire__Outcome *message)
+{
+    struct ms_pending *pending = g_hash_table_lookup(node->pending, message->id);
+    struct ms_call_outcome outcome;
+    if (pending == NULL || message->ran == MS_RAN_NO) {
+        /* A refusal reaches its waiting hosts directly; see ms_jobs_outcome(). */
+        if (pending == NULL || pending->has_spec) {
+            return;
+        }
+    }
+    outcome_from_wire(message, &outcome);
+    finish(node, pending, &outcome);
+    if (outcome.output != NULL) {
+        g_bytes_unref(outcome.output);
+    }
+}
+
+void
+ms_jobs_received(struct ms_node *node, const char *host, const char *id)
+{
+    struct ms_pending *pending = g_hash_table_lookup(node->pending, id);
+    if (pending != NULL && strcmp(pending->host, host) == 0) {
+        pending->received = true;
+    }
+}
+
+/* HOST was lost or no longer places: its jobs are offered again. */
+void
+ms_jobs_host_lost(struct ms_node *node, const char *host)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, node->pending);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct ms_pending *pending = value;
+        if (strcmp(pending->host, host) != 0) {
+            continue;
+        }
+        pending->uncertain = true; /* also unconfirmed ones may have arrived */
+        pending->host[0] = '\0';
+        pending->dc[0] = '\0';
+        pending->received = false;
+    }
+    node->routes_due = true;
+}
+
+/* Whether PENDING has to be offered (again) now. */
+static bool
+offer_due(const struct ms_node *node, const struct ms_pending *pending)
+{
+    if (!pending->has_spec || pending->accepting) {
+        return false;
+    }
+    if (pending->host[0] == '\0') {
+        bool waits_for_log = pending->sent_at > 0 && pending->sends > 0 &&
+                             ms_logstate_token(node->log, pending->id) != NULL;
+        return !waits_for_log || node->now - pending->sent_at >= RESEND_MS;
+    }
+    const char *holder = ms_members_holder(node, pending->dc);
+    if (holder != NULL && strcmp(holder, pending->host) != 0) {
+        return true;
+    }
+    return !pending->received && node->now - pending->sent_at >= RESEND_MS;
+}
+
+/* Answers calls that have waited as long as they asked to. */
+static void
+answer_late_calls(struct ms_node *node, struct ms_pending *pending)
+{
+    for (guint i = pending->calls->len; i > 0; i--) {
+        struct ms_call *call = g_ptr_array_index(pending->calls, i - 1);
+        if (call->answer_by > node->now) {
+            continue;
+        }
+        struct ms_call_outcome outcome = {.pending = true};
+        g_strlcpy(outcome.detail, "no outcome yet; ask again", sizeof(outcome.detail));
+        g_ptr_array_remove_index(pending->calls, i - 1);
+        answer_call(node, call, &outcome);
+    }
+}
+
+/*
+ * Ids of all pending jobs.  Offering one to the core of this host may end any
+ * of the others, so a loop over them looks each up again.
+ */
+static GPtrArray *
+pending_ids(const struct ms_node *node)
+{
+    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    g_hash_table_iter_init(&iterator, node->pending);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        g_ptr_array_add(ids, g_strdup(key));
+    }
+    return ids;
+}
+
+static void
+look_at_pending(struct ms_node *node, struct ms_pending *pending)
+{
+    answer_late_calls(node, pending);
+    bool idle = pending->calls->len == 0;
+    if (idle && (!pending->has_spec || pending->accepted ||
+                 node->now - pending->created_at >= IDLE_PENDING_MS)) {
+        g_hash_table_remove(node->pending, pending->id);
+        pending_free(pending);
+        return;
+    }
+    if (pending->accepting && node->now - pending->created_at >= 2 * ACCEPT_GIVE_UP_MS) {
+        struct ms_call_outcome outcome;
+        outcome_set(&outcome, MS_OUTCOME_LOST_CONTACT, MS_RAN_UNKNOWN,
+                    "the log did not confirm the acceptance in time");
+        finish(node, pending, &outcome);
+        return;
+    }
+    if (offer_due(node, pending)) {
+        offer(node, pending);
+    }
+}
+
+/* Offers what has to be offered; called outside of a step of the core. */
+void
+ms_jobs_route_due(struct ms_node *node)
+{
+    node->routes_due = false;
+    GPtrArray *ids = pending_ids(node);
+    for (guint i = 0; i < ids->len; i++) {
+        struct ms_pending *pending =
+            g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
+        if (pending != NULL && offer_due(node, pending)) {
+            offer(node, pending);
+        }
+    }
+    g_ptr_array_unref(ids);
+}
+
+static void
+note_heard(struct ms_node *node)
+{
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    g_hash_table_iter_init(&iterator, node->regions);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        bool known = g_hash_table_contains(node->dc_heard, key);
+        if (!known || ms_members_dc_heard(node, key)) {
+            g_hash_table_replace(node->dc_heard, g_strdup(key),
+                                 g_memdup2(&node->now, sizeof(node->now)));
+        }
+    }
+}
+
+/* Moves one accepted job away from a data centre that is silent for long. */
+static void
+rehome(struct ms_node *node, const char *id)
+{
+    const struct ms_accept_entry *entry = ms_logstate_accept(node->log, id);
+    const int64_t *heard = g_hash_table_lookup(node->dc_heard, entry->dc);
+    if (heard == NULL || node->now - *heard < node->settings->rehome_ms ||
+        ms_logstate_token(node->log, id) != NULL || !ms_members_first_alive(node, id)) {
+        return;
+    }
+    struct ms_pending probe = {.has_spec = true, .spec = entry->spec, .tried_count = 1};
+    g_strlcpy(probe.tried[0], entry->dc, MS_NAME_MAX);
+    const char *target = ms_route_choose(node, &probe);
+    if (target == NULL || !ms_route_could_fit(node, target, &entry->spec)) {
+        return;
+    }
+    Ms__Wire__LogRecord record;
+    Ms__Wire__Accept accept;
+    Ms__Wire__Spec spec;
+    ms__wire__log_record__init(&record);
+    ms__wire__accept__init(&accept);
+    ms_spec_to_wire(&entry->spec, node->now, &spec);
+    accept.spec = &spec;
+    accept.dc = (char *)target;
+    accept.replaces = entry->version;
+    record.body_case = MS__WIRE__LOG_RECORD__BODY_ACCEPT;
+    record.accept = &accept;
+    ms_log(MS_LOG_NOTICE, "event=job_rehomed job=%s from=%s to=%s", id, entry->dc, target);
+    ms_records_append(node, &record, NULL, ACCEPT_GIVE_UP_MS);
+}
+
+static void
+consider_rehoming(struct ms_node *node)
+{
+    if (node->now < node->rehome_at) {
+        return;
+    }
+    node->rehome_at = node->now + REHOME_LOOK_MS;
+    note_heard(node);
+    if (!node->log_reachable) {
+        return;
+    }
+    GPtrArray *ids = ms_logstate_accepted_ids(node->log);
+    for (guint i = 0; i < ids->len; i++) {
+        rehome(node, g_ptr_array_index(ids, i));
+    }
+    g_ptr_array_free(ids, TRUE);
+}
+
+void
+ms_jobs_tick(struct ms_node *node)
+{
+    GPtrArray *ids = pending_ids(node);
+    for (guint i = 0; i < ids->len; i++) {
+        struct ms_pending *pending =
+            g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
+        if (pending != NULL) {
+            look_at_pending(node, pending);
+        }
+    }
+    g_ptr_array_unref(ids);
+    consider_rehoming(node);
+    ms_counter_set(node->counters, MS_GAUGE_PENDING, g_hash_table_size(node->pending));
+}
+
+/* The shutdown's time is over: everyone who still waits is told the truth. */
+void
+ms_jobs_refuse_all(struct ms_node *node)
+{
+    GPtrArray *ids = pending_ids(node);
+    for (guint i = 0; i < ids->len; i++) {
+        struct ms_pending *pending =
+            g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
+        pending->uncertain |= pending->sends > 0 || pending->accepted;
+        refuse(node, pending, MS_OUTCOME_UNAVAILABLE, "this entry host is shutting down");
+    }
+    g_ptr_array_unref(ids);
+}
+
+void
+ms_jobs_free(struct ms_node *node)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, node->pending);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct ms_pending *pending = value;
+        for (guint i = 0; i < pending->calls->len; i++) {
+            ms_node_answer(node, g_ptr_array_index(pending->calls, i), 503, NULL);
+        }
+        pending_free(pending);
+    }
+    g_hash_table_destroy(node->pending);
+}
--- /dev/null
+++ b/src/node/members.c
@@ -0,0 +1,448 @@
+/*
+ * members.c - the other hosts: who they are, who is alive, who places.
+ *
+ * Hosts are known from the settings, the platform's lagging list and from the
+ * connections that they open.  A host is alive while its heartbeats arrive;
+ * the list alone never makes a host alive or gone.
+ */
+#include <string.h>
+
+#include "node/private.h"
+#include "obs/log.h"
+
+#define DEVIATIONS 6.0 /* MS_DETECTOR_DEVIATIONS, if it is used */
+#define CLAIM_SETTLE_EXTRA_MS 500
+
+struct ms_host *
+ms_members_find(const struct ms_node *node, const char *name)
+{
+    return g_hash_table_lookup(node->hosts, name);
+}
+
+static struct ms_host *
+host_get(struct ms_node *node, const char *name)
+{
+    struct ms_host *host = ms_members_find(node, name);
+    if (host == NULL) {
+        host = g_new0(struct ms_host, 1);
+        g_strlcpy(host->name, name, sizeof(host->name));
+        g_hash_table_insert(node->hosts, host->name, host);
+    }
+    return host;
+}
+
+static void
+set_region(struct ms_node *node, const char *dc, const char *region)
+{
+    if (region[0] != '\0') {
+        g_hash_table_replace(node->regions, g_strdup(dc), g_strdup(region));
+    }
+}
+
+const char *
+ms_members_region(const struct ms_node *node, const char *dc)
+{
+    const char *region = g_hash_table_lookup(node->regions, dc);
+    return region != NULL ? region : "";
+}
+
+/* Adds a host, or updates what is known; an address of the settings wins. */
+static void
+add_host(struct ms_node *node, const char *name, const char *dc, const char *region,
+         const char *address, bool configured)
+{
+    if (strcmp(name, node->settings->name) == 0) {
+        return;
+    }
+    struct ms_host *host = host_get(node, name);
+    g_strlcpy(host->dc, dc, sizeof(host->dc));
+    g_strlcpy(host->region, region, sizeof(host->region));
+    set_region(node, dc, region);
+    if (host->configured && !configured) {
+        return;
+    }
+    host->configured |= configured;
+    if (strcmp(host->address, address) != 0) {
+        g_strlcpy(host->address, address, sizeof(host->address));
+        ms_peers_add(node->peers, name, address);
+    }
+}
+
+void
+ms_members_init(struct ms_node *node)
+{
+    set_region(node, node->settings->dc, node->settings->region);
+    for (size_t i = 0; i < node->settings->peer_count; i++) {
+        const struct ms_peer_setting *peer = &node->settings->peers[i];
+        add_host(node, peer->name, peer->dc, peer->region, peer->address, true);
+    }
+}
+
+/* Takes over one backend server of the list. */
+static void
+list_server(struct ms_node *node, const struct ms_listed *listed)
+{
+    struct ms_listed *known = g_hash_table_lookup(node->servers, listed->name);
+    if (known == NULL) {
+        known = g_memdup2(listed, sizeof(*listed));
+        g_hash_table_insert(node->servers, known->name, known);
+    }
+    else {
+        *known = *listed;
+    }
+    if (strcmp(listed->dc, node->settings->dc) == 0) {
+        ms_hold_server_listed(node, listed);
+    }
+}
+
+/* Drops the servers that are not in the list any more. */
+static void
+drop_unlisted(struct ms_node *node, GHashTable *present)
+{
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, node->servers);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        const struct ms_listed *listed = value;
+        if (g_hash_table_contains(present, key)) {
+            continue;
+        }
+        if (strcmp(listed->dc, node->settings->dc) == 0) {
+            ms_hold_server_unlisted(node, listed->name);
+        }
+        g_hash_table_iter_remove(&iterator);
+    }
+}
+
+void
+ms_members_listed(struct ms_node *node, const GArray *listed)
+{
+    GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < listed->len; i++) {
+        const struct ms_listed *entry = &g_array_index(listed, struct ms_listed, i);
+        set_region(node, entry->dc, entry->region);
+        if (entry->is_server) {
+            list_server(node, entry);
+            g_hash_table_add(present, (gpointer)entry->name);
+        }
+        else {
+            add_host(node, entry->name, entry->dc, entry->region, entry->address, false);
+        }
+    }
+    if (g_hash_table_size(present) > 0) {
+        drop_unlisted(node, present);
+    }
+    g_hash_table_destroy(present);
+}
+
+void
+ms_members_peer_up(struct ms_node *node, const struct ms_peer_message *peer)
+{
+    struct ms_host *host = host_get(node, peer->name);
+    g_strlcpy(host->dc, peer->dc, sizeof(host->dc));
+    host->connected = true;
+    host->heard = false;
+    ms_detector_init(&host->detector, MS_DETECTOR_FIXED, node->settings->host_timeout_ms,
+                     DEVIATIONS, node->now);
+    ms_log(MS_LOG_INFO, "event=peer_up peer=%s dc=%s", host->name, host->dc);
+    node->heartbeat_at = 0;
+}
+
+void
+ms_members_peer_down(struct ms_node *node, const char *name)
+{
+    struct ms_host *host = ms_members_find(node, name);
+    if (host == NULL || !host->connected) {
+        return;
+    }
+    host->connected = false;
+    host->heard = false;
+    host->claims = false;
+    ms_log(MS_LOG_NOTICE, "event=peer_down peer=%s dc=%s", host->name, host->dc);
+    ms_jobs_host_lost(node, name);
+}
+
+bool
+ms_host_alive(const struct ms_node *node, const struct ms_host *host)
+{
+    return host->connected && host->heard && !ms_detector_suspects(&host->detector, node->now);
+}
+
+static void
+take_summary(struct ms_summary *summary, const Ms__Wire__Summary *message)
+{
+    summary->servers = message->servers;
+    summary->accels = message->accels;
+    summary->accels_free = message->accels_free;
+    summary->slots_free = message->slots_free;
+    summary->rack_free_max = message->rack_free_max;
+    summary->waiting = message->waiting;
+    summary->running = message->running;
+    summary->quarantined = message->quarantined;
+    summary->guarantees_unmet = message->guarantees_unmet;
+}
+
+void
+ms_members_heartbeat(struct ms_node *node, const char *name, const Ms__Wire__Heartbeat *heartbeat)
+{
+    struct ms_host *host = ms_members_find(node, name);
+    if (host == NULL) {
+        return;
+    }
+    host->heard = true;
+    host->draining = heartbeat->draining;
+    host->claims = heartbeat->claims;
+    host->epoch = heartbeat->epoch;
+    host->applied = heartbeat->applied;
+    host->log_reachable = heartbeat->log_reachable;
+    if (host->incarnation != heartbeat->incarnation) {
+        host->incarnation = heartbeat->incarnation;
+        host->relayed = 0;
+    }
+    if (heartbeat->summary != NULL) {
+        take_summary(&host->summary, heartbeat->summary);
+    }
+    ms_detector_heard(&host->detector, node->now);
+    ms_records_relay(node, host);
+}
+
+static void
+fill_summary(const struct ms_node *node, Ms__Wire__Summary *message)
+{
+    struct ms_summary summary;
+    ms_hold_summary(node, &summary);
+    ms__wire__summary__init(message);
+    message->servers = summary.servers;
+    message->accels = summary.accels;
+    message->accels_free = summary.accels_free;
+    message->slots_free = summary.slots_free;
+    message->rack_free_max = summary.rack_free_max;
+    message->waiting = summary.waiting;
+    message->running = summary.running;
+    message->quarantined = summary.quarantined;
+    message->guarantees_unmet = summary.guarantees_unmet;
+}
+
+void
+ms_members_send_heartbeats(struct ms_node *node)
+{
+    Ms__Wire__Envelope envelope;
+    Ms__Wire__Heartbeat heartbeat;
+    Ms__Wire__Summary summary;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    ms__wire__envelope__init(&envelope);
+    ms__wire__heartbeat__init(&heartbeat);
+    heartbeat.sequence = node->heartbeat_count++;
+    heartbeat.applied = ms_logstate_complete(node->log) ? ms_logstate_next(node->log) : 0;
+    heartbeat.claims = node->hold.active;
+    heartbeat.epoch = node->hold.epoch;
+    heartbeat.draining = node->draining;
+    heartbeat.log_reachable = node->log_reachable;
+    heartbeat.incarnation = node->incarnation;
+    if (node->hold.active) {
+        fill_summary(node, &summary);
+        heartbeat.summary = &summary;
+    }
+    envelope.body_case = MS__WIRE__ENVELOPE__BODY_HEARTBEAT;
+    envelope.heartbeat = &heartbeat;
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_host *host = value;
+        if (host->connected) {
+            ms_peers_send(node->peers, host->name, &envelope);
+        }
+    }
+    node->heartbeat_at = node->now + node->settings->heartbeat_ms;
+}
+
+/* Closes connections on which nothing is heard any more. */
+static void
+close_silent(struct ms_node *node)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct ms_host *host = value;
+        if (host->connected && ms_detector_suspects(&host->detector, node->now)) {
+            ms_log(MS_LOG_WARNING, "event=peer_silent peer=%s silent_ms=%" G_GINT64_FORMAT,
+                   host->name, node->now - host->detector.last_heard);
+            ms_peers_close(node->peers, host->name);
+            ms_members_peer_down(node, host->name);
+        }
+    }
+}
+
+/* Fills VIEW; its hosts are in the returned array, freed by the caller. */
+static struct ms_claim_host *
+claim_view(const struct ms_node *node, struct ms_claim_view *view)
+{
+    struct ms_claim_host *hosts =
+        g_new0(struct ms_claim_host, g_hash_table_size(node->hosts) + 1);
+    const struct ms_epoch_entry *epoch = ms_logstate_epoch(node->log, node->settings->dc);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    *view = (struct ms_claim_view){
+        .self = node->settings->name,
+        .dc = node->settings->dc,
+        .hosts = hosts,
+        .draining = node->draining,
+        .settled = node->now - node->started_at >=
+                   node->settings->host_timeout_ms / 2 + CLAIM_SETTLE_EXTRA_MS,
+        .log_reachable = node->log_reachable,
+        .claims = node->hold.active,
+        .epoch = node->hold.epoch,
+        .asked = node->epoch_asked,
+        .asked_too_long = node->epoch_asked && node->now - node->epoch_asked_at >
+                                                   2 * node->settings->append_timeout_ms,
+        .log_host = epoch != NULL ? epoch->host : NULL,
+        .log_epoch = epoch != NULL ? epoch->number : 0,
+    };
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_host *host = value;
+        if (strcmp(host->dc, node->settings->dc) != 0) {
+            continue;
+        }
+        hosts[view->host_count++] = (struct ms_claim_host){
+            .name = host->name,
+            .alive = ms_host_alive(node, host),
+            .draining = host->draining,
+            .claims = host->claims,
+            .epoch = host->epoch,
+        };
+    }
+    return hosts;
+}
+
+static void
+ask_for_epoch(struct ms_node *node)
+{
+    Ms__Wire__LogRecord record;
+    Ms__Wire__Epoch epoch;
+    ms__wire__log_record__init(&record);
+    ms__wire__epoch__init(&epoch);
+    epoch.dc = (char *)node->settings->dc;
+    epoch.host = (char *)node->settings->name;
+    record.body_case = MS__WIRE__LOG_RECORD__BODY_EPOCH;
+    record.epoch = &epoch;
+    if (ms_records_append(node, &record, node->epoch_writer, node->settings->append_timeout_ms)) {
+        node->epoch_asked = true;
+        node->epoch_asked_at = node->now;
+    }
+}
+
+static void
+decide_claim(struct ms_node *node)
+{
+    struct ms_claim_view view;
+    struct ms_claim_host *hosts = claim_view(node, &view);
+    enum ms_claim_decision decision = ms_claim_decide(&view);
+    g_free(hosts);
+    switch (decision) {
+    case MS_CLAIM_STAY:
+        break;
+    case MS_CLAIM_ASK:
+        ask_for_epoch(node);
+        break;
+    case MS_CLAIM_TENTATIVE:
+        node->epoch_asked = false;
+        ms_hold_begin(node, view.log_epoch);
+        break;
+    case MS_CLAIM_STEP_DOWN:
+        ms_hold_end(node, node->draining ? "draining" : "another host claims");
+        break;
+    }
+    if (view.asked_too_long && view.claims) {
+        node->epoch_asked = false; /* ask again when the log is reachable */
+    }
+}
+
+void
+ms_members_tick(struct ms_node *node)
+{
+    close_silent(node);
+    decide_claim(node);
+    if (node->now >= node->heartbeat_at) {
+        ms_members_send_heartbeats(node);
+    }
+}
+
+/* Name of the host that places the work of DC, as far as known; or NULL. */
+const char *
+ms_members_holder(const struct ms_node *node, const char *dc)
+{
+    const struct ms_host *best = NULL;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (strcmp(dc, node->settings->dc) == 0 && node->hold.active) {
+        return node->settings->name;
+    }
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_host *host = value;
+        if (strcmp(host->dc, dc) != 0 || !host->claims || !ms_host_alive(node, host)) {
+            continue;
+        }
+        if (best == NULL || host->epoch > best->epoch) {
+            best = host;
+        }
+    }
+    return best != NULL ? best->name : NULL;
+}
+
+bool
+ms_members_summary(const struct ms_node *node, const char *dc, struct ms_summary *summary)
+{
+    const char *holder = ms_members_holder(node, dc);
+    if (holder == NULL) {
+        return false;
+    }
+    if (strcmp(holder, node->settings->name) == 0) {
+        ms_hold_summary(node, summary);
+        return true;
+    }
+    *summary = ms_members_find(node, holder)->summary;
+    return true;
+}
+
+/* Whether this host has the highest rendezvous hash for KEY among the living. */
+bool
+ms_members_first_alive(const struct ms_node *node, const char *key)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (node->draining) {
+        return false;
+    }
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_host *host = value;
+        if (ms_host_alive(node, host) && !host->draining && host->log_reachable &&
+            ms_rendezvous_above(key, host->name, node->settings->name)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether any host of DC is alive. */
+bool
+ms_members_dc_heard(const struct ms_node *node, const char *dc)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (strcmp(dc, node->settings->dc) == 0) {
+        return true;
+    }
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_host *host = value;
+        if (strcmp(host->dc, dc) == 0 && ms_host_alive(node, host)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/src/node/message.c
@@ -0,0 +1,51 @@
+/*
+ * message.c - messages to the decision thread.
+ */
+#include "node/message.h"
+
+struct ms_message *
+ms_message_new(enum ms_message_kind kind)
+{
+    struct ms_message *message = g_new0(struct ms_message, 1);
+    message->kind = kind;
+    return message;
+}
+
+void
+ms_owned_event_free(void *memory)
+{
+    struct ms_owned_event *owned = memory;
+    if (owned->output != NULL) {
+        g_bytes_unref(owned->output);
+    }
+    g_free(owned);
+}
+
+void
+ms_message_free(struct ms_message *message)
+{
+    switch (message->kind) {
+    case MS_MESSAGE_PEER_ENVELOPE:
+        if (message->peer.envelope != NULL) {
+            ms__wire__envelope__free_unpacked(message->peer.envelope, NULL);
+        }
+        break;
+    case MS_MESSAGE_LOG_RECORDS:
+        g_ptr_array_unref(message->records.records);
+        break;
+    case MS_MESSAGE_HOSTS:
+        g_array_unref(message->listed);
+        break;
+    case MS_MESSAGE_BACKEND:
+        g_ptr_array_unref(message->backend.events);
+        break;
+    case MS_MESSAGE_CALL:
+    case MS_MESSAGE_PEER_UP:
+    case MS_MESSAGE_PEER_DOWN:
+    case MS_MESSAGE_LOG_BEGINS:
+    case MS_MESSAGE_LOG_STATE:
+    case MS_MESSAGE_SHUTDOWN:
+        break;
+    }
+    g_free(message);
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,340 @@
+/*
+ * node.c - the decision thread: takes messages, runs timers, shuts down.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "node/private.h"
+#include "obs/log.h"
+#include "wire/convert.h"
+
+#define NODE_RING_SLOTS 16384
+#define STEP_MAX_MS 50 /* longest sleep of the thread */
+
+void
+ms_node_answer(struct ms_node *node, struct ms_call *call, unsigned int status, char *json)
+{
+    (void)node;
+    call->status = status;
+    call->json = json;
+    ms_call_answer(call);
+}
+
+static void
+take_envelope(struct ms_node *node, const struct ms_peer_message *peer)
+{
+    const Ms__Wire__Envelope *envelope = peer->envelope;
+    struct ms_job_spec spec;
+    switch (envelope->body_case) {
+    case MS__WIRE__ENVELOPE__BODY_HEARTBEAT:
+        ms_members_heartbeat(node, peer->name, envelope->heartbeat);
+        break;
+    case MS__WIRE__ENVELOPE__BODY_SUBMIT:
+        if (ms_spec_from_wire(envelope->submit->spec, node->now, &spec) == MS_OK) {
+            ms_hold_submit(node, &spec, peer->name, envelope->submit->may_have_run,
+                           envelope->submit->trace_parent);
+        }
+        break;
+    case MS__WIRE__ENVELOPE__BODY_RECEIVED:
+        ms_jobs_received(node, peer->name, envelope->received->id);
+        break;
+    case MS__WIRE__ENVELOPE__BODY_OUTCOME:
+        ms_jobs_outcome(node, envelope->outcome);
+        break;
+    case MS__WIRE__ENVELOPE__BODY_CANCEL:
+        ms_hold_cancel(node, envelope->cancel->id, peer->name);
+        break;
+    case MS__WIRE__ENVELOPE__BODY_FOLLOW:
+        ms_hold_follow(node, envelope->follow->id, peer->name);
+        break;
+    case MS__WIRE__ENVELOPE__BODY_QUERY:
+        ms_control_query(node, peer->name, envelope->query);
+        break;
+    case MS__WIRE__ENVELOPE__BODY_QUERY_REPLY:
+        ms_control_query_reply(node, envelope->query_reply);
+        break;
+    case MS__WIRE__ENVELOPE__BODY_RECORDS:
+        ms_records_from_peer(node, envelope->records);
+        break;
+    case MS__WIRE__ENVELOPE__BODY_STATE_COPY:
+        ms_records_state_copy(node, envelope->state_copy->snapshot.data,
+                              envelope->state_copy->snapshot.len);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+take_call(struct ms_node *node, struct ms_call *call)
+{
+    call->arrived_at = node->now;
+    call->answer_by = node->now + call->wait_ms;
+    if (call->start_within_ms > 0) {
+        call->spec.deadline_ms = node->now + call->start_within_ms;
+    }
+    switch (call->kind) {
+    case MS_CALL_SUBMIT:
+        ms_counter_add(node->counters, MS_COUNT_REQUESTS, 1);
+        ms_jobs_submit(node, call);
+        break;
+    case MS_CALL_JOB:
+        ms_jobs_query(node, call);
+        break;
+    case MS_CALL_CANCEL:
+        ms_jobs_cancel(node, call);
+        break;
+    case MS_CALL_EXPLAIN:
+    case MS_CALL_RULES_APPLY:
+    case MS_CALL_RULES_SHOW:
+    case MS_CALL_RULES_HISTORY:
+    case MS_CALL_RULES_RELAY:
+    case MS_CALL_STATE_COPY:
+    case MS_CALL_STATUS:
+    case MS_CALL_READY:
+        ms_control_call(node, call);
+        break;
+    }
+}
+
+static void
+begin_drain(struct ms_node *node)
+{
+    if (node->draining) {
+        return;
+    }
+    node->draining = true;
+    node->drain_until = node->now + node->settings->drain_ms;
+    ms_log(MS_LOG_NOTICE, "event=drain_begin pending=%u", g_hash_table_size(node->pending));
+    ms_caller_quiesce(node->caller);
+}
+
+static void
+take_message(struct ms_node *node, struct ms_message *message)
+{
+    switch (message->kind) {
+    case MS_MESSAGE_CALL:
+        take_call(node, message->call);
+        break;
+    case MS_MESSAGE_PEER_UP:
+        ms_members_peer_up(node, &message->peer);
+        break;
+    case MS_MESSAGE_PEER_DOWN:
+        ms_members_peer_down(node, message->peer.name);
+        break;
+    case MS_MESSAGE_PEER_ENVELOPE:
+        take_envelope(node, &message->peer);
+        break;
+    case MS_MESSAGE_LOG_RECORDS:
+        ms_records_apply(node, &message->records);
+        break;
+    case MS_MESSAGE_LOG_BEGINS:
+        ms_records_gap(node, message->offset);
+        break;
+    case MS_MESSAGE_LOG_STATE:
+        node->log_reachable = message->reachable;
+        node->log_was_reached |= message->reachable;
+        ms_log(MS_LOG_NOTICE, "event=log_state reachable=%d", message->reachable);
+        break;
+    case MS_MESSAGE_HOSTS:
+        ms_members_listed(node, message->listed);
+        break;
+    case MS_MESSAGE_BACKEND:
+        ms_hold_backend(node, &message->backend);
+        break;
+    case MS_MESSAGE_SHUTDOWN:
+        begin_drain(node);
+        break;
+    }
+    ms_message_free(message);
+}
+
+/*
+ * The shutdown is over when no caller waits.  The claim is given up at once,
+ * so that another host places while this one still relays answers.
+ */
+static void
+check_drained(struct ms_node *node)
+{
+    if (!node->draining) {
+        return;
+    }
+    bool late = node->now >= node->drain_until;
+    if (late) {
+        ms_jobs_refuse_all(node);
+    }
+    if (g_hash_table_size(node->pending) == 0 && !node->hold.active &&
+        g_queue_is_empty(node->changes)) {
+        ms_log(MS_LOG_NOTICE, "event=drain_end late=%d", late);
+        atomic_store(&node->done, true);
+    }
+}
+
+static void
+run_timers(struct ms_node *node)
+{
+    ms_members_tick(node);
+    ms_hold_tick(node);
+    ms_jobs_tick(node);
+    ms_records_tick(node);
+    ms_control_tick(node);
+    check_drained(node);
+}
+
+static int64_t
+now_ms(void)
+{
+    return g_get_monotonic_time() / 1000;
+}
+
+static void *
+node_thread(void *opaque)
+{
+    struct ms_node *node = opaque;
+    int64_t timers_at = 0;
+    while (!atomic_load(&node->done)) {
+        struct ms_message *message = NULL;
+        node->now = now_ms();
+        int64_t next = MIN(timers_at, ms_hold_next_tick(node));
+        ms_ring_wait(node->ring, (int)CLAMP(next - node->now, 0, STEP_MAX_MS));
+        node->now = now_ms();
+        while ((message = ms_ring_pop(node->ring)) != NULL) {
+            take_message(node, message);
+            if (node->routes_due) {
+                ms_jobs_route_due(node);
+            }
+        }
+        if (node->now >= MIN(timers_at, ms_hold_next_tick(node))) {
+            run_timers(node);
+            timers_at = node->now + STEP_MAX_MS;
+        }
+    }
+    return NULL;
+}
+
+static struct ms_node *
+node_new(const struct ms_settings *settings, struct ms_counters *counters, FILE *record)
+{
+    struct ms_node *node = g_new0(struct ms_node, 1);
+    node->settings = settings;
+    node->counters = counters;
+    node->record = record;
+    node->now = now_ms();
+    node->started_at = node->now;
+    node->snapshot_seen_at = node->now;
+    node->incarnation = ((uint64_t)g_random_int() << 20) ^ (uint64_t)g_get_real_time();
+    node->log = ms_logstate_new();
+    node->tail = g_queue_new();
+    node->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    node->servers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    node->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    node->pending = g_hash_table_new(g_str_hash, g_str_equal);
+    node->dc_heard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    node->changes = g_queue_new();
+    node->queries = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    node->token_writers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    node->spans = ms_spans_new();
+    node->ring = ms_ring_new(NODE_RING_SLOTS);
+    return node;
+}
+
+static void
+node_free(struct ms_node *node)
+{
+    struct ms_message *message = NULL;
+    while (node->ring != NULL && (message = ms_ring_pop(node->ring)) != NULL) {
+        ms_message_free(message);
+    }
+    ms_jobs_free(node);
+    ms_control_free(node);
+    ms_records_free_tail(node);
+    ms_logstate_free(node->log);
+    g_hash_table_destroy(node->hosts);
+    g_hash_table_destroy(node->servers);
+    g_hash_table_destroy(node->regions);
+    g_hash_table_destroy(node->dc_heard);
+    g_hash_table_destroy(node->token_writers);
+    ms_spans_free(node->spans);
+    ms_ring_free(node->ring);
+    g_free(node);
+}
+
+struct ms_node *
+ms_node_start(const struct ms_settings *settings, struct ms_counters *counters, FILE *record,
+              char *error, size_t size)
+{
+    struct ms_node *node = node_new(settings, counters, record);
+    const char *what = "the ring";
+    if (node->ring == NULL) {
+        goto fail;
+    }
+    what = "the peer address";
+    node->peers = ms_peers_start(settings, counters, node->ring);
+    if (node->peers == NULL) {
+        goto fail;
+    }
+    what = "the links to backend servers";
+    node->backend = ms_backend_start(settings, counters, node->ring);
+    if (node->backend == NULL) {
+        goto fail;
+    }
+    what = "the platform threads";
+    node->platform = ms_platform_start(settings, counters, node->ring);
+    if (node->platform == NULL) {
+        goto fail;
+    }
+    what = "the caller address";
+    node->caller = ms_caller_start(settings, counters, node->ring);
+    if (node->caller == NULL) {
+        goto fail;
+    }
+    ms_members_init(node);
+    what = "the decision thread";
+    if (pthread_create(&node->thread, NULL, node_thread, node) != 0) {
+        goto fail;
+    }
+    return node;
+
+fail:
+    g_snprintf(error, (gulong)size, "%s could not be set up", what);
+    ms_caller_stop(node->caller);
+    ms_platform_stop(node->platform);
+    ms_backend_stop(node->backend);
+    ms_peers_stop(node->peers);
+    node_free(node);
+    return NULL;
+}
+
+void
+ms_node_shutdown(struct ms_node *node)
+{
+    struct ms_message *message = ms_message_new(MS_MESSAGE_SHUTDOWN);
+    while (!ms_ring_push(node->ring, message)) {
+        g_usleep(1000);
+    }
+}
+
+bool
+ms_node_finished(const struct ms_node *node)
+{
+    return atomic_load(&node->done);
+}
+
+void
+ms_node_stop(struct ms_node *node)
+{
+    if (node == NULL) {
+        return;
+    }
+    atomic_store(&node->done, true);
+    ms_ring_wake(node->ring);
+    pthread_join(node->thread, NULL);
+    ms_hold_end(node, "stop");
+    ms_caller_stop(node->caller);
+    ms_platform_stop(node->platform);
+    ms_backend_stop(node->backend);
+    ms_peers_stop(node->peers);
+    node_free(node);
+}
--- /dev/null
+++ b/src/obs/counters.c
@@ -0,0 +1,93 @@
+/*
+ * counters.c - the daemon's counters and gauges.
+ */
+#include <ck_pr.h>
+
+#include "obs/counters.h"
+
+struct description {
+    const char *name;
+    const char *type;
+    const char *help;
+};
+
+static const struct description descriptions[MS_COUNTER_COUNT] = {
+    [MS_COUNT_REQUESTS] = {"requests_total", "counter", "Job submissions by callers"},
+    [MS_COUNT_OUTCOME_DONE] = {"outcomes_done_total", "counter", "Answers: done"},
+    [MS_COUNT_OUTCOME_REFUSED] = {"outcomes_refused_total", "counter", "Answers: did not run"},
+    [MS_COUNT_OUTCOME_UNKNOWN] = {"outcomes_unknown_total", "counter", "Answers: unknown"},
+    [MS_COUNT_BAD_REQUESTS] = {"bad_requests_total", "counter", "Malformed requests"},
+    [MS_COUNT_BUSY] = {"busy_total", "counter", "Requests refused because a ring was full"},
+    [MS_COUNT_FORWARDED] = {"forwarded_total", "counter", "Jobs sent to the placing host"},
+    [MS_COUNT_RESENT] = {"resent_total", "counter", "Jobs sent again"},
+    [MS_COUNT_TASK_OPS] = {"task_ops_total", "counter", "Task operations sent to servers"},
+    [MS_COUNT_TASK_OPS_FAILED] = {"task_ops_failed_total", "counter", "Those without an answer"},
+    [MS_COUNT_SYNCS] = {"syncs_total", "counter", "Lease renewals answered"},
+    [MS_COUNT_SYNCS_FAILED] = {"syncs_failed_total", "counter", "Lease renewals not answered"},
+    [MS_COUNT_SERVERS_LOST] = {"servers_lost_total", "counter", "Backend servers lost"},
+    [MS_COUNT_APPENDS] = {"log_appends_total", "counter", "Append calls to the log"},
+    [MS_COUNT_APPEND_RECORDS] = {"log_append_records_total", "counter", "Records appended"},
+    [MS_COUNT_APPENDS_FAILED] = {"log_appends_failed_total", "counter", "Append calls that failed"},
+    [MS_COUNT_RECORDS_READ] = {"log_records_read_total", "counter", "Records read"},
+    [MS_COUNT_READS_FAILED] = {"log_reads_failed_total", "counter", "Read calls that failed"},
+    [MS_COUNT_SNAPSHOTS] = {"snapshots_total", "counter", "Snapshots published"},
+    [MS_COUNT_PEER_BYTES_OUT] = {"peer_bytes_out_total", "counter", "Bytes sent to hosts"},
+    [MS_COUNT_PEER_BYTES_IN] = {"peer_bytes_in_total", "counter", "Bytes received from hosts"},
+    [MS_COUNT_PEERS_LOST] = {"peers_lost_total", "counter", "Host connections lost"},
+    [MS_COUNT_TAKEOVERS] = {"takeovers_total", "counter", "Times this host began to place work"},
+    [MS_COUNT_STEPS] = {"steps_total", "counter", "Events given to the decision core"},
+    [MS_COUNT_STEP_US] = {"step_microseconds_total", "counter", "Time spent in the core"},
+    [MS_COUNT_BACKEND_BYTES] = {"backend_bytes_total", "counter", "Bytes to and from servers"},
+    [MS_COUNT_PLATFORM_BYTES] = {"platform_bytes_total", "counter", "Bytes to and from the log"},
+    [MS_COUNT_LOG_LINES_LOST] = {"log_lines_lost_total", "counter", "Log lines refused by the ring"},
+    [MS_GAUGE_HOLDER] = {"holder", "gauge", "1 while this host places the work of its data centre"},
+    [MS_GAUGE_EPOCH] = {"epoch", "gauge", "Epoch of that claim"},
+    [MS_GAUGE_APPLIED] = {"log_applied_offset", "gauge", "Next log offset to apply"},
+    [MS_GAUGE_LOG_REACHABLE] = {"log_reachable", "gauge", "1 while the log answers"},
+    [MS_GAUGE_PEERS_ALIVE] = {"peers_alive", "gauge", "Other hosts that are heard"},
+    [MS_GAUGE_SERVERS] = {"servers", "gauge", "Backend servers held and usable"},
+    [MS_GAUGE_ACCELS_FREE] = {"accels_free", "gauge", "Free accelerators"},
+    [MS_GAUGE_WAITING] = {"jobs_waiting", "gauge", "Jobs waiting in this data centre"},
+    [MS_GAUGE_RUNNING] = {"tasks_running", "gauge", "Tasks that hold resources"},
+    [MS_GAUGE_STRANDED] = {"accels_stranded", "gauge",
+                           "Free accelerators that the largest waiting gang cannot use"},
+    [MS_GAUGE_GUARANTEES_UNMET] = {"guarantees_unmet", "gauge", "Guarantees without all cells"},
+    [MS_GAUGE_PENDING] = {"requests_pending", "gauge", "Jobs that this entry host follows"},
+    [MS_GAUGE_TOKENS] = {"state_tokens", "gauge", "Run tokens without an outcome"},
+    [MS_GAUGE_ACCEPTS] = {"state_accepted", "gauge", "Accepted jobs without an outcome"},
+    [MS_GAUGE_DONES] = {"state_outcomes", "gauge", "Outcomes kept"},
+};
+
+void
+ms_counter_add(struct ms_counters *counters, enum ms_counter counter, uint64_t amount)
+{
+    ck_pr_add_64(&counters->values[counter], amount);
+}
+
+void
+ms_counter_set(struct ms_counters *counters, enum ms_counter counter, uint64_t value)
+{
+    ck_pr_store_64(&counters->values[counter], value);
+}
+
+uint64_t
+ms_counter_get(const struct ms_counters *counters, enum ms_counter counter)
+{
+    return ck_pr_load_64(&counters->values[counter]);
+}
+
+char *
+ms_counters_text(const struct ms_counters *counters)
+{
+    GString *text = g_string_new(NULL);
+    for (int i = 0; i < MS_COUNTER_COUNT; i++) {
+        const struct description *description = &descriptions[i];
+        g_string_append_printf(text,
+                               "# HELP mustardspread_%s %s\n# TYPE mustardspread_%s %s\n"
+                               "mustardspread_%s %" G_GUINT64_FORMAT "\n",
+                               description->name, description->help, description->name,
+                               description->type, description->name,
+                               ms_counter_get(counters, (enum ms_counter)i));
+    }
+    return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/src/platform/http.h
@@ -0,0 +1,55 @@
+/*
+ * http.h - one HTTP exchange with JSON bodies, over libcurl.
+ */
+#ifndef MS_HTTP_H
+#define MS_HTTP_H
+
+#include <stdbool.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+
+/* Shortest time to set up a connection before the attempt is given up. */
+#define MS_CONNECT_TIMEOUT_MS 500L
+
+/* A request and the buffers of its answer; reusable. */
+struct ms_http {
+    CURL *easy;
+    struct curl_slist *headers;
+    GByteArray *answer;
+    char *body; /* freed with free(): JSON text */
+    size_t body_length;
+    void *owner; /* for the caller's own use */
+};
+
+/* Creates a handle; NULL when libcurl cannot. */
+struct ms_http *ms_http_new(void);
+void ms_http_free(struct ms_http *http);
+
+/*
+ * Prepares a request: POST with BODY (a reference is taken over), or GET when
+ * BODY is NULL.  The answer has to be whole within TIMEOUT_MS.  FRESH asks for
+ * a new connection.
+ */
+void ms_http_prepare(struct ms_http *http, const char *url, json_t *body, long timeout_ms,
+                     bool fresh);
+
+/* Runs the prepared request and waits; see ms_http_finish() for the result. */
+json_t *ms_http_run(struct ms_http *http, long *status);
+
+/*
+ * Reads the answer of a finished request.  Returns the JSON body (owned by the
+ * caller) and sets *STATUS, or NULL when there is none; *STATUS is 0 when the
+ * exchange itself failed.
+ */
+json_t *ms_http_finish(struct ms_http *http, CURLcode code, long *status);
+
+/* Bytes sent and received by the finished exchange, headers included. */
+size_t ms_http_bytes(const struct ms_http *http);
+
+/* Text member KEY of OBJECT copied to OUT; "" when absent. */
+void ms_json_text(const json_t *object, const char *key, char *out, size_t size);
+int64_t ms_json_int(const json_t *object, const char *key, int64_t fallback);
+
+#endif
--- /dev/null
+++ b/src/platform/platform.h
@@ -0,0 +1,43 @@
+/*
+ * platform.h - the platform's append-only log and host list.
+ *
+ * A reader thread follows the log and the host list and pushes messages into
+ * the node's ring; a writer thread appends records in batches.  The interface
+ * of the platform, as used here:
+ *
+ *     GET  /log?from=N&wait_ms=W&max=M
+ *          -> {"first": N, "records": ["base64", ...], "begin": B, "end": E}
+ *     POST /log {"records": ["base64", ...]} -> {"first": N}
+ *     GET  /hosts -> {"hosts": [{name, dc, region, address, role, rack, slots,
+ *          accels, state}, ...]}
+ */
+#ifndef MS_PLATFORM_H
+#define MS_PLATFORM_H
+
+#include "config/settings.h"
+#include "obs/counters.h"
+#include "obs/ring.h"
+
+struct ms_platform;
+
+/*
+ * Starts both threads.  Messages go to NODE_RING.  SETTINGS, COUNTERS and the
+ * ring must outlive the platform.  NULL when a thread cannot be started.
+ */
+struct ms_platform *ms_platform_start(const struct ms_settings *settings,
+                                      struct ms_counters *counters, struct ms_ring *node_ring);
+
+/* Ends both threads and frees PLATFORM; records not yet appended are dropped. */
+void ms_platform_stop(struct ms_platform *platform);
+
+/*
+ * Queues one packed record for appending; takes over BYTES.  Returns false
+ * when the queue is full.  The record is tried again until the log takes it or
+ * GIVE_UP_MS have passed, so it may stand in the log twice.
+ */
+bool ms_platform_append(struct ms_platform *platform, GByteArray *bytes, int64_t give_up_ms);
+
+/* Tells the reader to go on at OFFSET, after records came from elsewhere. */
+void ms_platform_seek(struct ms_platform *platform, uint64_t offset);
+
+#endif
