--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -73,7 +73,11 @@
 {
     g_queue_clear_full(link->waiting, ms_server_op_free);
     g_hash_table_remove_all(link->withheld);
+    if (!link->sending) {
+        g_queue_clear_full(link->sent, ms_server_op_free);
+    }
     link->send_failures = 0;
+    link->call = 0;
 }
 
 /* Counts a server as lost and tells the node. */
@@ -229,8 +233,8 @@
         if (backend->generation != 0 && !link->syncing && now >= link->sync_at) {
             ms_sync_start(backend, link);
         }
-        if (link->held && !link->sending && !g_queue_is_empty(link->waiting) &&
-            now >= link->send_at) {
+        bool to_send = !g_queue_is_empty(link->waiting) || !g_queue_is_empty(link->sent);
+        if (link->held && !link->sending && to_send && now >= link->send_at) {
             ms_ops_start(backend, link);
         }
     }
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -9,13 +9,19 @@
  *       200 {"fence", "as_of", "new": bool, "slots", "accels", "rack",
  *            "leaving", "tasks": [...], "ended": [...], "usage": [...]}
  *       409 {"holder", "epoch"}: held by another host
- *     POST URL/ops {"fence", "ops": [{"op", "id", "member", "attempt", ...}]}
+ *     POST URL/ops {"fence", "call", "ops": [{"op", "id", "member", "attempt",
+ *                   ...}]}
  *       200 {"results": ["ok" | "refused" ...]}, in the order of the ops
- *       409: the fence is out of date; nothing was done
+ *       409: the fence or the call is out of date; nothing was done
+ *
+ * "call" counts up under one fence.  A server carries each call out once: the
+ * same number again gets the same answer, a lower one is out of date.  So a
+ * call that is sent again, or that arrives late, does nothing twice.
  *
  * A lease runs from the server's own time of its last answer that the holder
  * has received (`as_of`), so a renewal that was delayed on the way extends
- * nothing.  Operations are idempotent by (id, member, attempt).
+ * nothing.  A server that is asked to stop a task that it does not know remembers it as ended without
+ * a start, so a start that arrives late does nothing.
  */
 #ifndef MS_BACKEND_H
 #define MS_BACKEND_H
--- a/src/backend/ops.c
+++ b/src/backend/ops.c
@@ -3,7 +3,7 @@
  *
  * Operations for one server go out in order, one call at a time; what gathers
  * meanwhile goes with the next call.  A call without an answer is sent again
- * on a new connection: operations are idempotent.
+ * as it was, on a new connection: the server carries each call out once.
  */
 #include <stdio.h>
 #include <string.h>
@@ -124,14 +124,18 @@
 ms_ops_start(struct ms_backend *backend, struct ms_link_state *link)
 {
     json_t *ops = json_array();
-    while (g_queue_get_length(link->sent) < OPS_PER_CALL && !g_queue_is_empty(link->waiting)) {
-        g_queue_push_tail(link->sent, g_queue_pop_head(link->waiting));
+    if (g_queue_is_empty(link->sent)) {
+        link->call++;
+        while (g_queue_get_length(link->sent) < OPS_PER_CALL && !g_queue_is_empty(link->waiting)) {
+            g_queue_push_tail(link->sent, g_queue_pop_head(link->waiting));
+        }
     }
     for (GList *node = link->sent->head; node != NULL; node = node->next) {
         json_array_append_new(ops, op_json(node->data));
     }
     json_t *body = json_object();
     json_object_set_new(body, "fence", json_integer((json_int_t)link->fence));
+    json_object_set_new(body, "call", json_integer((json_int_t)link->call));
     json_object_set_new(body, "ops", ops);
     char *url = g_strdup_printf("%s/ops", link->url);
     ms_http_prepare(link->ops, url, body, OPS_TIMEOUT_MS, link->send_failures > 0);
@@ -187,7 +191,7 @@
     }
 }
 
-/* Puts the operations of a call without an answer back for another try. */
+/* Leaves a call without an answer to be sent again, up to a bound. */
 static void
 retry_or_drop(struct ms_backend *backend, struct ms_link_state *link)
 {
@@ -200,10 +204,8 @@
         return;
     }
     link->send_at = ms_backend_now() + OPS_RETRY_MS;
-    while (!g_queue_is_empty(link->sent)) {
-        struct ms_server_op *op = g_queue_pop_tail(link->sent);
-        op->uncertain = true;
-        g_queue_push_head(link->waiting, op);
+    for (GList *node = link->sent->head; node != NULL; node = node->next) {
+        ((struct ms_server_op *)node->data)->uncertain = true;
     }
 }
 
--- a/src/backend/private.h
+++ b/src/backend/private.h
@@ -59,7 +59,8 @@
     bool sending;
     GQueue *waiting;        /* ms_server_op, to be sent */
     GQueue *sent;           /* ms_server_op, in the exchange under way */
-    uint32_t send_failures;
+    uint64_t call;          /* number of the last call under this fence */
+    uint32_t send_failures; /* of the call in `sent`, which is sent again */
     int64_t send_at;
     GHashTable *withheld;   /* "id#member#attempt" of leases not to renew */
 };
--- a/src/core/adopt.c
+++ b/src/core/adopt.c
@@ -109,6 +109,10 @@
 void
 ms_adopt_seen(struct ms_sched *sched, struct ms_server *server, const struct ms_task_event *event)
 {
+    if (g_hash_table_contains(sched->recent_index, event->id)) {
+        reject(sched, server, event); /* its outcome was told already */
+        return;
+    }
     struct ms_job *job = seen_job(sched, event);
     if (event->member >= job->spec.tasks) {
         reject(sched, server, event);
@@ -151,7 +155,6 @@
         struct ms_job *job = MS_CONTAINER(link, struct ms_task, server_link)->job;
         if (job->state == MS_JOB_ADOPTING) {
             ms_adopt_check(sched, job);
-            link_next = server->tasks.next;
         }
     }
 }
@@ -164,55 +167,44 @@
     for (uint32_t i = 0; i < job->spec.tasks; i++) {
         enum ms_task_state state = job->tasks[i].state;
         *present += state != MS_TASK_UNPLACED ? 1 : 0;
-        *running += state == MS_TASK_RUNNING || state == MS_TASK_FINISHED ? 1 : 0;
+        bool ended = state == MS_TASK_FINISHED && job->tasks[i].result != MS_TASK_NOT_STARTED;
+        *running += state == MS_TASK_RUNNING || ended ? 1 : 0;
     }
 }
 
-/* Takes over a job all of whose members are here. */
+/* Takes over a job all of whose members run. */
 static void
 adopt_whole(struct ms_sched *sched, struct ms_job *job)
 {
-    job->state = MS_JOB_STARTING;
-    job->phase_until = sched->now + sched->limits.gang_start_ms;
-    ms_set_timer(sched, job->phase_until);
-    bool all_run = true;
-    for (uint32_t i = 0; i < job->spec.tasks; i++) {
-        struct ms_task *task = &job->tasks[i];
-        if (task->withheld && task->server != NULL) {
-            task->withheld = false;
-            ms_emit_task(sched, task, MS_OP_RENEW);
-        }
-        if (task->state == MS_TASK_PREPARED) {
-            task->state = MS_TASK_STARTING;
-            task->started = true;
-            ms_emit_task(sched, task, MS_OP_GO);
-            all_run = false;
-        }
-    }
-    if (all_run) {
-        job->state = MS_JOB_RUNNING;
-        job->phase_until = INT64_MAX;
-    }
+    job->state = MS_JOB_RUNNING;
+    job->phase_until = INT64_MAX;
+    ms_gang_renew(sched, job);
 }
 
-/* Decides about an adopting job: whole, still incomplete, or given up. */
+/*
+ * Decides about an adopting job: whole, still incomplete, or given up.  A gang
+ * of which some members run and others are only prepared is given up: letting
+ * the others go now would have them run out of step by up to a lease.
+ */
 void
 ms_adopt_check(struct ms_sched *sched, struct ms_job *job)
 {
     uint32_t present = 0;
     uint32_t running = 0;
     count_members(job, &present, &running);
-    bool whole = present == job->spec.tasks && running > 0;
-    if (whole && (running == present || !sched->out)) {
+    bool whole = present == job->spec.tasks;
+    if (whole && running == present) {
         adopt_whole(sched, job);
         return;
     }
-    if (job->phase_until > sched->now) {
+    if (!whole && job->phase_until > sched->now) {
         return;
     }
     const char *detail = "an earlier holder may have run it, and not all of it was found";
-    bool retry = job->submitted && (job->spec.idempotent || (present > 0 && running == 0));
-    if (retry) {
+    if (whole && running == 0 && !job->spec.idempotent) {
+        job->may_have_run = false; /* its only attempt was prepared, no more */
+    }
+    if (job->submitted && (job->spec.idempotent || !job->may_have_run)) {
         ms_gang_abort(sched, job, MS_AFTER_RETRY, MS_OUTCOME_LOST_CONTACT, detail);
         return;
     }
--- a/src/core/backfill.c
+++ b/src/core/backfill.c
@@ -49,10 +49,9 @@
 
 /* Tasks of JOB that SERVER holds once its present stoppable tasks have ended. */
 static uint32_t
-fit_when_free(const struct ms_sched *sched, const struct ms_server *server,
-              const struct ms_job *job)
+fit_when_free(const struct ms_server *server, const struct ms_job *job)
 {
-    if (!ms_server_usable(sched, server, job)) {
+    if (!ms_server_usable(server, job)) {
         return 0;
     }
     uint32_t slots = server->slots;
@@ -102,7 +101,7 @@
     {
         struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
         if (!in_group(server, anchor, job->spec.adjacency) ||
-            fit_when_free(sched, server, job) == 0) {
+            fit_when_free(server, job) == 0) {
             continue;
         }
         int64_t wait = server_free_at(sched, server) - sched->now;
@@ -113,7 +112,7 @@
     uint32_t fit = 0;
     for (guint i = 0; i < sched->candidates->len; i++) {
         const struct ms_server *server = g_ptr_array_index(sched->candidates, i);
-        fit += fit_when_free(sched, server, job);
+        fit += fit_when_free(server, job);
         if (fit >= job->spec.tasks) {
             g_ptr_array_set_size(sched->candidates, (gint)i + 1);
             return sched->now + server->scratch;
--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -14,6 +14,8 @@
 
 /* Wait for a stop to be confirmed before the lease is left to lapse. */
 #define STOP_CONFIRM_MS 1000
+/* Bound on all failures of a job, forgiven ones included, in attempts_max. */
+#define FORGIVEN_FACTOR 3
 
 static void
 set_phase(struct ms_sched *sched, struct ms_job *job, enum ms_job_state state, int64_t limit_ms)
@@ -99,6 +101,7 @@
         ms_backfill_clear(sched);
     }
     job->attempt++;
+    job->ran_before = job->may_have_run;
     job->started_at = sched->now;
     job->after = MS_AFTER_RETRY;
     if (room_is_made(job)) {
@@ -156,6 +159,40 @@
     return true;
 }
 
+/* Lets the lease of TASK run out at its server. */
+static void
+withhold(struct ms_sched *sched, struct ms_task *task)
+{
+    if (!task->withheld && task->server->state != MS_SERVER_LOST) {
+        task->withheld = true;
+        ms_emit_task(sched, task, MS_OP_WITHHOLD);
+    }
+}
+
+/* Stops renewing the leases of the members of JOB that still run. */
+static void
+withhold_all(struct ms_sched *sched, struct ms_job *job)
+{
+    for (uint32_t i = 0; i < job->spec.tasks; i++) {
+        if (job->tasks[i].server != NULL) {
+            withhold(sched, &job->tasks[i]);
+        }
+    }
+}
+
+/* Renews the leases of all members of JOB again. */
+void
+ms_gang_renew(struct ms_sched *sched, struct ms_job *job)
+{
+    for (uint32_t i = 0; i < job->spec.tasks; i++) {
+        struct ms_task *task = &job->tasks[i];
+        if (task->withheld && task->server != NULL) {
+            task->withheld = false;
+            ms_emit_task(sched, task, MS_OP_RENEW);
+        }
+    }
+}
+
 void
 ms_gang_prepared(struct ms_sched *sched, struct ms_task *task)
 {
@@ -167,6 +204,9 @@
     if (job->state == MS_JOB_PREPARING && all_in(job, MS_TASK_PREPARED)) {
         job->may_have_run = true;
         set_phase(sched, job, MS_JOB_STARTING, sched->limits.gang_start_ms);
+        /* Renewed again once all have started: a member that does not start
+           must not leave the others running for longer than a lease. */
+        withhold_all(sched, job);
         send_all(sched, job, MS_OP_GO, MS_TASK_STARTING);
     }
 }
@@ -182,10 +222,15 @@
     if (job->state == MS_JOB_STARTING && all_in(job, MS_TASK_RUNNING)) {
         set_phase(sched, job, MS_JOB_RUNNING, INT64_MAX);
         job->started_at = sched->now;
+        ms_gang_renew(sched, job);
     }
 }
 
-/* Asks the server to stop TASK, with a checkpoint first when it can. */
+/*
+ * Asks the server to stop TASK, with a checkpoint first when it can.  Its
+ * lease is not renewed any more, so it ends within one lease even when the
+ * request does not arrive.
+ */
 void
 ms_gang_stop_task(struct ms_sched *sched, struct ms_task *task)
 {
@@ -210,6 +255,7 @@
     ms_emit_task(sched, task, checkpoint ? MS_OP_CHECKPOINT : MS_OP_STOP);
     int64_t wait = checkpoint ? sched->limits.checkpoint_ms : STOP_CONFIRM_MS;
     task->state = MS_TASK_STOPPING;
+    withhold(sched, task);
     task->stop_at = sched->now + wait;
     ms_set_timer(sched, task->stop_at);
 }
@@ -249,13 +295,16 @@
     }
     switch (job->after) {
     case MS_AFTER_RETRY:
+        ms_health_relax(sched, job);
         job->not_before = sched->now + retry_delay(sched, job);
         ms_job_wait(sched, job);
         break;
     case MS_AFTER_OUTCOME:
-    case MS_AFTER_FORGET:
         ms_job_finish(sched, job, job->code, job->detail);
         break;
+    case MS_AFTER_FORGET:
+        ms_job_drop(sched, job);
+        break;
     }
 }
 
@@ -323,7 +372,7 @@
     snprintf(detail, sizeof(detail), "backend server %s refused the task", task->server->name);
     bool was_prepared = job->spec.tasks > 1 && task->state == MS_TASK_STARTING;
     if (job->spec.tasks == 1) {
-        job->may_have_run = false; /* the only member never started */
+        job->may_have_run = job->ran_before; /* the only member never started */
     }
     ms_task_discharge(sched, task);
     task->state = MS_TASK_UNPLACED;
@@ -370,10 +419,13 @@
 {
     char detail[MS_DETAIL_MAX];
     job->failures++;
+    job->failures_total++;
     ms_health_failed(sched, server, job);
     snprintf(detail, sizeof(detail), "a task failed on backend server %s", server->name);
-    bool at_fault = job->failed_count >= sched->limits.job_fail_servers;
-    if (at_fault || job->failures >= sched->limits.attempts_max || !may_retry(job)) {
+    bool at_fault = job->failed_count >= sched->limits.job_fail_servers ||
+                    job->failures >= sched->limits.attempts_max ||
+                    job->failures_total >= FORGIVEN_FACTOR * sched->limits.attempts_max;
+    if (at_fault || !may_retry(job)) {
         ms_gang_abort(sched, job, MS_AFTER_OUTCOME, MS_OUTCOME_FAILED, detail);
         return;
     }
@@ -416,7 +468,7 @@
         job->has_progress = true;
     }
     if (event->result == MS_TASK_NOT_STARTED && job->spec.tasks == 1) {
-        job->may_have_run = false;
+        job->may_have_run = job->ran_before;
     }
     if (server->state != MS_SERVER_LOST) {
         ms_emit_task(sched, task, MS_OP_ACK);
@@ -448,20 +500,6 @@
     finish_abort(sched, job);
 }
 
-/* Stops renewing the leases of the members of JOB that still run. */
-static void
-withhold_all(struct ms_sched *sched, struct ms_job *job)
-{
-    for (uint32_t i = 0; i < job->spec.tasks; i++) {
-        struct ms_task *task = &job->tasks[i];
-        if (task->server == NULL || task->withheld || task->server->state == MS_SERVER_LOST) {
-            continue;
-        }
-        task->withheld = true;
-        ms_emit_task(sched, task, MS_OP_WITHHOLD);
-    }
-}
-
 /* Marks the tasks of a lost server; their leases lapse at server->lost_until. */
 void
 ms_gang_server_lost(struct ms_sched *sched, struct ms_server *server)
@@ -495,10 +533,6 @@
         return;
     }
     ms_emit_task(sched, task, MS_OP_STOP);
-    if (!task->withheld) {
-        task->withheld = true;
-        ms_emit_task(sched, task, MS_OP_WITHHOLD);
-    }
     task->stop_at = sched->now + STOP_CONFIRM_MS;
 }
 
--- a/src/core/guarantee.c
+++ b/src/core/guarantee.c
@@ -10,6 +10,10 @@
 
 #include "sched.h"
 
+#define REBIND_ORDERS 24 /* orders of binding that are tried */
+#define REBIND_SEED 1
+#define REBIND_MS 500 /* between two full rebindings of unmet guarantees */
+
 struct ms_guarantee *
 ms_guarantee_find(const struct ms_sched *sched, const char *name)
 {
@@ -345,18 +349,63 @@
     guarantee->met = cells_adjacent(guarantee);
 }
 
-/* Unbinds every empty cell and binds all guarantees anew, in their order. */
+/* Unbinds every empty cell and binds all guarantees anew; returns how many are unmet. */
+static guint
+bind_in_order(struct ms_sched *sched, const GPtrArray *order)
+{
+    guint unmet = 0;
+    for (guint i = 0; i < order->len; i++) {
+        unbind_empty(g_ptr_array_index(order, i));
+    }
+    for (guint i = 0; i < order->len; i++) {
+        struct ms_guarantee *guarantee = g_ptr_array_index(order, i);
+        guarantee_bind(sched, guarantee);
+        unmet += guarantee->met ? 0 : 1;
+    }
+    return unmet;
+}
+
+static void
+shuffle(GPtrArray *order, GRand *random)
+{
+    for (guint i = order->len; i > 1; i--) {
+        guint j = (guint)g_rand_int_range(random, 0, (gint32)i);
+        gpointer other = order->pdata[j];
+        order->pdata[j] = order->pdata[i - 1];
+        order->pdata[i - 1] = other;
+    }
+}
+
+/*
+ * Binds all guarantees anew, the demanding ones first.  Greedy binding may miss
+ * a way that exists, so other orders are tried too: the same ones every time.
+ */
 static void
 rebind_from_scratch(struct ms_sched *sched)
 {
+    GPtrArray *order = g_ptr_array_new();
+    GPtrArray *best = g_ptr_array_new();
+    GRand *random = g_rand_new_with_seed(REBIND_SEED);
+    guint best_unmet = G_MAXUINT;
     MS_LIST_EACH(link, &sched->guarantees)
     {
-        unbind_empty(MS_CONTAINER(link, struct ms_guarantee, link));
+        g_ptr_array_add(order, MS_CONTAINER(link, struct ms_guarantee, link));
+    }
+    for (int i = 0; i < REBIND_ORDERS && best_unmet > 0; i++) {
+        guint unmet = bind_in_order(sched, order);
+        if (unmet < best_unmet) {
+            best_unmet = unmet;
+            g_ptr_array_set_size(best, 0);
+            g_ptr_array_extend(best, order, NULL, NULL);
+        }
+        shuffle(order, random);
     }
-    MS_LIST_EACH(link, &sched->guarantees)
-    {
-        guarantee_bind(sched, MS_CONTAINER(link, struct ms_guarantee, link));
+    if (best_unmet > 0) {
+        bind_in_order(sched, best);
     }
+    g_rand_free(random);
+    g_ptr_array_free(best, TRUE);
+    g_ptr_array_free(order, TRUE);
 }
 
 void
@@ -372,19 +421,22 @@
         }
         unmet |= !guarantee->met;
     }
-    if (unmet) {
+    if (unmet && sched->now >= sched->rebind_at) {
         rebind_from_scratch(sched);
+        sched->rebind_at = sched->now + REBIND_MS;
+        ms_set_timer(sched, sched->rebind_at);
     }
+    ms_job_recheck_waiting(sched);
     sched->dirty = true;
 }
 
 /* Whether an empty cell can take a task of JOB in the group of ANCHOR. */
 static bool
-cell_serves(const struct ms_sched *sched, const struct ms_cell *cell, const struct ms_job *job,
+cell_serves(const struct ms_cell *cell, const struct ms_job *job,
             const struct ms_cell *anchor)
 {
     if (cell->server == NULL || cell->task != NULL ||
-        cell->server->state != MS_SERVER_UP || !ms_server_usable(sched, cell->server, job)) {
+        cell->server->state != MS_SERVER_UP || !ms_server_usable(cell->server, job)) {
         return false;
     }
     if (job->spec.adjacency == MS_ADJACENT_SERVER) {
@@ -397,12 +449,11 @@
 }
 
 static uint32_t
-cells_serving(const struct ms_sched *sched, const struct ms_guarantee *guarantee,
-              const struct ms_job *job, const struct ms_cell *anchor)
+cells_serving(const struct ms_guarantee *guarantee, const struct ms_job *job, const struct ms_cell *anchor)
 {
     uint32_t count = 0;
     for (uint32_t i = 0; i < guarantee->rule.tasks; i++) {
-        count += cell_serves(sched, &guarantee->cells[i], job, anchor) ? 1 : 0;
+        count += cell_serves(&guarantee->cells[i], job, anchor) ? 1 : 0;
     }
     return count;
 }
@@ -422,7 +473,7 @@
     for (int pass = 0; pass < 2; pass++) {
         for (uint32_t i = 0; i < guarantee->rule.tasks && member < job->spec.tasks; i++) {
             struct ms_cell *cell = &guarantee->cells[i];
-            if (!cell_serves(sched, cell, job, anchor)) {
+            if (!cell_serves(cell, job, anchor)) {
                 continue;
             }
             if (pass == 0 && !has_room(cell->server, job)) {
@@ -438,6 +489,21 @@
     job->guaranteed = true;
 }
 
+/* Whether a guarantee of JOB's account, all its cells empty, could hold JOB. */
+bool
+ms_guarantee_could_hold(const struct ms_sched *sched, const struct ms_job *job)
+{
+    MS_LIST_EACH(link, &sched->guarantees)
+    {
+        const struct ms_rule *rule = &MS_CONTAINER(link, struct ms_guarantee, link)->rule;
+        if (strcmp(rule->account, job->account->name) == 0 && rule->accels >= job->spec.accels &&
+            rule->tasks >= job->spec.tasks && rule->adjacency >= job->spec.adjacency) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Places JOB in the cells of its own account, stopping borrowers if needed. */
 bool
 ms_guarantee_place(struct ms_sched *sched, struct ms_job *job)
@@ -454,7 +520,7 @@
             if (anchor->server == NULL || anchor->task != NULL) {
                 continue;
             }
-            if (cells_serving(sched, guarantee, job, anchor) >= job->spec.tasks) {
+            if (cells_serving(guarantee, job, anchor) >= job->spec.tasks) {
                 occupy_cells(sched, guarantee, job, anchor);
                 return true;
             }
--- a/src/core/health.c
+++ b/src/core/health.c
@@ -72,6 +72,18 @@
     forgive_jobs(sched, server);
 }
 
+/*
+ * Avoiding servers is a preference: a job that would not fit without them may
+ * use them again.  Its number of attempts stays bounded.
+ */
+void
+ms_health_relax(const struct ms_sched *sched, struct ms_job *job)
+{
+    if (job->failed_count > 0 && !ms_job_could_ever_fit(sched, job, true)) {
+        job->failed_count = 0;
+    }
+}
+
 void
 ms_health_failed(struct ms_sched *sched, struct ms_server *server, struct ms_job *job)
 {
@@ -105,9 +117,29 @@
     }
 }
 
+/* No job came to probe the server for long: it counts as well again. */
+static void
+end_probation(struct ms_sched *sched, struct ms_server *server)
+{
+    if (!ms_list_empty(&server->tasks)) {
+        return;
+    }
+    if (sched->now < server->probe_at + server->quarantine_ms) {
+        ms_set_timer(sched, server->probe_at + server->quarantine_ms);
+        return;
+    }
+    server->state = MS_SERVER_UP;
+    sched->cells_dirty = true;
+    sched->dirty = true;
+}
+
 void
 ms_health_tick(struct ms_sched *sched, struct ms_server *server)
 {
+    if (server->state == MS_SERVER_PROBING) {
+        end_probation(sched, server);
+        return;
+    }
     if (server->state != MS_SERVER_QUARANTINED) {
         return;
     }
@@ -116,5 +148,16 @@
         return;
     }
     server->state = MS_SERVER_PROBING;
+    ms_set_timer(sched, server->probe_at + server->quarantine_ms);
     sched->dirty = true;
 }
+
+/*
+ * Whether JOB may be the probe of SERVER: work that can be run again, and that
+ * has not failed elsewhere, as its failure would prove nothing.
+ */
+bool
+ms_health_probe_suits(const struct ms_server *server, const struct ms_job *job)
+{
+    return ms_list_empty(&server->tasks) && job->failures_total == 0 && ms_job_stoppable(job);
+}
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -6,6 +6,9 @@
 
 #include "sched.h"
 
+static const char no_room_detail[] =
+    "no set of servers could hold it, beside the guarantees if it cannot be stopped";
+
 struct ms_job *
 ms_job_new(struct ms_sched *sched, const struct ms_job_spec *spec, const char *id)
 {
@@ -109,6 +112,9 @@
 static enum ms_ran
 job_ran(const struct ms_job *job, enum ms_outcome_code code)
 {
+    if (code == MS_OUTCOME_DUPLICATE) {
+        return MS_RAN_UNKNOWN; /* the holder of the token may have run it */
+    }
     if (!job->may_have_run) {
         return MS_RAN_NO;
     }
@@ -117,12 +123,13 @@
 
 /*
  * Whether a later submission of the same key may be answered with this
- * outcome.  One that did not run may be tried anew.
+ * outcome.  One that did not run may be tried anew, and a duplicate has its
+ * answer elsewhere.
  */
 static bool
 outcome_is_kept(const struct ms_recent *recent)
 {
-    return recent->ran != MS_RAN_NO;
+    return recent->ran != MS_RAN_NO && recent->code != MS_OUTCOME_DUPLICATE;
 }
 
 /* Fills RECENT from the job; takes over its output. */
@@ -166,6 +173,13 @@
     else {
         g_ptr_array_add(sched->dead_recents, recent);
     }
+    ms_job_drop(sched, job);
+}
+
+/* Forgets JOB without an outcome; it is freed at the next step. */
+void
+ms_job_drop(struct ms_sched *sched, struct ms_job *job)
+{
     ms_account_dequeue(job);
     if (sched->backfill_job == job) {
         ms_backfill_clear(sched);
@@ -176,6 +190,23 @@
     sched->dirty = true;
 }
 
+/*
+ * Tells jobs that cannot be stopped, and so must stay out of the guarantees'
+ * cells, when the guarantees leave no room for them at all.
+ */
+void
+ms_job_recheck_waiting(struct ms_sched *sched)
+{
+    MS_LIST_EACH(link, &sched->jobs)
+    {
+        struct ms_job *job = MS_CONTAINER(link, struct ms_job, link);
+        if (job->state == MS_JOB_WAITING && !ms_job_stoppable(job) &&
+            !ms_job_could_ever_fit(sched, job, false)) {
+            ms_job_finish(sched, job, MS_OUTCOME_NEVER_FITS, no_room_detail);
+        }
+    }
+}
+
 void
 ms_job_wait(struct ms_sched *sched, struct ms_job *job)
 {
@@ -210,9 +241,8 @@
                  account->name);
         return MS_OUTCOME_NEVER_FITS;
     }
-    if (!ms_job_could_ever_fit(sched, job)) {
-        snprintf(detail, size, "no set of servers in %s could hold %u tasks of %u accelerators",
-                 sched->dc, job->spec.tasks, job->spec.accels);
+    if (!ms_job_could_ever_fit(sched, job, false)) {
+        g_strlcpy(detail, no_room_detail, size);
         return MS_OUTCOME_NEVER_FITS;
     }
     uint32_t bound = account->limit_queued > 0 ? account->limit_queued : sched->limits.queue_max;
@@ -234,6 +264,10 @@
             return true;
         }
         job->submitted = true;
+        if (job->state == MS_JOB_ABORTING && job->after == MS_AFTER_FORGET) {
+            bool retry = job->spec.idempotent || !job->may_have_run;
+            job->after = retry ? MS_AFTER_RETRY : MS_AFTER_OUTCOME;
+        }
         job->spec.detached |= submit->spec.detached;
         return true;
     }
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -33,15 +33,13 @@
 
 /* Whether SERVER takes new tasks of JOB at all. */
 bool
-ms_server_usable(const struct ms_sched *sched, const struct ms_server *server,
-                 const struct ms_job *job)
+ms_server_usable(const struct ms_server *server, const struct ms_job *job)
 {
-    (void)sched;
     if (ms_health_avoids(job, server)) {
         return false;
     }
     if (server->state == MS_SERVER_PROBING) {
-        return job->spec.tasks == 1 && ms_list_empty(&server->tasks) && ms_job_stoppable(job);
+        return ms_health_probe_suits(server, job);
     }
     return server->state == MS_SERVER_UP;
 }
@@ -83,7 +81,7 @@
 server_fit(const struct ms_sched *sched, const struct ms_server *server, const struct ms_job *job,
            bool by_stopping)
 {
-    if (!ms_server_usable(sched, server, job)) {
+    if (!ms_server_usable(server, job)) {
         return 0;
     }
     if (!by_stopping && !ms_backfill_admits(sched, server, job)) {
@@ -102,11 +100,7 @@
         slots = MIN(slots, (int32_t)(server->slots - server->cell_slots - server->fixed_slots));
         accels = MIN(accels, (int32_t)(server->accels - server->cell_accels - server->fixed_accels));
     }
-    int32_t fit = tasks_in(slots, accels, job->spec.accels);
-    if (server->state == MS_SERVER_PROBING) {
-        fit = MIN(fit, 1);
-    }
-    return fit;
+    return tasks_in(slots, accels, job->spec.accels);
 }
 
 static struct ms_rack_total *
@@ -425,9 +419,12 @@
     task->cell = cell;
 }
 
-/* Whether the servers of this data centre, all empty, could hold JOB. */
+/*
+ * Whether the servers of this data centre, all empty, could hold JOB; with
+ * AVOIDING only those on which it has not failed.
+ */
 bool
-ms_job_could_ever_fit(const struct ms_sched *sched, const struct ms_job *job)
+ms_job_could_ever_fit(const struct ms_sched *sched, const struct ms_job *job, bool avoiding)
 {
     uint32_t total = 0;
     uint32_t best_one = 0;
@@ -436,16 +433,24 @@
     MS_LIST_EACH(link, &sched->servers)
     {
         const struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
-        uint32_t fit = (uint32_t)tasks_in((int32_t)server->slots, (int32_t)server->accels,
-                                          job->spec.accels);
+        if (avoiding && (server->state == MS_SERVER_LOST || ms_health_avoids(job, server))) {
+            continue;
+        }
+        int32_t slots = (int32_t)server->slots;
+        int32_t accels = (int32_t)server->accels;
+        if (!ms_job_stoppable(job)) {
+            slots -= (int32_t)server->cell_slots;
+            accels -= (int32_t)server->cell_accels;
+        }
+        uint32_t fit = (uint32_t)tasks_in(slots, accels, job->spec.accels);
         struct ms_rack_total *rack = rack_total(sched, server->rack_id);
         rack->fit += fit;
         total += fit;
         best_one = MAX(best_one, fit);
         best_in_rack = MAX(best_in_rack, rack->fit);
     }
-    if (ms_list_empty(&sched->servers)) {
-        return true; /* nothing is known yet */
+    if (ms_list_empty(&sched->servers) || ms_guarantee_could_hold(sched, job)) {
+        return true; /* no server is known yet, or it fits into a guarantee */
     }
     switch (job->spec.adjacency) {
     case MS_ADJACENT_SERVER:
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -20,6 +20,8 @@
     uint32_t accels;
     enum ms_adjacency adjacency;
     bool stoppable;
+    bool urgent;
+    int64_t expected_ms; /* run time, which decides about kept servers */
 };
 
 struct pass {
@@ -28,15 +30,24 @@
     GHashTable *exhausted; /* accounts with nothing more to start */
 };
 
-/* Whether a shape no larger than JOB's already found no place. */
+/*
+ * Whether a shape that is no harder to place than JOB's found no place.  The
+ * job for which servers are kept may use those, so nothing is known about it.
+ */
 static bool
-known_to_fail(const struct pass *pass, const struct ms_job *job)
+known_to_fail(const struct ms_sched *sched, const struct pass *pass, const struct ms_job *job)
 {
+    if (sched->backfill_job == job) {
+        return false;
+    }
+    bool urgent = job->spec.job_class == MS_CLASS_URGENT;
+    int64_t expected = ms_account_expected_ms(job);
     for (size_t i = 0; i < pass->failed_count; i++) {
         const struct failed_shape *shape = &pass->failed[i];
         if (job->spec.tasks >= shape->tasks && job->spec.accels >= shape->accels &&
             job->spec.adjacency == shape->adjacency &&
-            (shape->stoppable || !ms_job_stoppable(job))) {
+            (shape->stoppable || !ms_job_stoppable(job)) && (shape->urgent || !urgent) &&
+            expected >= shape->expected_ms) {
             return true;
         }
     }
@@ -54,6 +65,8 @@
         .accels = job->spec.accels,
         .adjacency = job->spec.adjacency,
         .stoppable = ms_job_stoppable(job),
+        .urgent = job->spec.job_class == MS_CLASS_URGENT,
+        .expected_ms = ms_account_expected_ms(job),
     };
 }
 
@@ -75,7 +88,7 @@
 static bool
 try_ordinary(struct ms_sched *sched, struct pass *pass, struct ms_job *job)
 {
-    if (known_to_fail(pass, job)) {
+    if (known_to_fail(sched, pass, job)) {
         return false;
     }
     if (ms_place(sched, job)) {
--- a/src/core/sched.c
+++ b/src/core/sched.c
@@ -607,6 +607,10 @@
         sched->dirty = false;
         ms_queue_pass(sched);
     }
+    if (sched->dirty && !sched->paused) {
+        /* The pass itself changed what an earlier part of it looked at. */
+        ms_set_timer(sched, sched->now + 1);
+    }
     return MS_OK;
 }
 
--- a/src/core/sched.h
+++ b/src/core/sched.h
@@ -23,7 +23,7 @@
     MS_SERVER_SYNCING,     /* held; its running tasks are still being reported */
     MS_SERVER_LEAVING,     /* finishes its tasks, takes no new ones */
     MS_SERVER_QUARANTINED, /* failed distinct jobs; waits for its probe */
-    MS_SERVER_PROBING,     /* takes one task, which decides its fate */
+    MS_SERVER_PROBING,     /* takes one job, which decides its fate */
     MS_SERVER_LOST,        /* not held; its tasks end with their leases */
 };
 
@@ -111,11 +111,13 @@
     struct ms_task *tasks;    /* spec.tasks items */
     uint64_t sequence;        /* order of arrival */
     uint32_t attempt;         /* of the last placement, from 1 */
-    uint32_t failures;        /* attempts that ended badly */
+    uint32_t failures;        /* attempts that ended badly, less those forgiven */
+    uint32_t failures_total;  /* all attempts that ended badly */
     uint32_t placement_losses; /* attempts lost through no fault of the job */
     bool submitted;           /* false: only seen on servers so far */
     bool has_token;           /* the run token was granted */
     bool may_have_run;        /* some attempt was sent to a server */
+    bool ran_before;          /* some attempt before this one was */
     bool has_progress;        /* a checkpoint exists */
     bool guaranteed;          /* its tasks occupy cells of a guarantee */
     int64_t submitted_at;
@@ -190,6 +192,7 @@
     bool paused;             /* this holder may not start work */
     bool dirty;              /* something changed that may let a job start */
     bool cells_dirty;        /* something changed that may bind a cell */
+    int64_t rebind_at;       /* no full rebinding before this time */
     int64_t next_tick;       /* no timer is due before this time */
     uint64_t next_sequence;
     struct ms_link servers;
@@ -239,15 +242,14 @@
 
 uint32_t ms_rack_intern(struct ms_sched *sched, const char *name);
 bool ms_job_stoppable(const struct ms_job *job);
-bool ms_server_usable(const struct ms_sched *sched, const struct ms_server *server,
-                      const struct ms_job *job);
+bool ms_server_usable(const struct ms_server *server, const struct ms_job *job);
 bool ms_place(struct ms_sched *sched, struct ms_job *job);
 void ms_make_room(struct ms_sched *sched, struct ms_server *server, const struct ms_job *claimant);
 bool ms_place_by_stopping(struct ms_sched *sched, struct ms_job *job);
 void ms_task_charge(struct ms_sched *sched, struct ms_task *task, struct ms_server *server,
                     struct ms_cell *cell);
 void ms_task_discharge(struct ms_sched *sched, struct ms_task *task);
-bool ms_job_could_ever_fit(const struct ms_sched *sched, const struct ms_job *job);
+bool ms_job_could_ever_fit(const struct ms_sched *sched, const struct ms_job *job, bool avoiding);
 uint32_t ms_place_capacity(struct ms_sched *sched, const struct ms_job *job);
 
 /* backfill.c: servers kept for a gang that has waited long. */
@@ -262,6 +264,7 @@
 void ms_guarantee_bind_all(struct ms_sched *sched);
 void ms_guarantee_unbind_server(struct ms_sched *sched, struct ms_server *server);
 bool ms_guarantee_place(struct ms_sched *sched, struct ms_job *job);
+bool ms_guarantee_could_hold(const struct ms_sched *sched, const struct ms_job *job);
 void ms_guarantee_free(struct ms_sched *sched, struct ms_guarantee *guarantee);
 void ms_cell_take(struct ms_cell *cell, struct ms_task *task);
 void ms_cell_leave(struct ms_cell *cell);
@@ -270,6 +273,7 @@
 void ms_gang_begin(struct ms_sched *sched, struct ms_job *job);
 void ms_gang_token(struct ms_sched *sched, struct ms_job *job, enum ms_token_answer answer);
 void ms_gang_prepared(struct ms_sched *sched, struct ms_task *task);
+void ms_gang_renew(struct ms_sched *sched, struct ms_job *job);
 void ms_gang_started(struct ms_sched *sched, struct ms_task *task);
 void ms_gang_refused(struct ms_sched *sched, struct ms_task *task);
 void ms_gang_ended(struct ms_sched *sched, struct ms_task *task, const struct ms_task_event *event);
@@ -289,7 +293,9 @@
 
 /* health.c: quarantine of servers, blame of jobs. */
 void ms_health_failed(struct ms_sched *sched, struct ms_server *server, struct ms_job *job);
+void ms_health_relax(const struct ms_sched *sched, struct ms_job *job);
 void ms_health_succeeded(struct ms_sched *sched, struct ms_server *server);
+bool ms_health_probe_suits(const struct ms_server *server, const struct ms_job *job);
 void ms_health_tick(struct ms_sched *sched, struct ms_server *server);
 bool ms_health_avoids(const struct ms_job *job, const struct ms_server *server);
 
@@ -300,6 +306,8 @@
 void ms_job_wait(struct ms_sched *sched, struct ms_job *job);
 void ms_job_finish(struct ms_sched *sched, struct ms_job *job, enum ms_outcome_code code,
                    const char *detail);
+void ms_job_drop(struct ms_sched *sched, struct ms_job *job);
+void ms_job_recheck_waiting(struct ms_sched *sched);
 void ms_job_submit(struct ms_sched *sched, const struct ms_submit_event *submit);
 void ms_job_ask(struct ms_sched *sched, const char *id);
 void ms_job_cancel(struct ms_sched *sched, struct ms_job *job);
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -71,6 +71,7 @@
     def restart(self):
         """A new life: nothing of the old one is left."""
         self.holder, self.epoch, self.fence, self.hold_until = None, 0, 0, 0
+        self.last_call, self.last_results = 0, []
         self.tasks = {}
         self.news = asyncio.Event()
         self.boot = os.urandom(4).hex()
@@ -120,6 +121,7 @@
             return None
         self.holder, self.epoch = body["holder"], max(body["epoch"], self.epoch)
         self.fence += 1
+        self.last_call, self.last_results = 0, []
         self.hold_until = now_ms() + self.farm.lease_ms
         return True
 
@@ -157,11 +159,14 @@
     async def ops(self, request):
         await self.faults.before(request)
         body = await request.json()
-        if body["fence"] != self.fence or now_ms() >= self.hold_until:
+        if body["fence"] != self.fence or now_ms() >= self.hold_until \
+                or body["call"] < self.last_call:
             return web.json_response({}, status=409)
-        results = [self.carry_out(op) for op in body["ops"]]
+        if body["call"] > self.last_call:
+            self.last_call = body["call"]
+            self.last_results = [self.carry_out(op) for op in body["ops"]]
         self.faults.after(request)
-        return web.json_response({"results": results})
+        return web.json_response({"results": self.last_results})
 
     def carry_out(self, op):
         key = (op["id"], op["member"], op["attempt"])
@@ -180,6 +185,9 @@
             if task is not None and task.state == "ended":
                 del self.tasks[key]
             return "ok"
+        if task is None and kind in ("stop", "checkpoint"):
+            # A stop that overtook its start: remembered, so the start does nothing.
+            self.tasks[key] = task = Task(op, now_ms() + self.farm.lease_ms)
         if task is None:
             return "refused"
         if kind == "go" and task.state == "prepared":
@@ -201,7 +209,10 @@
         task.state = "running"
         task.started = now_ms()
         self.note("start", task)
-        left = task.plan.get("run_ms", 10) - self.farm.progress.get((task.id, task.member), 0)
+        # A gang resumes from the last checkpoint that all its members have.
+        task.resumed_from = min(self.farm.progress.get((task.id, member), 0)
+                                for member in range(task.spec.get("tasks", 1)))
+        left = task.plan.get("run_ms", 10) - task.resumed_from
         fails = self.faults.fail_tasks or task.plan.get("fail")
         delay = max(left, 0) / 1000
         task.timer = asyncio.get_running_loop().call_later(
@@ -210,8 +221,7 @@
     def checkpoint(self, task):
         if task.state == "running":
             done = now_ms() - task.started
-            key = (task.id, task.member)
-            self.farm.progress[key] = self.farm.progress.get(key, 0) + done
+            self.farm.progress[(task.id, task.member)] = task.resumed_from + done
             self.end(task, "checkpointed")
 
     def end(self, task, result):
