Prove the promises with process runs, replays and unit tests

Cause: what a host does beyond the core (take-over, log outage, relays, graceful shutdown, answers) had no test.

Found by them, each seen failing first: - a large answer was cut short: the log's record of the outcome, without the output, overtook the direct answer (process-answers) - a host that had lost the log refused a repeated key with "not run" although it had run: it now goes through a placing host that has the log, and says "unknown" when it is behind others (process-outage) - with the log away a caller of a non-idempotent job was left waiting for a minute instead of being refused (process-outage) - a job that had ended could be started by a later holder: the outcome in the log is looked at first (found while mending the above) - the stand-in counted a frozen server's tasks as running (trace: they stand still), and two deployments could be given the same port (the harness now holds its ports)

--- a/Makefile
+++ b/Makefile
@@ -85,3 +85,24 @@
 	/usr/bin/python3 scripts/run.py $(RUN_OPTIONS)
 
 .PHONY: run
+
+tests: all $(BUILD)/unit-tests $(BUILD)/differential $(EXAMPLES)
+
+check: deps
+	@$(MAKE) --no-print-directory tests
+	/usr/bin/python3 tests/check.py
+
+lint:
+	clang-format --dry-run --Werror $(SOURCES)
+	clang-tidy --quiet $(filter src/% examples/% tests/%,$(filter %.c,$(SOURCES))) -- $(CPPFLAGS) -std=c11 -Itests $(shell pkg-config --cflags $(PACKAGES))
+
+format:
+	clang-format -i $(SOURCES)
+
+asan:
+	$(MAKE) BUILD=build-asan OPTIMISE="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer" tests
+
+tsan:
+	$(MAKE) BUILD=build-tsan OPTIMISE="-O1 -g" SANITIZE="-fsanitize=thread" tests
+
+.PHONY: tests check lint format asan tsan
--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -331,7 +331,7 @@
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_request,
         caller, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
         MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
-        request_completed, caller, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+        request_completed, caller, MHD_OPTION_END);
     if (caller->daemon == NULL) {
         g_free(caller);
         return NULL;
--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -14,6 +14,8 @@
 
 /* Wait for a stop to be confirmed before the lease is left to lapse. */
 #define STOP_CONFIRM_MS 1000
+/* Failures to get a run token before a caller who waits is refused. */
+#define TOKEN_FAILURES_MAX 2
 /* Bound on all failures of a job, forgiven ones included, in attempts_max. */
 #define FORGIVEN_FACTOR 3
 
@@ -141,9 +143,14 @@
                       "another holder has the run token of this key");
         break;
     case MS_TOKEN_UNAVAILABLE:
-        g_strlcpy(job->wait_reason, "the log cannot be reached for the run token",
-                  sizeof(job->wait_reason));
-        ms_gang_abort(sched, job, MS_AFTER_RETRY, MS_OUTCOME_UNAVAILABLE, job->wait_reason);
+        job->token_failures++;
+        job->placement_losses++;
+        /* A job that was accepted waits for the log; a caller who waits is told. */
+        ms_gang_abort(sched, job,
+                      !job->spec.detached && job->token_failures >= TOKEN_FAILURES_MAX
+                          ? MS_AFTER_OUTCOME
+                          : MS_AFTER_RETRY,
+                      MS_OUTCOME_UNAVAILABLE, "the log cannot be reached for the run token");
         break;
     }
 }
--- a/src/core/sched.h
+++ b/src/core/sched.h
@@ -116,6 +116,7 @@
     uint32_t placement_losses; /* attempts lost through no fault of the job */
     bool submitted;           /* false: only seen on servers so far */
     bool has_token;           /* the run token was granted */
+    uint32_t token_failures;  /* times that the log could not be reached for it */
     bool may_have_run;        /* some attempt was sent to a server */
     bool ran_before;          /* some attempt before this one was */
     bool has_progress;        /* a checkpoint exists */
--- a/src/node/hold.c
+++ b/src/node/hold.c
@@ -122,6 +122,7 @@
     Ms__Wire__Outcome kept = *outcome;
     if (kept.output.len > DONE_OUTPUT_MAX) {
         kept.output.len = 0;
+        kept.output_omitted = true;
         kept.detail = "all tasks ended well; the output was too large for the log";
     }
     ms__wire__log_record__init(&record);
@@ -374,9 +375,14 @@
     else {
         send_received(node, id, follower);
     }
+    const Ms__Wire__Outcome *done = ms_logstate_done(node->log, id);
+    if (done != NULL && !done->output_omitted) {
+        tell_followers(node, done); /* it has ended, under an earlier holder too */
+        return;
+    }
     const Ms__Wire__Token *token = ms_logstate_token(node->log, id);
-    bool other_holder = token != NULL && (token->epoch != node->hold.epoch ||
-                                          strcmp(token->holder, node->settings->name) != 0);
+    bool other_holder = done != NULL || (token != NULL && (token->epoch != node->hold.epoch ||
+                                          strcmp(token->holder, node->settings->name) != 0));
     event.submit.spec = *spec;
     /* A non-idempotent job cannot have run without a token in the log. */
     event.submit.may_have_run = spec->idempotent ? may_have_run : other_holder;
--- a/src/node/jobs.c
+++ b/src/node/jobs.c
@@ -313,9 +313,14 @@
         *code = MS_OUTCOME_NO_ACCOUNT;
         return "no rule creates the client account";
     }
-    if (!node->log_reachable && (call->spec.detached || !call->spec.idempotent)) {
-        return call->spec.detached ? "the log cannot be reached, so the job cannot be accepted"
-                                   : "the log cannot be reached, and a second run must be ruled out";
+    if (node->log_reachable) {
+        return NULL;
+    }
+    if (call->spec.detached) {
+        return "the log cannot be reached, so the job cannot be accepted";
+    }
+    if (!call->spec.idempotent && !ms_members_log_near(node)) {
+        return "the log cannot be reached, and a second run must be ruled out";
     }
     return NULL;
 }
@@ -368,7 +373,9 @@
     const char *reason = known ? NULL : cannot_take(node, call, &code);
     if (reason != NULL) {
         struct ms_call_outcome outcome;
-        outcome_set(&outcome, code, MS_RAN_NO, reason);
+        /* A host that is behind others cannot know whether the key has run. */
+        bool behind = !call->spec.idempotent && ms_members_behind(node);
+        outcome_set(&outcome, code, behind ? MS_RAN_UNKNOWN : MS_RAN_NO, reason);
         answer_call(node, call, &outcome);
         return;
     }
@@ -561,11 +568,9 @@
 {
     struct ms_pending *pending = g_hash_table_lookup(node->pending, message->id);
     struct ms_call_outcome outcome;
-    if (pending == NULL || message->ran == MS_RAN_NO) {
-        /* A refusal reaches its waiting hosts directly; see ms_jobs_outcome(). */
-        if (pending == NULL || pending->has_spec) {
-            return;
-        }
+    bool elsewhere = message->ran == MS_RAN_NO || message->output_omitted;
+    if (pending == NULL || (elsewhere && pending->has_spec)) {
+        return; /* its waiting hosts are told directly, see ms_jobs_outcome() */
     }
     outcome_from_wire(message, &outcome);
     finish(node, pending, &outcome);
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -446,3 +446,46 @@
     }
     return false;
 }
+
+bool
+ms_members_log_near(const struct ms_node *node)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_host *host = value;
+        if (host->claims && host->log_reachable && ms_host_alive(node, host)) {
+            return true;
+        }
+    }
+    return node->hold.active && node->log_reachable;
+}
+
+bool
+ms_members_behind(const struct ms_node *node)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_host *host = value;
+        if (ms_host_alive(node, host) && host->applied > ms_logstate_next(node->log)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+ms_members_dc_has_log(const struct ms_node *node, const char *dc)
+{
+    const char *holder = ms_members_holder(node, dc);
+    if (holder == NULL) {
+        return false;
+    }
+    if (strcmp(holder, node->settings->name) == 0) {
+        return node->log_reachable;
+    }
+    return ms_members_find(node, holder)->log_reachable;
+}
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -187,6 +187,12 @@
 const char *ms_members_region(const struct ms_node *node, const char *dc);
 bool ms_members_summary(const struct ms_node *node, const char *dc, struct ms_summary *summary);
 bool ms_members_first_alive(const struct ms_node *node, const char *key);
+/* Whether some host that places work, and is heard, can reach the log. */
+bool ms_members_log_near(const struct ms_node *node);
+/* Whether the host that places the work of DC can reach the log. */
+bool ms_members_dc_has_log(const struct ms_node *node, const char *dc);
+/* Whether a host that is heard has applied more of the log than this one. */
+bool ms_members_behind(const struct ms_node *node);
 bool ms_members_dc_heard(const struct ms_node *node, const char *dc);
 
 /* hold.c: placing the work of this data centre. */
--- a/src/node/route.c
+++ b/src/node/route.c
@@ -132,6 +132,9 @@
             !ms_members_summary(node, dc, &summary)) {
             continue;
         }
+        if (!pending->spec.idempotent && !ms_members_dc_has_log(node, dc)) {
+            continue; /* it could not get the run token */
+        }
         double cost = cost_of(node, dc, &pending->spec, &summary);
         if (!ms_route_could_fit(node, dc, &pending->spec)) {
             cost += 1000; /* only when nothing else is left to say so */
--- a/src/wire/inner.pb-c.c
+++ b/src/wire/inner.pb-c.c
@@ -1776,7 +1776,7 @@
   (ProtobufCMessageInit) ms__wire__received__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ms__wire__outcome__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ms__wire__outcome__field_descriptors[10] =
 {
   {
     "id",
@@ -1886,6 +1886,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "output_omitted",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Wire__Outcome, output_omitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ms__wire__outcome__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -1893,6 +1905,7 @@
   3,   /* field[3] = detail */
   0,   /* field[0] = id */
   5,   /* field[5] = output */
+  9,   /* field[9] = output_omitted */
   6,   /* field[6] = queued_ms */
   2,   /* field[2] = ran */
   7,   /* field[7] = ran_ms */
@@ -1901,7 +1914,7 @@
 static const ProtobufCIntRange ms__wire__outcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ms__wire__outcome__descriptor =
 {
@@ -1911,7 +1924,7 @@
   "Ms__Wire__Outcome",
   "ms.wire",
   sizeof(Ms__Wire__Outcome),
-  9,
+  10,
   ms__wire__outcome__field_descriptors,
   ms__wire__outcome__field_indices_by_name,
   1,  ms__wire__outcome__number_ranges,
--- a/src/wire/inner.pb-c.h
+++ b/src/wire/inner.pb-c.h
@@ -169,10 +169,14 @@
   int64_t queued_ms;
   int64_t ran_ms;
   char *dc;
+  /*
+   * in the log only: the output was too large for it
+   */
+  protobuf_c_boolean output_omitted;
 };
 #define MS__WIRE__OUTCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ms__wire__outcome__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ms__Wire__Cancel
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -34,7 +34,12 @@
 
 
 class Ports:
-    """Free ports of the loopback address."""
+    """Free ports of the loopback address.
+
+    Each is held by a bound socket that never listens, for as long as the
+    deployment lives: a server with SO_REUSEADDR may listen on it, and nothing
+    else on the machine is given it meanwhile.
+    """
 
     def __init__(self):
         self.held = []
@@ -162,7 +167,6 @@
     async def start(self, hosts=None):
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0), timeout=aiohttp.ClientTimeout(total=150))
-        self.ports.release()
         self.start_standin("platform", ["platform_log.py", str(self.platform_port)]
                            + self.platform_options)
         self.start_standin("links", ["link.py", str(self.link_port)] + self.relays)
@@ -185,6 +189,7 @@
                 process.kill()
         for process in self.processes:
             process.wait()
+        self.ports.release()
         if self.session is not None:
             await self.session.close()
 
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -77,9 +77,20 @@
         self.boot = os.urandom(4).hex()
         self.epoch_seen = 0
 
-    def note(self, what, task):
+    def freeze(self, on):
+        """Stops all work, or lets it go on.  What lost its lease meanwhile did
+        nothing since the freeze, so its record ends there."""
+        if on and not self.faults.frozen:
+            self.frozen_at = now_ms()
+        if not on and self.faults.frozen:
+            self.faults.frozen = False
+            for task in list(self.tasks.values()):
+                if task.state == "running" and task.lease_until <= now_ms():
+                    self.end(task, "lapsed", self.frozen_at)
+
+    def note(self, what, task, at=None):
         self.farm.record.append({
-            "at": now_ms(), "what": what, "server": self.name, "id": task.id,
+            "at": at or now_ms(), "what": what, "server": self.name, "id": task.id,
             "member": task.member, "attempt": task.attempt, "members": task.spec.get("tasks", 1),
             "idempotent": task.spec.get("idempotent", True), "accels": task.spec.get("accels", 0),
             "account": task.spec.get("account"), "result": task.result})
@@ -224,7 +235,7 @@
             self.farm.progress[(task.id, task.member)] = task.resumed_from + done
             self.end(task, "checkpointed")
 
-    def end(self, task, result):
+    def end(self, task, result, at=None):
         if task.state == "ended":
             return
         if self.faults.frozen and result in ("ok", "failed"):
@@ -239,7 +250,7 @@
             text = task.plan.get("echo", "")
             task.output = f"{task.id}:{text}:" + "x" * int(task.plan.get("size", 0))
         if was_running:
-            self.note("end", task)
+            self.note("end", task, at)
         self.news.set()
 
     def sweep(self):
@@ -293,6 +304,8 @@
         for server in self.chosen(request):
             if changes.get("restart"):
                 server.restart()
+            if "frozen" in changes:
+                server.freeze(changes["frozen"])
             if "leaving" in changes:
                 server.leaving = changes["leaving"]
                 server.news.set()
