--- a/src/core/sched.h
+++ b/src/core/sched.h
@@ -22,7 +22,7 @@
 #define MS_YIELDS_MAX 3
 
 /* Jobs of one account that one pass looks at before it goes on. */
-#define MS_PASS_DEPTH 256
+#define MS_PASS_DEPTH 64
 
 enum ms_server_state {
     MS_SERVER_UP = 0,      /* takes new work */
