--- a/Makefile
+++ b/Makefile
@@ -92,9 +92,8 @@
 	@$(MAKE) --no-print-directory tests
 	/usr/bin/python3 tests/check.py
 
-lint:
-	clang-format --dry-run --Werror $(SOURCES)
-	clang-tidy --quiet $(filter src/% examples/% tests/%,$(filter %.c,$(SOURCES))) -- $(CPPFLAGS) -std=c11 -Itests $(shell pkg-config --cflags $(PACKAGES))
+lint: deps
+	scripts/lint.sh
 
 format:
 	clang-format -i $(SOURCES)
@@ -112,3 +111,19 @@
 	$(BUILD)/bench-policy
 
 .PHONY: bench
+
+bench-path: deps
+	@$(MAKE) --no-print-directory all
+	/usr/bin/python3 bench/path.py
+
+slopes: deps
+	@$(MAKE) --no-print-directory all
+	/usr/bin/python3 bench/slopes.py $(BUILD)/slopes.txt
+	/usr/bin/python3 bench/capacity.py $(BUILD)/slopes.txt
+
+.PHONY: bench-path slopes
+
+mutants: deps
+	/usr/bin/python3 scripts/mutants.py
+
+.PHONY: mutants
--- a/bench/policy.c
+++ b/bench/policy.c
@@ -136,9 +136,14 @@
 {
     struct figures figures[2] = {0};
     for (int policy = WORLD_CORE; policy <= WORLD_NAIVE; policy++) {
-        struct world_options options = {.seed = seed, .policy = (enum world_policy)policy,
-                                        .dcs = 1, .servers = 50, .rack_servers = 8, .slots = 16,
-                                        .accels = 8, .delay_max = 3};
+        struct world_options options = {.seed = seed,
+                                        .policy = (enum world_policy)policy,
+                                        .dcs = 1,
+                                        .servers = 50,
+                                        .rack_servers = 8,
+                                        .slots = 16,
+                                        .accels = 8,
+                                        .delay_max = 3};
         struct world *world = world_new(&options);
         add_rules(world);
         add_work(world, seed, 1, HOUR_MS, small_max);
@@ -171,8 +176,12 @@
     for (int run = 0; run < 3; run++) {
         struct world_options options = {.seed = seed,
                                         .policy = run == 1 ? WORLD_NAIVE : WORLD_CORE,
-                                        .dcs = 3, .servers = 16, .rack_servers = 8, .slots = 16,
-                                        .accels = 8, .delay_max = 3};
+                                        .dcs = 3,
+                                        .servers = 16,
+                                        .rack_servers = 8,
+                                        .slots = 16,
+                                        .accels = 8,
+                                        .delay_max = 3};
         struct world *world = world_new(&options);
         add_rules(world);
         add_work(world, seed, 3, until + 60000, SMALL_HIGH / 4);
@@ -199,20 +208,28 @@
 static void
 measure_reclaim(uint32_t seed)
 {
-    struct world_options options = {.seed = seed, .dcs = 1, .servers = 50, .rack_servers = 8,
-                                    .slots = 16, .accels = 8, .delay_max = 20, .check = true};
+    struct world_options options = {.seed = seed,
+                                    .dcs = 1,
+                                    .servers = 50,
+                                    .rack_servers = 8,
+                                    .slots = 16,
+                                    .accels = 8,
+                                    .delay_max = 20,
+                                    .check = true};
     struct world *world = world_new(&options);
     GArray *delays = g_array_new(FALSE, FALSE, sizeof(int64_t));
-    struct ms_rule rule = {.kind = MS_RULE_GUARANTEE, .tasks = 4, .accels = 8,
-                           .adjacency = MS_ADJACENT_RACK};
+    struct ms_rule rule = {
+        .kind = MS_RULE_GUARANTEE, .tasks = 4, .accels = 8, .adjacency = MS_ADJACENT_RACK};
     add_rules(world);
     g_strlcpy(rule.name, "g1", sizeof(rule.name));
     g_strlcpy(rule.account, "recipes", sizeof(rule.account));
     g_strlcpy(rule.dc, "dc-1", sizeof(rule.dc));
     world_rule(world, 0, &rule);
     for (int i = 0; i < 600; i++) {
-        struct ms_job_spec spec = {.idempotent = i % 3 > 0, .checkpointable = i % 2 == 0,
-                                   .tasks = 1, .accels = 1 + (uint32_t)(i % 4) * 2,
+        struct ms_job_spec spec = {.idempotent = i % 3 > 0,
+                                   .checkpointable = i % 2 == 0,
+                                   .tasks = 1,
+                                   .accels = 1 + (uint32_t)(i % 4) * 2,
                                    .job_class = MS_CLASS_NORMAL};
         spec.idempotent = spec.idempotent || !spec.checkpointable;
         g_strlcpy(spec.account, "archive", MS_NAME_MAX);
@@ -220,8 +237,11 @@
         world_submit(world, 10, 0, &spec, 4 * HOUR_MS);
     }
     for (int i = 0; i < 50; i++) {
-        struct ms_job_spec spec = {.idempotent = true, .tasks = 4, .accels = 8,
-                                   .adjacency = MS_ADJACENT_RACK, .job_class = MS_CLASS_NORMAL};
+        struct ms_job_spec spec = {.idempotent = true,
+                                   .tasks = 4,
+                                   .accels = 8,
+                                   .adjacency = MS_ADJACENT_RACK,
+                                   .job_class = MS_CLASS_NORMAL};
         g_strlcpy(spec.account, "recipes", MS_NAME_MAX);
         g_snprintf(spec.key, sizeof(spec.key), "claim%d", i);
         world_submit(world, 30000 + (int64_t)i * 30000, 0, &spec, 10000);
@@ -247,8 +267,13 @@
 static void
 measure_cost(uint32_t seed, unsigned int servers)
 {
-    struct world_options options = {.seed = seed, .dcs = 1, .servers = servers, .rack_servers = 8,
-                                    .slots = 24, .accels = 8, .delay_max = 3};
+    struct world_options options = {.seed = seed,
+                                    .dcs = 1,
+                                    .servers = servers,
+                                    .rack_servers = 8,
+                                    .slots = 24,
+                                    .accels = 8,
+                                    .delay_max = 3};
     struct world *world = world_new(&options);
     uint32_t tasks = servers * 13;
     size_t count = 0;
@@ -256,23 +281,28 @@
     double max = 0;
     add_rules(world);
     for (uint32_t i = 0; i < tasks; i++) {
-        struct ms_job_spec spec = {.idempotent = true, .tasks = 1, .accels = i % 13 == 0 ? 1 : 0,
+        struct ms_job_spec spec = {.idempotent = true,
+                                   .tasks = 1,
+                                   .accels = i % 13 == 0 ? 1 : 0,
                                    .job_class = MS_CLASS_NORMAL};
         g_strlcpy(spec.account, accounts[i % 4], MS_NAME_MAX);
         g_snprintf(spec.key, sizeof(spec.key), "t%u", i);
         world_submit(world, 10 + i, 0, &spec, HOUR_MS + (int64_t)i * 10);
     }
     for (int i = 0; i < 20; i++) {
-        struct ms_job_spec spec = {.idempotent = true, .tasks = 128, .accels = 1,
-                                   .adjacency = MS_ADJACENT_DC, .job_class = MS_CLASS_NORMAL};
+        struct ms_job_spec spec = {.idempotent = true,
+                                   .tasks = 128,
+                                   .accels = 1,
+                                   .adjacency = MS_ADJACENT_DC,
+                                   .job_class = MS_CLASS_NORMAL};
         g_strlcpy(spec.account, "heating", MS_NAME_MAX);
         g_snprintf(spec.key, sizeof(spec.key), "gang%d", i);
         world_submit(world, 100000 + (int64_t)i * 2000, 0, &spec, 1000);
     }
     world_run(world, 200000);
     world_step_times(world, &count, &p99, &max);
-    printf("measure=cost servers=%u tasks=%u steps=%zu step_p99_us=%.0f step_max_us=%.0f\n", servers,
-           tasks, count, p99, max);
+    printf("measure=cost servers=%u tasks=%u steps=%zu step_p99_us=%.0f step_max_us=%.0f\n",
+           servers, tasks, count, p99, max);
     world_free(world);
 }
 
--- a/include/mustardspread/mustardspread.h
+++ b/include/mustardspread/mustardspread.h
@@ -37,14 +37,14 @@
 #define MS_VERSION "0.1.0"
 
 /* Limits. */
-#define MS_NAME_MAX 64          /* bytes of a name, with its NUL */
-#define MS_KEY_MAX 96           /* bytes of a request key, with its NUL */
+#define MS_NAME_MAX 64                       /* bytes of a name, with its NUL */
+#define MS_KEY_MAX 96                        /* bytes of a request key, with its NUL */
 #define MS_ID_MAX (MS_NAME_MAX + MS_KEY_MAX) /* bytes of a job id */
-#define MS_DETAIL_MAX 160       /* bytes of an explanation, with its NUL */
-#define MS_GANG_MAX 128         /* tasks of one job */
-#define MS_ACCELS_MAX 64        /* accelerators of one task */
-#define MS_PAYLOAD_MAX (1 << 20) /* bytes of a job's payload */
-#define MS_OUTPUT_MAX (8 << 20) /* bytes of a job's output */
+#define MS_DETAIL_MAX 160                    /* bytes of an explanation, with its NUL */
+#define MS_GANG_MAX 128                      /* tasks of one job */
+#define MS_ACCELS_MAX 64                     /* accelerators of one task */
+#define MS_PAYLOAD_MAX (1 << 20)             /* bytes of a job's payload */
+#define MS_OUTPUT_MAX (8 << 20)              /* bytes of a job's output */
 
 /* Return codes of every function that can fail: 0 or a negative value. */
 enum ms_result {
@@ -123,18 +123,18 @@
 
 struct ms_rule {
     enum ms_rule_kind kind;
-    char name[MS_NAME_MAX];    /* account, guarantee or data centre */
-    char account[MS_NAME_MAX]; /* GUARANTEE: its client account */
-    char dc[MS_NAME_MAX];      /* GUARANTEE: its data centre */
-    uint32_t share;            /* ACCOUNT: weight of the fair order, >= 1 */
-    uint32_t tasks;            /* GUARANTEE: tasks of the shape */
-    uint32_t accels;           /* GUARANTEE: accelerators of each task.
-                                  LIMIT: accelerators in use, 0: no limit */
-    uint32_t running;          /* LIMIT: running tasks, 0: no limit */
-    uint32_t queued;           /* LIMIT: waiting jobs, 0: the default */
+    char name[MS_NAME_MAX];      /* account, guarantee or data centre */
+    char account[MS_NAME_MAX];   /* GUARANTEE: its client account */
+    char dc[MS_NAME_MAX];        /* GUARANTEE: its data centre */
+    uint32_t share;              /* ACCOUNT: weight of the fair order, >= 1 */
+    uint32_t tasks;              /* GUARANTEE: tasks of the shape */
+    uint32_t accels;             /* GUARANTEE: accelerators of each task.
+                                    LIMIT: accelerators in use, 0: no limit */
+    uint32_t running;            /* LIMIT: running tasks, 0: no limit */
+    uint32_t queued;             /* LIMIT: waiting jobs, 0: the default */
     enum ms_adjacency adjacency; /* GUARANTEE */
-    bool out;                  /* DC: true when out of service */
-    bool removed;              /* the rule of this kind and name is gone */
+    bool out;                    /* DC: true when out of service */
+    bool removed;                /* the rule of this kind and name is gone */
 };
 
 /* How a task ended, as its backend server reports it. */
@@ -159,28 +159,28 @@
 
 enum ms_event_kind {
     MS_EVENT_TICK = 0,
-    MS_EVENT_RULE,          /* .rule */
-    MS_EVENT_SERVER_UP,     /* .server: held, with its size */
-    MS_EVENT_SERVER_LOST,   /* .server: the hold is lost or silent */
+    MS_EVENT_RULE,           /* .rule */
+    MS_EVENT_SERVER_UP,      /* .server: held, with its size */
+    MS_EVENT_SERVER_LOST,    /* .server: the hold is lost or silent */
     MS_EVENT_SERVER_LEAVING, /* .server: takes no new work */
-    MS_EVENT_TASK_SEEN,     /* .task: reported by a newly held server */
-    MS_EVENT_SUBMIT,        /* .submit */
-    MS_EVENT_CANCEL,        /* .job */
-    MS_EVENT_ASK,           /* .job: its outcome again, if it has ended */
-    MS_EVENT_TASK_PREPARED, /* .task */
-    MS_EVENT_TASK_STARTED,  /* .task */
-    MS_EVENT_TASK_REFUSED,  /* .task: the server did not take it */
-    MS_EVENT_TASK_ENDED,    /* .task */
-    MS_EVENT_USAGE,         /* .task: used_accels */
-    MS_EVENT_TOKEN,         /* .token */
-    MS_EVENT_PAUSE,         /* .pause: no start until resumed */
+    MS_EVENT_TASK_SEEN,      /* .task: reported by a newly held server */
+    MS_EVENT_SUBMIT,         /* .submit */
+    MS_EVENT_CANCEL,         /* .job */
+    MS_EVENT_ASK,            /* .job: its outcome again, if it has ended */
+    MS_EVENT_TASK_PREPARED,  /* .task */
+    MS_EVENT_TASK_STARTED,   /* .task */
+    MS_EVENT_TASK_REFUSED,   /* .task: the server did not take it */
+    MS_EVENT_TASK_ENDED,     /* .task */
+    MS_EVENT_USAGE,          /* .task: used_accels */
+    MS_EVENT_TOKEN,          /* .token */
+    MS_EVENT_PAUSE,          /* .pause: no start until resumed */
 };
 
 struct ms_server_event {
     char name[MS_NAME_MAX];
     char rack[MS_NAME_MAX];
-    uint32_t slots;  /* tasks it can run at once */
-    uint32_t accels; /* accelerators it has */
+    uint32_t slots;      /* tasks it can run at once */
+    uint32_t accels;     /* accelerators it has */
     uint32_t seen_count; /* UP: TASK_SEEN events that follow before it is used */
 };
 
@@ -191,7 +191,7 @@
     uint32_t attempt;   /* as in the action that started it */
     enum ms_task_result result;
     enum ms_seen_state seen;
-    uint32_t used_accels; /* USAGE */
+    uint32_t used_accels;    /* USAGE */
     struct ms_job_spec spec; /* TASK_SEEN: without payload */
     const uint8_t *output;
     size_t output_len;
@@ -279,18 +279,18 @@
  * to ms_sched_new().
  */
 struct ms_sched_limits {
-    int64_t lease_ms;        /* length of a task lease at a backend server */
-    int64_t gang_start_ms;   /* longest time from first prepare to last start */
-    int64_t checkpoint_ms;   /* time to checkpoint before a plain stop */
-    int64_t retry_base_ms;   /* first delay before another attempt */
-    int64_t retry_max_ms;    /* longest delay before another attempt */
-    uint32_t attempts_max;   /* attempts of one job */
+    int64_t lease_ms;          /* length of a task lease at a backend server */
+    int64_t gang_start_ms;     /* longest time from first prepare to last start */
+    int64_t checkpoint_ms;     /* time to checkpoint before a plain stop */
+    int64_t retry_base_ms;     /* first delay before another attempt */
+    int64_t retry_max_ms;      /* longest delay before another attempt */
+    uint32_t attempts_max;     /* attempts of one job */
     uint32_t job_fail_servers; /* distinct servers on which a job at fault fails */
     uint32_t server_fail_jobs; /* distinct jobs failing in a row: quarantine */
-    int64_t quarantine_ms;   /* first time before a quarantined server's probe */
-    int64_t backfill_wait_ms; /* wait after which a gang keeps servers free */
-    uint32_t queue_max;      /* waiting jobs of one client account */
-    uint32_t recent_max;     /* final outcomes kept for repeated submissions */
+    int64_t quarantine_ms;     /* first time before a quarantined server's probe */
+    int64_t backfill_wait_ms;  /* wait after which a gang keeps servers free */
+    uint32_t queue_max;        /* waiting jobs of one client account */
+    uint32_t recent_max;       /* final outcomes kept for repeated submissions */
 };
 
 /* Allocation hooks; both or neither are given.  release(NULL) must be safe. */
@@ -334,16 +334,16 @@
 
 /* Figures of a scheduler, all as of the last step. */
 struct ms_sched_stats {
-    uint32_t servers;      /* held and usable for new work */
-    uint32_t quarantined;  /* servers in quarantine */
-    uint32_t accels;       /* accelerators of usable servers */
+    uint32_t servers;     /* held and usable for new work */
+    uint32_t quarantined; /* servers in quarantine */
+    uint32_t accels;      /* accelerators of usable servers */
     uint32_t accels_free;
     uint32_t slots_free;
-    uint32_t rack_free_max;   /* free accelerators of the emptiest rack */
-    uint32_t waiting;      /* jobs waiting */
-    uint32_t running;      /* tasks that hold resources */
-    uint32_t largest_waiting; /* accelerators of the largest waiting gang */
-    uint32_t stranded;     /* free accelerators that this gang cannot use */
+    uint32_t rack_free_max;    /* free accelerators of the emptiest rack */
+    uint32_t waiting;          /* jobs waiting */
+    uint32_t running;          /* tasks that hold resources */
+    uint32_t largest_waiting;  /* accelerators of the largest waiting gang */
+    uint32_t stranded;         /* free accelerators that this gang cannot use */
     uint32_t guarantees_unmet; /* guarantees without all their cells */
     bool dc_out;
 };
--- /dev/null
+++ b/scripts/mutants.py
@@ -0,0 +1,120 @@
+#!/usr/bin/python3
+"""Applies deliberate faults to the decision logic, one at a time, in a copy of
+the sources, and shows that a test catches each.
+
+usage: mutants.py [NAME ...]
+"""
+import os
+import shutil
+import subprocess
+import sys
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+COPY = os.path.join(ROOT, "build", "mutants")
+TESTS = [["build/unit-tests"], ["build/differential", "faults", "1", "400"],
+         ["build/differential", "agree", "1", "60"], ["build/differential", "guarantees", "1", "2000"],
+         ["/usr/bin/python3", "tests/check.py", "replay-reclaim", "replay-takeover", "replay-dc_out",
+          "replay-quarantine"]]
+LIMIT_S = 60
+
+# Name, file, text, its replacement, and the promise that it breaks.
+MUTANTS = [
+    ("stop_keeps_lease", "src/core/gang.c", "    withhold(sched, task);\n    task->stop_at",
+     "    task->stop_at", "no gang in part"),
+    ("go_keeps_leases", "src/core/gang.c", "        withhold_all(sched, job);\n        send_all",
+     "        send_all", "no gang in part"),
+    ("lost_member_ignored", "src/core/gang.c", "        contact_lost(sched, job, server->name);\n"
+     "        /* Members", "        /* Members", "no gang in part"),
+    ("retry_always", "src/core/gang.c", "    return job->spec.idempotent || !job->may_have_run ||",
+     "    return true ||", "at most once"),
+    ("no_token", "src/core/gang.c", "    if (job->spec.idempotent) {\n        launch",
+     "    if (true) {\n        launch", "at most once"),
+    ("first_token_ignored", "src/logstate/logstate.c", "    if (first != NULL && !same_holder) {",
+     "    if (false && !same_holder) {", "at most once"),
+    ("adopt_in_part", "src/core/adopt.c", "    if (whole && running == present) {",
+     "    if (running == present) {", "no gang in part"),
+    ("says_not_run", "src/core/job.c", "    if (!job->may_have_run) {", "    if (true) {",
+     "a true refusal"),
+    ("out_ignored", "src/core/queue.c", "    if (sched->out) {\n        return;", "    if (false) {\n"
+     "        return;", "no start in a data centre that is out"),
+    ("out_not_told", "src/core/sched.c", "                take_out(sched);", "                ;",
+     "no start in a data centre that is out"),
+    ("cells_ignored", "src/core/place.c",
+     "        accels = MIN(accels, (int32_t)(server->accels - server->cell_accels - server->fixed_accels));",
+     "", "guarantee reclaimable"),
+    ("borrowers_kept", "src/core/guarantee.c", "ms_make_room(sched, job->tasks[i].server, job, MS_VICTIMS_STOPPABLE);",
+     ";", "guarantee reclaimable"),
+    ("leaving_used", "src/core/sched.c", "    server->state = MS_SERVER_LEAVING;",
+     "    server->state = server->state;", "no new work for a leaving server"),
+    ("never_quarantined", "src/core/health.c",
+     "    if (server->failed_count >= sched->limits.server_fail_jobs) {", "    if (false) {",
+     "bad servers are found"),
+    ("late_rule_wins", "src/logstate/logstate.c", "    if (current != change->replaces) {",
+     "    if (false) {", "configuration never reverts"),
+    ("old_snapshot_wins", "src/logstate/snapshot.c",
+     "    if (state->complete && snapshot->as_of <= state->next) {", "    if (false) {",
+     "configuration never reverts"),
+    ("holder_stays", "src/membership/claim.c", "        if (host->alive && host->claims && outranks(view, host)) {",
+     "        if (false && outranks(view, host)) {", "one holder"),
+]
+
+
+def prepare():
+    os.makedirs(COPY, exist_ok=True)
+    for name in ("src", "include", "tests", "examples", "bench", "Makefile"):
+        source, target = os.path.join(ROOT, name), os.path.join(COPY, name)
+        if os.path.isdir(source):
+            shutil.copytree(source, target, dirs_exist_ok=True)
+        else:
+            shutil.copy2(source, target)
+    build()
+
+
+def build():
+    subprocess.run(["make", "-s", "-j6", "tests", "WARN="], cwd=COPY, check=True,
+                   stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+
+
+def caught_by():
+    """The first test that fails, or None."""
+    for command in TESTS:
+        try:
+            result = subprocess.run(command, cwd=COPY, capture_output=True, timeout=LIMIT_S,
+                                    check=False)
+            if result.returncode != 0:
+                return " ".join(command[:2])
+        except subprocess.TimeoutExpired:
+            return " ".join(command[:2]) + " (time limit)"
+    return None
+
+
+def main():
+    prepare()
+    if caught_by() is not None:
+        print("the tests fail without any mutant")
+        return 1
+    missed = 0
+    wanted = sys.argv[1:]
+    mutants = [m for m in MUTANTS if not wanted or m[0] in wanted]
+    for name, path, old, new, promise in mutants:
+        target = os.path.join(COPY, path)
+        with open(target, encoding="utf-8") as file:
+            text = file.read()
+        if old not in text:
+            print(f"mutant={name} error=\"its text is not in {path}\"")
+            missed += 1
+            continue
+        with open(target, "w", encoding="utf-8") as file:
+            file.write(text.replace(old, new))
+        build()
+        test = caught_by()
+        missed += test is None
+        print(f"mutant={name} promise=\"{promise}\" caught_by=\"{test or 'nothing'}\"", flush=True)
+        with open(target, "w", encoding="utf-8") as file:
+            file.write(text)
+    print(f"mutants={len(mutants)} caught={len(mutants) - missed} missed={missed}")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -7,7 +7,8 @@
 #include "obs/log.h"
 
 #define COMMAND_RING_SLOTS 16384
-#define STEP_MAX_MS 50      /* longest sleep between looks at the clocks */
+#define STEP_MAX_MS 100  /* longest sleep between looks at the clocks */
+#define IDLE_MAX_MS 1000 /* the same while nothing is claimed */
 #define CONNECTIONS_MAX 4096L
 
 int64_t
@@ -265,7 +266,8 @@
         finish_exchanges(backend);
         free_removed(backend);
         look_at_links(backend);
-        curl_multi_poll(backend->multi, &wait_fd, 1, STEP_MAX_MS, NULL);
+        curl_multi_poll(backend->multi, &wait_fd, 1,
+                        backend->generation != 0 ? STEP_MAX_MS : IDLE_MAX_MS, NULL);
     }
     return NULL;
 }
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -20,8 +20,8 @@
  *
  * A lease runs from the server's own time of its last answer that the holder
  * has received (`as_of`), so a renewal that was delayed on the way extends
- * nothing.  A server that is asked to stop a task that it does not know remembers it as ended without
- * a start, so a start that arrives late does nothing.
+ * nothing.  A server that is asked to stop a task that it does not know remembers it as ended
+ * without a start, so a start that arrives late does nothing.
  */
 #ifndef MS_BACKEND_H
 #define MS_BACKEND_H
--- a/src/backend/private.h
+++ b/src/backend/private.h
@@ -27,9 +27,9 @@
     uint32_t member;
     uint32_t attempt;
     struct ms_job_spec spec;
-    GBytes *payload; /* NULL when there is none */
+    GBytes *payload;     /* NULL when there is none */
     uint64_t generation; /* of the claim under which it was queued */
-    bool uncertain;  /* an earlier call with it had no answer */
+    bool uncertain;      /* an earlier call with it had no answer */
 };
 
 struct ms_backend_command {
@@ -54,7 +54,7 @@
     int64_t sync_at;        /* when to send the next sync */
     struct ms_http *sync;
     bool syncing;
-    bool sync_failed;       /* the next sync takes a new connection */
+    bool sync_failed; /* the next sync takes a new connection */
     struct ms_http *ops;
     bool sending;
     GQueue *waiting;        /* ms_server_op, to be sent */
@@ -62,7 +62,7 @@
     uint64_t call;          /* number of the last call under this fence */
     uint32_t send_failures; /* of the call in `sent`, which is sent again */
     int64_t send_at;
-    GHashTable *withheld;   /* "id#member#attempt" of leases not to renew */
+    GHashTable *withheld; /* "id#member#attempt" of leases not to renew */
 };
 
 struct ms_backend {
--- a/src/caller/call.h
+++ b/src/caller/call.h
@@ -16,10 +16,10 @@
 #define MS_TRACE_PARENT_MAX 64 /* bytes of a W3C traceparent value */
 
 enum ms_call_kind {
-    MS_CALL_SUBMIT = 0, /* .spec, .payload, .wait_ms, .start_within_ms */
-    MS_CALL_JOB,        /* .id, .wait_ms: outcome or state of a job */
-    MS_CALL_CANCEL,     /* .id */
-    MS_CALL_EXPLAIN,    /* .id */
+    MS_CALL_SUBMIT = 0,  /* .spec, .payload, .wait_ms, .start_within_ms */
+    MS_CALL_JOB,         /* .id, .wait_ms: outcome or state of a job */
+    MS_CALL_CANCEL,      /* .id */
+    MS_CALL_EXPLAIN,     /* .id */
     MS_CALL_RULES_APPLY, /* .text, .replace_all, .check_only */
     MS_CALL_RULES_SHOW,
     MS_CALL_RULES_HISTORY,
@@ -45,7 +45,7 @@
 
 struct ms_call {
     enum ms_call_kind kind;
-    void *connection; /* struct MHD_Connection */
+    void *connection;        /* struct MHD_Connection */
     struct ms_job_spec spec; /* payload points into `payload` */
     GBytes *payload;
     char id[MS_ID_MAX];
@@ -57,11 +57,11 @@
     bool check_only;
 
     /* Set by the node. */
-    int64_t arrived_at;   /* milliseconds of the node's clock */
-    int64_t answer_by;    /* when to answer "pending" */
-    unsigned int status;  /* HTTP status */
+    int64_t arrived_at;             /* milliseconds of the node's clock */
+    int64_t answer_by;              /* when to answer "pending" */
+    unsigned int status;            /* HTTP status */
     struct ms_call_outcome outcome; /* SUBMIT, JOB, CANCEL */
-    char *json;           /* reply body of all other kinds */
+    char *json;                     /* reply body of all other kinds */
 };
 
 struct ms_call *ms_call_new(enum ms_call_kind kind);
--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -18,7 +18,7 @@
 #include "node/message.h"
 #include "obs/log.h"
 
-#define BODY_MAX (4u << 20)       /* bytes of a request body */
+#define BODY_MAX (4u << 20) /* bytes of a request body */
 #define CONNECTIONS_MAX 2048u
 #define IDLE_TIMEOUT_S 300u
 #define BUSY_RETRY_MS 200
@@ -71,8 +71,8 @@
 static enum MHD_Result
 reply(struct MHD_Connection *connection, unsigned int status, const char *type, const char *body)
 {
-    struct MHD_Response *response = MHD_create_response_from_buffer(strlen(body), (void *)body,
-                                                                    MHD_RESPMEM_MUST_COPY);
+    struct MHD_Response *response =
+        MHD_create_response_from_buffer(strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
     if (status == MHD_HTTP_SERVICE_UNAVAILABLE) {
         MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, "1");
@@ -166,8 +166,8 @@
         const char *path;
         enum ms_call_kind kind;
     } plain[] = {
-        {"/v1/rules", MS_CALL_RULES_SHOW},  {"/v1/rules/history", MS_CALL_RULES_HISTORY},
-        {"/v1/status", MS_CALL_STATUS},     {"/v1/state", MS_CALL_STATE_COPY},
+        {"/v1/rules", MS_CALL_RULES_SHOW}, {"/v1/rules/history", MS_CALL_RULES_HISTORY},
+        {"/v1/status", MS_CALL_STATUS},    {"/v1/state", MS_CALL_STATE_COPY},
         {"/health/ready", MS_CALL_READY},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(plain); i++) {
@@ -187,7 +187,8 @@
     error[0] = '\0';
     if (strcmp(path, "/v1/jobs") == 0 && strcmp(method, "POST") == 0) {
         call = ms_call_new(MS_CALL_SUBMIT);
-        const char *parent = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "traceparent");
+        const char *parent =
+            MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "traceparent");
         g_strlcpy(call->trace_parent, parent != NULL ? parent : "", sizeof(call->trace_parent));
         if (ms_parse_submit((const char *)exchange->body->data, exchange->body->len, call, error,
                             size) != MS_OK) {
--- a/src/caller/parse.c
+++ b/src/caller/parse.c
@@ -88,8 +88,9 @@
 check_fields(struct reader *reader)
 {
     static const char *const known[] = {
-        "account",    "key",      "tasks",       "accels",          "adjacent", "class", "idempotent",
-        "checkpointable", "detached", "declared_ms", "start_within_ms", "wait_ms",  "payload"};
+        "account",         "key",        "tasks",          "accels",   "adjacent",
+        "class",           "idempotent", "checkpointable", "detached", "declared_ms",
+        "start_within_ms", "wait_ms",    "payload"};
     const char *field = NULL;
     json_t *value = NULL;
     json_object_foreach((json_t *)reader->root, field, value)
--- a/src/caller/parse.h
+++ b/src/caller/parse.h
@@ -6,7 +6,7 @@
 
 #include "caller/call.h"
 
-#define MS_WAIT_MAX_MS 120000    /* longest wait of one call for an outcome */
+#define MS_WAIT_MAX_MS 120000 /* longest wait of one call for an outcome */
 #define MS_WAIT_DEFAULT_MS 60000
 
 /*
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -24,8 +24,8 @@
 
 /* Options that every subcommand takes. */
 struct cli {
-    char *host;     /* IP:PORT of an entry host */
-    gboolean json;  /* print the reply as it came */
+    char *host;    /* IP:PORT of an entry host */
+    gboolean json; /* print the reply as it came */
 };
 
 /* The reply of an entry host; body is NULL when none answered. */
--- a/src/cli/rules.c
+++ b/src/cli/rules.c
@@ -142,11 +142,11 @@
         json_array_foreach((json_t *)changes, index, change)
         {
             bool taken = json_is_true(json_object_get(change, "taken"));
-            printf("version=%" JSON_INTEGER_FORMAT " taken=%s key=\"%s\" line=\"%s\" by=\"%s\"%s%s\n",
+            printf("version=%" JSON_INTEGER_FORMAT
+                   " taken=%s key=\"%s\" line=\"%s\" by=\"%s\"%s%s\n",
                    json_integer_value(json_object_get(change, "version")), taken ? "yes" : "no",
-                   cli_text(change, "key"), cli_text(change, "line"),
-                   cli_text(change, "requester"), taken ? "" : " reason=",
-                   cli_text(change, "reason"));
+                   cli_text(change, "key"), cli_text(change, "line"), cli_text(change, "requester"),
+                   taken ? "" : " reason=", cli_text(change, "reason"));
         }
     }
     json_decref(reply.body);
--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -26,8 +26,9 @@
 {
     size_t index = 0;
     json_t *item = NULL;
-    printf("host %s dc=%s places=%s epoch=%" JSON_INTEGER_FORMAT " log_reachable=%s applied=%"
-           JSON_INTEGER_FORMAT " pending=%" JSON_INTEGER_FORMAT " draining=%s\n",
+    printf("host %s dc=%s places=%s epoch=%" JSON_INTEGER_FORMAT
+           " log_reachable=%s applied=%" JSON_INTEGER_FORMAT " pending=%" JSON_INTEGER_FORMAT
+           " draining=%s\n",
            cli_text(body, "name"), cli_text(body, "dc"), yes_no(body, "places"),
            number(body, "epoch"), yes_no(body, "log_reachable"), number(body, "applied"),
            number(body, "pending"), yes_no(body, "draining"));
--- a/src/config/rules.c
+++ b/src/config/rules.c
@@ -65,8 +65,8 @@
 static bool
 name_is_plain(const char *name)
 {
-    size_t plain = strspn(
-        name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:");
+    size_t plain =
+        strspn(name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:");
     return plain > 0 && name[plain] == '\0' && plain < MS_NAME_MAX;
 }
 
@@ -166,8 +166,10 @@
 {
     const struct kind *kind = count > 0 ? kind_of(words[0]) : NULL;
     if (kind == NULL) {
-        snprintf(error, size, "unknown word %s; a rule starts with account, guarantee, limit or "
-                 "datacentre", count > 0 ? words[0] : "");
+        snprintf(error, size,
+                 "unknown word %s; a rule starts with account, guarantee, limit or "
+                 "datacentre",
+                 count > 0 ? words[0] : "");
         return MS_E_INVALID;
     }
     if (count < 2 || !name_is_plain(words[1])) {
@@ -282,7 +284,8 @@
         }
         unsigned int earlier = earlier_line(lines, line.key);
         if (earlier > 0) {
-            snprintf(error, size, "line %u: %s stands on line %u already", i + 1, line.key, earlier);
+            snprintf(error, size, "line %u: %s stands on line %u already", i + 1, line.key,
+                     earlier);
             good = false;
             break;
         }
@@ -317,8 +320,8 @@
 enum ms_result
 ms_rules_check_guarantees(const GArray *lines, const GArray *servers, char *error, size_t size)
 {
-    GHashTable *scheds = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                               (GDestroyNotify)ms_sched_free);
+    GHashTable *scheds =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)ms_sched_free);
     enum ms_result result = MS_OK;
     for (guint i = 0; i < lines->len && result == MS_OK; i++) {
         const struct ms_rule_line *line = &g_array_index(lines, struct ms_rule_line, i);
--- a/src/config/rules.h
+++ b/src/config/rules.h
@@ -19,8 +19,8 @@
 
 #include "mustardspread/mustardspread.h"
 
-#define MS_RULE_LINE_MAX 512                  /* bytes of one line */
-#define MS_RULE_KEY_MAX (MS_NAME_MAX + 16)    /* bytes of "kind name" */
+#define MS_RULE_LINE_MAX 512               /* bytes of one line */
+#define MS_RULE_KEY_MAX (MS_NAME_MAX + 16) /* bytes of "kind name" */
 
 struct ms_rule_line {
     unsigned int number; /* line in the file, from 1 */
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -33,16 +33,25 @@
 };
 
 #define TEXT(name, address)                                                                        \
-    {#name, offsetof(struct ms_settings, name), sizeof(((struct ms_settings *)0)->name), address}
+    {                                                                                              \
+#name, offsetof(struct ms_settings, name), sizeof(((struct ms_settings *)0)->name),        \
+            address                                                                                \
+    }
 #define NUMBER(name, fallback, min, max, unit)                                                     \
-    {#name, offsetof(struct ms_settings, name), fallback, min, max, unit, false}
+    {                                                                                              \
+#name, offsetof(struct ms_settings, name), fallback, min, max, unit, false                 \
+    }
 #define LIMIT(name, fallback, min, max, unit)                                                      \
-    {#name, offsetof(struct ms_settings, limits.name), fallback, min, max, unit, false}
+    {                                                                                              \
+#name, offsetof(struct ms_settings, limits.name), fallback, min, max, unit, false          \
+    }
 #define LIMIT_U32(name, fallback, min, max, unit)                                                  \
-    {#name, offsetof(struct ms_settings, limits.name), fallback, min, max, unit, true}
+    {                                                                                              \
+#name, offsetof(struct ms_settings, limits.name), fallback, min, max, unit, true           \
+    }
 
 static const struct text_setting texts[] = {
-    TEXT(name, false),          TEXT(dc, false),           TEXT(region, false),
+    TEXT(name, false),          TEXT(dc, false),          TEXT(region, false),
     TEXT(caller_address, true), TEXT(peer_address, true), TEXT(platform_url, false),
 };
 
@@ -119,8 +128,9 @@
         number = json_is_integer(value) ? json_integer_value(value) : INT64_MIN;
     }
     if (number < setting->min || number > setting->max) {
-        snprintf(error, size, "%s: must be a whole number of %s from %" G_GINT64_FORMAT
-                 " to %" G_GINT64_FORMAT, setting->key, setting->unit, setting->min, setting->max);
+        snprintf(error, size,
+                 "%s: must be a whole number of %s from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+                 setting->key, setting->unit, setting->min, setting->max);
         return MS_E_INVALID;
     }
     char *field = (char *)settings + setting->offset;
@@ -202,7 +212,8 @@
 check_together(const struct ms_settings *settings, char *error, size_t size)
 {
     if (settings->server_timeout_ms >= settings->limits.lease_ms) {
-        snprintf(error, size, "server_timeout_ms: must be below lease_ms, so that a server is "
+        snprintf(error, size,
+                 "server_timeout_ms: must be below lease_ms, so that a server is "
                  "given up before its leases lapse");
         return MS_E_INVALID;
     }
--- a/src/config/toml_json.cc
+++ b/src/config/toml_json.cc
@@ -16,13 +16,11 @@
         std::ostringstream out;
         out << toml::json_formatter{toml::parse(text)};
         return strdup(out.str().c_str());
-    }
-    catch (const toml::parse_error &failure) {
+    } catch (const toml::parse_error &failure) {
         const auto &where = failure.source().begin;
         std::snprintf(error, size, "line %u, column %u: %s", (unsigned)where.line,
                       (unsigned)where.column, failure.what());
-    }
-    catch (const std::exception &failure) {
+    } catch (const std::exception &failure) {
         std::snprintf(error, size, "%s", failure.what());
     }
     return nullptr;
--- a/src/core/backfill.c
+++ b/src/core/backfill.c
@@ -87,8 +87,7 @@
 static uint32_t
 fit_when_free(const struct ms_server *server, const struct ms_job *job)
 {
-    if (!ms_server_usable(server, job) ||
-        (server->kept_for != NULL && server->kept_for != job)) {
+    if (!ms_server_usable(server, job) || (server->kept_for != NULL && server->kept_for != job)) {
         return 0;
     }
     uint32_t slots = server->slots;
@@ -107,7 +106,8 @@
 };
 
 static bool
-in_group(const struct ms_server *server, const struct ms_server *anchor, enum ms_adjacency adjacency)
+in_group(const struct ms_server *server, const struct ms_server *anchor,
+         enum ms_adjacency adjacency)
 {
     if (anchor == NULL || adjacency == MS_ADJACENT_DC) {
         return true;
@@ -137,8 +137,7 @@
     MS_LIST_EACH(link, &sched->servers)
     {
         struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
-        if (!in_group(server, anchor, job->spec.adjacency) ||
-            fit_when_free(server, job) == 0) {
+        if (!in_group(server, anchor, job->spec.adjacency) || fit_when_free(server, job) == 0) {
             continue;
         }
         int64_t wait = server_free_at(sched, server) - sched->now;
--- a/src/core/guarantee.c
+++ b/src/core/guarantee.c
@@ -289,6 +289,9 @@
 cells_adjacent(const struct ms_guarantee *guarantee)
 {
     const struct ms_server *first = guarantee->cells[0].server;
+    if (first == NULL) {
+        return false;
+    }
     for (uint32_t i = 0; i < guarantee->rule.tasks; i++) {
         const struct ms_server *server = guarantee->cells[i].server;
         if (server == NULL) {
@@ -432,11 +435,10 @@
 
 /* Whether an empty cell can take a task of JOB in the group of ANCHOR. */
 static bool
-cell_serves(const struct ms_cell *cell, const struct ms_job *job,
-            const struct ms_cell *anchor)
+cell_serves(const struct ms_cell *cell, const struct ms_job *job, const struct ms_cell *anchor)
 {
-    if (cell->server == NULL || cell->task != NULL ||
-        cell->server->state != MS_SERVER_UP || !ms_server_usable(cell->server, job)) {
+    if (cell->server == NULL || cell->task != NULL || cell->server->state != MS_SERVER_UP ||
+        !ms_server_usable(cell->server, job)) {
         return false;
     }
     if (job->spec.adjacency == MS_ADJACENT_SERVER) {
@@ -449,7 +451,8 @@
 }
 
 static uint32_t
-cells_serving(const struct ms_guarantee *guarantee, const struct ms_job *job, const struct ms_cell *anchor)
+cells_serving(const struct ms_guarantee *guarantee, const struct ms_job *job,
+              const struct ms_cell *anchor)
 {
     uint32_t count = 0;
     for (uint32_t i = 0; i < guarantee->rule.tasks; i++) {
--- a/src/core/names.c
+++ b/src/core/names.c
@@ -9,7 +9,7 @@
 #define COUNT(array) (sizeof(array) / sizeof((array)[0]))
 
 static const char *const outcome_names[] = {
-    "done",  "failed",     "cancelled", "deadline",    "never_fits",   "limit",
+    "done",       "failed", "cancelled",   "deadline",     "never_fits", "limit",
     "no_account", "dc_out", "unavailable", "lost_contact", "duplicate",
 };
 static const char *const ran_names[] = {"no", "yes", "unknown"};
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -119,7 +119,8 @@
     }
     if (!ms_job_stoppable(job)) {
         slots = MIN(slots, (int32_t)(server->slots - server->cell_slots - server->fixed_slots));
-        accels = MIN(accels, (int32_t)(server->accels - server->cell_accels - server->fixed_accels));
+        accels =
+            MIN(accels, (int32_t)(server->accels - server->cell_accels - server->fixed_accels));
     }
     return tasks_in(slots, accels, job->spec.accels);
 }
@@ -314,8 +315,7 @@
 
 /* The task on SERVER whose job costs least to stop, or NULL. */
 static struct ms_task *
-pick_victim(const struct ms_server *server, const struct ms_job *claimant,
-            enum ms_victims victims)
+pick_victim(const struct ms_server *server, const struct ms_job *claimant, enum ms_victims victims)
 {
     struct ms_task *best = NULL;
     MS_LIST_EACH(link, &server->tasks)
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -77,8 +77,7 @@
     MS_LIST_EACH(link, &sched->guarantees)
     {
         const struct ms_rule *rule = &MS_CONTAINER(link, struct ms_guarantee, link)->rule;
-        if (strcmp(rule->account, job->account->name) == 0 &&
-            job->spec.accels * 2 > rule->accels) {
+        if (strcmp(rule->account, job->account->name) == 0 && job->spec.accels * 2 > rule->accels) {
             return true;
         }
     }
@@ -138,8 +137,8 @@
         return false;
     }
     if (!ms_account_within_limits(job->account, job)) {
-        snprintf(job->wait_reason, sizeof(job->wait_reason),
-                 "client account %s is at its limit", job->account->name);
+        snprintf(job->wait_reason, sizeof(job->wait_reason), "client account %s is at its limit",
+                 job->account->name);
         return false;
     }
     if (find_and_begin(sched, pass, job)) {
--- a/src/core/report.c
+++ b/src/core/report.c
@@ -121,8 +121,7 @@
 }
 
 /* Writes a violation to TEXT and returns false. */
-static bool G_GNUC_PRINTF(3, 4)
-violated(char *text, size_t size, const char *format, ...)
+static bool G_GNUC_PRINTF(3, 4) violated(char *text, size_t size, const char *format, ...)
 {
     va_list arguments;
     va_start(arguments, format);
@@ -198,8 +197,8 @@
         if (job->state == MS_JOB_WAITING && charged) {
             return violated(text, size, "job %s: waits, but task %u holds resources", job->id, i);
         }
-        if (job->state == MS_JOB_RUNNING && job->spec.tasks > 1 &&
-            task->state != MS_TASK_RUNNING && task->state != MS_TASK_FINISHED) {
+        if (job->state == MS_JOB_RUNNING && job->spec.tasks > 1 && task->state != MS_TASK_RUNNING &&
+            task->state != MS_TASK_FINISHED) {
             return violated(text, size, "job %s: runs without task %u", job->id, i);
         }
         if (!charged) {
--- a/src/core/sched.h
+++ b/src/core/sched.h
@@ -37,27 +37,27 @@
     char name[MS_NAME_MAX];
     char rack[MS_NAME_MAX];
     enum ms_server_state state;
-    struct ms_link link;       /* in sched->servers, in name order */
-    struct ms_link tasks;      /* ms_task.server_link of tasks charged here */
+    struct ms_link link;  /* in sched->servers, in name order */
+    struct ms_link tasks; /* ms_task.server_link of tasks charged here */
     uint32_t slots;
     uint32_t accels;
-    int32_t slots_free;        /* slots minus charged tasks; below 0 while work
-                                  is being stopped to make room */
+    int32_t slots_free; /* slots minus charged tasks; below 0 while work
+                           is being stopped to make room */
     int32_t accels_free;
-    uint32_t cell_slots;       /* cells bound here, occupied or not */
-    uint32_t cell_accels;      /* accelerators of those cells */
-    uint32_t fixed_slots;      /* tasks outside cells that cannot be stopped */
-    uint32_t fixed_accels;     /* accelerators of those tasks.  Invariant:
-                                  cell_x + fixed_x <= x, for slots and accels */
-    uint32_t seen_pending;     /* TASK_SEEN events still to come */
-    int64_t lost_until;        /* LOST: when the leases of its tasks have lapsed */
-    int64_t probe_at;          /* QUARANTINED: when to probe */
-    int64_t quarantine_ms;     /* the last time in quarantine, doubles */
-    uint32_t failed_count;     /* distinct jobs that failed since a success */
+    uint32_t cell_slots;   /* cells bound here, occupied or not */
+    uint32_t cell_accels;  /* accelerators of those cells */
+    uint32_t fixed_slots;  /* tasks outside cells that cannot be stopped */
+    uint32_t fixed_accels; /* accelerators of those tasks.  Invariant:
+                              cell_x + fixed_x <= x, for slots and accels */
+    uint32_t seen_pending; /* TASK_SEEN events still to come */
+    int64_t lost_until;    /* LOST: when the leases of its tasks have lapsed */
+    int64_t probe_at;      /* QUARANTINED: when to probe */
+    int64_t quarantine_ms; /* the last time in quarantine, doubles */
+    uint32_t failed_count; /* distinct jobs that failed since a success */
     char failed_jobs[MS_FAIL_MEMORY][MS_ID_MAX];
-    struct ms_job *kept_for;   /* gang that new starts must not delay */
-    uint32_t rack_id;          /* index into the rack totals of place.c */
-    int32_t scratch;           /* tasks that fit; used within one placement */
+    struct ms_job *kept_for; /* gang that new starts must not delay */
+    uint32_t rack_id;        /* index into the rack totals of place.c */
+    int32_t scratch;         /* tasks that fit; used within one placement */
 };
 
 /*
@@ -78,7 +78,7 @@
 
 struct ms_task {
     struct ms_job *job;
-    struct ms_server *server;   /* NULL when charged nowhere */
+    struct ms_server *server; /* NULL when charged nowhere */
     struct ms_link server_link;
     enum ms_task_state state;
     struct ms_cell *cell;       /* cell of a guarantee that it occupies, or NULL */
@@ -109,30 +109,30 @@
 
 struct ms_job {
     char id[MS_ID_MAX];
-    struct ms_job_spec spec;  /* payload points to memory owned by the job */
+    struct ms_job_spec spec; /* payload points to memory owned by the job */
     struct ms_account *account;
     enum ms_job_state state;
-    struct ms_link link;      /* in sched->jobs */
+    struct ms_link link;       /* in sched->jobs */
     struct ms_link queue_link; /* WAITING: in account->queue */
-    struct ms_task *tasks;    /* spec.tasks items */
-    uint64_t sequence;        /* order of arrival */
-    uint32_t attempt;         /* of the last placement, from 1 */
-    uint32_t failures;        /* attempts that ended badly, less those forgiven */
-    uint32_t failures_total;  /* all attempts that ended badly */
+    struct ms_task *tasks;     /* spec.tasks items */
+    uint64_t sequence;         /* order of arrival */
+    uint32_t attempt;          /* of the last placement, from 1 */
+    uint32_t failures;         /* attempts that ended badly, less those forgiven */
+    uint32_t failures_total;   /* all attempts that ended badly */
     uint32_t placement_losses; /* attempts lost through no fault of the job */
-    bool submitted;           /* false: only seen on servers so far */
-    bool has_token;           /* the run token was granted */
-    uint32_t token_failures;  /* times that the log could not be reached for it */
-    bool may_have_run;        /* some attempt was sent to a server */
-    bool ran_before;          /* some attempt before this one was */
-    bool has_progress;        /* a checkpoint exists */
-    bool guaranteed;          /* its tasks occupy cells of a guarantee */
-    bool keeps;               /* servers are kept for it, see backfill.c */
-    int64_t keeps_until;      /* when it is expected to start on them */
-    uint32_t yielded;         /* times that it was stopped for a waiting gang */
+    bool submitted;            /* false: only seen on servers so far */
+    bool has_token;            /* the run token was granted */
+    uint32_t token_failures;   /* times that the log could not be reached for it */
+    bool may_have_run;         /* some attempt was sent to a server */
+    bool ran_before;           /* some attempt before this one was */
+    bool has_progress;         /* a checkpoint exists */
+    bool guaranteed;           /* its tasks occupy cells of a guarantee */
+    bool keeps;                /* servers are kept for it, see backfill.c */
+    int64_t keeps_until;       /* when it is expected to start on them */
+    uint32_t yielded;          /* times that it was stopped for a waiting gang */
     int64_t submitted_at;
-    int64_t not_before;       /* WAITING: backoff */
-    int64_t phase_until;      /* limit of the present state, or INT64_MAX */
+    int64_t not_before;  /* WAITING: backoff */
+    int64_t phase_until; /* limit of the present state, or INT64_MAX */
     int64_t started_at;
     enum ms_after after;
     enum ms_outcome_code code;
@@ -140,7 +140,7 @@
     char wait_reason[MS_DETAIL_MAX];
     uint32_t failed_count;
     char failed_servers[MS_FAIL_MEMORY][MS_NAME_MAX];
-    uint8_t *output;          /* of member 0 */
+    uint8_t *output; /* of member 0 */
     size_t output_len;
     char ran_on[MS_NAME_MAX]; /* server of member 0 */
 };
@@ -173,9 +173,9 @@
 
 struct ms_guarantee {
     struct ms_rule rule;
-    struct ms_link link; /* in sched->guarantees, in name order */
+    struct ms_link link;   /* in sched->guarantees, in name order */
     struct ms_cell *cells; /* rule.tasks items */
-    bool met;            /* all cells are bound with the adjacency asked for */
+    bool met;              /* all cells are bound with the adjacency asked for */
 };
 
 /* A final outcome, kept for repeated submissions of the same id. */
@@ -198,12 +198,12 @@
     struct ms_sched_limits limits;
     struct ms_hooks hooks;
     int64_t now;
-    bool out;                /* the data centre is out of service */
-    bool paused;             /* this holder may not start work */
-    bool dirty;              /* something changed that may let a job start */
-    bool cells_dirty;        /* something changed that may bind a cell */
-    int64_t rebind_at;       /* no full rebinding before this time */
-    int64_t next_tick;       /* no timer is due before this time */
+    bool out;          /* the data centre is out of service */
+    bool paused;       /* this holder may not start work */
+    bool dirty;        /* something changed that may let a job start */
+    bool cells_dirty;  /* something changed that may bind a cell */
+    int64_t rebind_at; /* no full rebinding before this time */
+    int64_t next_tick; /* no timer is due before this time */
     uint64_t next_sequence;
     struct ms_link servers;
     struct ms_link jobs;
@@ -222,7 +222,7 @@
     struct ms_action *actions;
     size_t action_count;
     size_t action_capacity;
-    GPtrArray *dead_jobs;  /* freed at the next step: actions point into them */
+    GPtrArray *dead_jobs; /* freed at the next step: actions point into them */
     GPtrArray *dead_recents;
 };
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -30,8 +30,8 @@
 parse_options(int argc, char **argv, struct options *options)
 {
     GOptionEntry entries[] = {
-        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &options->settings_path,
-         "Settings file (TOML)", "FILE"},
+        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &options->settings_path, "Settings file (TOML)",
+         "FILE"},
         {"check-settings", 0, 0, G_OPTION_ARG_NONE, &options->check_settings,
          "Check the settings file and exit", NULL},
         {"record", 0, 0, G_OPTION_ARG_FILENAME, &options->record_path,
--- a/src/logstate/logstate.h
+++ b/src/logstate/logstate.h
@@ -15,8 +15,8 @@
 #include "config/rules.h"
 #include "wire/inner.pb-c.h"
 
-#define MS_DONE_MAX 20000      /* outcomes kept; the oldest go first */
-#define MS_HISTORY_MAX 1000    /* rule changes kept for `rules history` */
+#define MS_DONE_MAX 20000                /* outcomes kept; the oldest go first */
+#define MS_HISTORY_MAX 1000              /* rule changes kept for `rules history` */
 #define MS_SNAPSHOT_PART_MAX (48 * 1024) /* bytes of one part in the log */
 
 /* One rule as it stands. */
--- a/src/logstate/private.h
+++ b/src/logstate/private.h
@@ -22,20 +22,20 @@
 
 struct ms_logstate {
     uint64_t next;
-    bool complete;           /* nothing before `next` is missing */
-    uint64_t begin;          /* first offset that was read after a gap */
+    bool complete;  /* nothing before `next` is missing */
+    uint64_t begin; /* first offset that was read after a gap */
     uint64_t guarantees_version;
-    uint64_t rules_version;  /* of the last rule change that was taken */
+    uint64_t rules_version; /* of the last rule change that was taken */
     uint64_t snapshot_offset;
-    GHashTable *rules;       /* key -> ms_rule_entry */
-    GHashTable *tokens;      /* id -> Ms__Wire__Token, owned */
-    GHashTable *accepts;     /* id -> ms_accept_entry */
-    GHashTable *dones;       /* id -> Ms__Wire__Outcome, owned */
-    GQueue *done_order;      /* ids, oldest first; strings owned here */
-    GHashTable *epochs;      /* data centre -> ms_epoch_entry */
-    GQueue *history;         /* ms_history_entry */
-    GHashTable *part_sets;   /* publisher -> ms_part_set */
-    GQueue *held;            /* ms_held_record, while not complete */
+    GHashTable *rules;     /* key -> ms_rule_entry */
+    GHashTable *tokens;    /* id -> Ms__Wire__Token, owned */
+    GHashTable *accepts;   /* id -> ms_accept_entry */
+    GHashTable *dones;     /* id -> Ms__Wire__Outcome, owned */
+    GQueue *done_order;    /* ids, oldest first; strings owned here */
+    GHashTable *epochs;    /* data centre -> ms_epoch_entry */
+    GQueue *history;       /* ms_history_entry */
+    GHashTable *part_sets; /* publisher -> ms_part_set */
+    GQueue *held;          /* ms_held_record, while not complete */
 };
 
 void ms_part_set_free(void *set);
--- a/src/membership/claim.h
+++ b/src/membership/claim.h
@@ -28,13 +28,13 @@
     const char *dc;
     const struct ms_claim_host *hosts;
     size_t host_count;
-    bool draining;       /* this host is shutting down */
-    bool settled;        /* others had the time to be heard since the start */
+    bool draining; /* this host is shutting down */
+    bool settled;  /* others had the time to be heard since the start */
     bool log_reachable;
-    bool claims;         /* this host claims now */
-    uint64_t epoch;      /* of that claim */
-    bool asked;          /* an epoch record of this host is on its way */
-    bool asked_too_long; /* ... for longer than the log usually takes */
+    bool claims;          /* this host claims now */
+    uint64_t epoch;       /* of that claim */
+    bool asked;           /* an epoch record of this host is on its way */
+    bool asked_too_long;  /* ... for longer than the log usually takes */
     const char *log_host; /* holder of the last epoch in the log, or NULL */
     uint64_t log_epoch;
 };
--- a/src/membership/detector.h
+++ b/src/membership/detector.h
@@ -25,7 +25,7 @@
                           samples are full, and never exceeded */
     double deviations; /* DEVIATIONS: k */
     int64_t last_heard;
-    uint32_t count;    /* gaps seen */
+    uint32_t count;                       /* gaps seen */
     double gaps[MS_DETECTOR_SAMPLES];     /* ring of gaps */
     double averages[MS_DETECTOR_SAMPLES]; /* ring of their means */
 };
--- a/src/node/control.c
+++ b/src/node/control.c
@@ -9,9 +9,10 @@
 #include "node/private.h"
 #include "obs/log.h"
 
-#define CHANGE_GIVE_UP_MS 5000 /* for a change to be seen in the log */
+#define CHANGE_GIVE_UP_MS 5000  /* for a change to be seen in the log */
 #define CONFIRM_GIVE_UP_MS 3000 /* for the other hosts to confirm it */
 #define QUERY_GIVE_UP_MS 2000
+#define GAUGES_MS 250 /* between two looks at the gauges */
 #define RULE_GIVE_UP_MS 4000
 #define ERROR_MAX 512
 
@@ -160,7 +161,8 @@
         change->outstanding++;
     }
     else {
-        g_ptr_array_add(change->lost, g_strdup_printf("%s: too many records wait for the log", key));
+        g_ptr_array_add(change->lost,
+                        g_strdup_printf("%s: too many records wait for the log", key));
     }
 }
 
@@ -268,7 +270,8 @@
 }
 
 static void
-finish_change(struct ms_node *node, struct ms_change *change, unsigned int status, const char *state)
+finish_change(struct ms_node *node, struct ms_change *change, unsigned int status,
+              const char *state)
 {
     json_t *root = json_object();
     json_object_set_new(root, "state", json_string(state));
@@ -348,7 +351,8 @@
         return;
     }
     if (!node->log_reachable) {
-        ms_node_answer(node, call, 503, error_json("the log cannot be reached; nothing was applied"));
+        ms_node_answer(node, call, 503,
+                       error_json("the log cannot be reached; nothing was applied"));
         return;
     }
     struct ms_change *change = g_new0(struct ms_change, 1);
@@ -381,7 +385,10 @@
             ms_node_answer(node, call, 404, error_json("no host knows this job"));
         }
     }
-    ms_control_gauges(node);
+    if (node->now >= node->gauges_at) {
+        node->gauges_at = node->now + GAUGES_MS;
+        ms_control_gauges(node);
+    }
 }
 
 static bool
--- a/src/node/hold.c
+++ b/src/node/hold.c
@@ -11,14 +11,13 @@
 #include "obs/log.h"
 #include "wire/convert.h"
 
-#define SETTLE_MS 1500          /* longest wait for servers before starting work */
+#define SETTLE_MS 1500 /* longest wait for servers before starting work */
 #define SETTLE_MIN_MS 50
 #define DONE_OUTPUT_MAX (256u << 10) /* bytes of output kept in the log */
-#define DONE_GIVE_UP_MS 3600000 /* an outcome is worth keeping for long */
+#define DONE_GIVE_UP_MS 3600000      /* an outcome is worth keeping for long */
 #define TOKEN_GIVE_UP_MS 2000
 
-static void
-carry_out(struct ms_node *node, const struct ms_action *action);
+static void carry_out(struct ms_node *node, const struct ms_action *action);
 
 void
 ms_hold_feed(struct ms_node *node, const struct ms_event *event)
@@ -192,9 +191,10 @@
     outcome_to_wire(node, action, &message);
     ms_span_begin(&span, action->id, "place", NULL);
     span.start_ms -= outcome->queued_ms + outcome->ran_ms;
-    snprintf(note, sizeof(note), "%s in %s on %s: waited %" G_GINT64_FORMAT " ms, ran %"
-             G_GINT64_FORMAT " ms", ms_outcome_name(outcome->code), node->settings->dc,
-             outcome->server, outcome->queued_ms, outcome->ran_ms);
+    snprintf(note, sizeof(note),
+             "%s in %s on %s: waited %" G_GINT64_FORMAT " ms, ran %" G_GINT64_FORMAT " ms",
+             ms_outcome_name(outcome->code), node->settings->dc, outcome->server,
+             outcome->queued_ms, outcome->ran_ms);
     ms_span_end(node->spans, &span, note);
     bool accepted = ms_logstate_accept(node->log, action->id) != NULL;
     bool has_token = ms_logstate_token(node->log, action->id) != NULL;
@@ -258,8 +258,8 @@
     hold->since = node->now;
     hold->settled = false;
     hold->sched = ms_sched_new(node->settings->dc, &node->settings->limits, NULL);
-    hold->followers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                            (GDestroyNotify)g_ptr_array_unref);
+    hold->followers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
     hold->held = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     ms_counter_add(node->counters, MS_COUNT_TAKEOVERS, 1);
     ms_log(MS_LOG_NOTICE, "event=claim dc=%s epoch=%" G_GUINT64_FORMAT, node->settings->dc, epoch);
@@ -381,8 +381,9 @@
         return;
     }
     const Ms__Wire__Token *token = ms_logstate_token(node->log, id);
-    bool other_holder = done != NULL || (token != NULL && (token->epoch != node->hold.epoch ||
-                                          strcmp(token->holder, node->settings->name) != 0));
+    bool other_holder =
+        done != NULL || (token != NULL && (token->epoch != node->hold.epoch ||
+                                           strcmp(token->holder, node->settings->name) != 0));
     event.submit.spec = *spec;
     /* A non-idempotent job cannot have run without a token in the log. */
     event.submit.may_have_run = spec->idempotent ? may_have_run : other_holder;
@@ -395,8 +396,7 @@
 {
     struct ms_event event = {.kind = MS_EVENT_ASK};
     char text[MS_DETAIL_MAX];
-    if (!node->hold.active ||
-        ms_sched_explain(node->hold.sched, id, text, sizeof(text)) != MS_OK) {
+    if (!node->hold.active || ms_sched_explain(node->hold.sched, id, text, sizeof(text)) != MS_OK) {
         return;
     }
     follow(node, id, follower);
@@ -485,7 +485,8 @@
         int64_t age = node->now - hold->since;
         if ((all && age >= SETTLE_MIN_MS) || age >= SETTLE_MS) {
             hold->settled = true;
-            ms_log(MS_LOG_NOTICE, "event=settled dc=%s servers=%u listed=%u age_ms=%" G_GINT64_FORMAT,
+            ms_log(MS_LOG_NOTICE,
+                   "event=settled dc=%s servers=%u listed=%u age_ms=%" G_GINT64_FORMAT,
                    node->settings->dc, g_hash_table_size(hold->held), listed, age);
             feed_pause(node, false);
         }
--- a/src/node/jobs.c
+++ b/src/node/jobs.c
@@ -13,12 +13,12 @@
 #include "obs/log.h"
 #include "wire/convert.h"
 
-#define RESEND_MS 1000            /* before an unconfirmed job is sent again */
-#define RESENDS_PER_S 200.0       /* budget for jobs sent again, this host */
+#define RESEND_MS 1000      /* before an unconfirmed job is sent again */
+#define RESENDS_PER_S 200.0 /* budget for jobs sent again, this host */
 #define RESEND_BURST 400.0
-#define UNROUTABLE_MS 8000        /* without a placing host before a refusal */
+#define UNROUTABLE_MS 8000 /* without a placing host before a refusal */
 #define ACCEPT_GIVE_UP_MS 5000
-#define IDLE_PENDING_MS 600000    /* without callers before it is forgotten */
+#define IDLE_PENDING_MS 600000 /* without callers before it is forgotten */
 #define RETRY_AFTER_MS 1000
 #define QUEUE_RETRY_AFTER_MS 5000
 #define REHOME_LOOK_MS 1000
@@ -690,8 +690,7 @@
     node->routes_due = false;
     GPtrArray *ids = pending_ids(node);
     for (guint i = 0; i < ids->len; i++) {
-        struct ms_pending *pending =
-            g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
+        struct ms_pending *pending = g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
         if (pending != NULL && offer_due(node, pending)) {
             offer(node, pending);
         }
@@ -768,8 +767,7 @@
 {
     GPtrArray *ids = pending_ids(node);
     for (guint i = 0; i < ids->len; i++) {
-        struct ms_pending *pending =
-            g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
+        struct ms_pending *pending = g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
         if (pending != NULL) {
             look_at_pending(node, pending);
         }
@@ -785,8 +783,7 @@
 {
     GPtrArray *ids = pending_ids(node);
     for (guint i = 0; i < ids->len; i++) {
-        struct ms_pending *pending =
-            g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
+        struct ms_pending *pending = g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
         pending->uncertain |= pending->sends > 0 || pending->accepted;
         refuse(node, pending, MS_OUTCOME_UNAVAILABLE, "this entry host is shutting down");
     }
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -203,6 +203,11 @@
     if (heartbeat->summary != NULL) {
         take_summary(&host->summary, heartbeat->summary);
     }
+    if (node->record != NULL) {
+        /* A comment in the trace: gaps for the choice of the failure detector. */
+        fprintf(node->record, "# heartbeat peer=%s gap_ms=%" G_GINT64_FORMAT "\n", host->name,
+                node->now - host->detector.last_heard);
+    }
     ms_detector_heard(&host->detector, node->now);
     ms_records_relay(node, host);
 }
@@ -279,8 +284,7 @@
 static struct ms_claim_host *
 claim_view(const struct ms_node *node, struct ms_claim_view *view)
 {
-    struct ms_claim_host *hosts =
-        g_new0(struct ms_claim_host, g_hash_table_size(node->hosts) + 1);
+    struct ms_claim_host *hosts = g_new0(struct ms_claim_host, g_hash_table_size(node->hosts) + 1);
     const struct ms_epoch_entry *epoch = ms_logstate_epoch(node->log, node->settings->dc);
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -295,8 +299,8 @@
         .claims = node->hold.active,
         .epoch = node->hold.epoch,
         .asked = node->epoch_asked,
-        .asked_too_long = node->epoch_asked && node->now - node->epoch_asked_at >
-                                                   2 * node->settings->append_timeout_ms,
+        .asked_too_long = node->epoch_asked &&
+                          node->now - node->epoch_asked_at > 2 * node->settings->append_timeout_ms,
         .log_host = epoch != NULL ? epoch->host : NULL,
         .log_epoch = epoch != NULL ? epoch->number : 0,
     };
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -11,7 +11,7 @@
 #include "wire/convert.h"
 
 #define NODE_RING_SLOTS 16384
-#define STEP_MAX_MS 50 /* longest sleep of the thread */
+#define STEP_MAX_MS 100 /* longest sleep of the thread */
 
 void
 ms_node_answer(struct ms_node *node, struct ms_call *call, unsigned int status, char *json)
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -43,9 +43,9 @@
     char dc[MS_NAME_MAX];
     char region[MS_NAME_MAX];
     char address[MS_ADDRESS_MAX];
-    bool configured;  /* the address is from the settings */
+    bool configured; /* the address is from the settings */
     bool connected;
-    bool heard;       /* a heartbeat has arrived on the present connection */
+    bool heard; /* a heartbeat has arrived on the present connection */
     bool draining;
     bool claims;
     uint64_t epoch;
@@ -63,15 +63,15 @@
     char id[MS_ID_MAX];
     struct ms_job_spec spec; /* payload points into `payload` */
     GBytes *payload;
-    GPtrArray *calls;        /* ms_call, not answered yet */
-    bool has_spec;           /* false: only waits for an outcome */
-    bool accepting;          /* waits until its acceptance is in the log */
-    bool accepted;           /* its acceptance is in the log */
-    char accept_writer[MS_NAME_MAX]; /* writer id of that record */
-    char dc[MS_NAME_MAX];    /* data centre that it was sent to, or "" */
-    char host[MS_NAME_MAX];  /* placing host there, or "" */
-    bool received;           /* that host confirmed */
-    bool uncertain;          /* a host that had received it was lost */
+    GPtrArray *calls;                      /* ms_call, not answered yet */
+    bool has_spec;                         /* false: only waits for an outcome */
+    bool accepting;                        /* waits until its acceptance is in the log */
+    bool accepted;                         /* its acceptance is in the log */
+    char accept_writer[MS_NAME_MAX];       /* writer id of that record */
+    char dc[MS_NAME_MAX];                  /* data centre that it was sent to, or "" */
+    char host[MS_NAME_MAX];                /* placing host there, or "" */
+    bool received;                         /* that host confirmed */
+    bool uncertain;                        /* a host that had received it was lost */
     char tried[MS_TRIED_MAX][MS_NAME_MAX]; /* data centres that refused it */
     uint32_t tried_count;
     int64_t created_at;
@@ -95,11 +95,11 @@
 /* What this host does as the placing host of its data centre. */
 struct ms_hold {
     bool active;
-    bool stepping;        /* the core's actions are being carried out */
+    bool stepping; /* the core's actions are being carried out */
     uint64_t epoch;
-    uint64_t generation;  /* counts claims of this process */
+    uint64_t generation; /* counts claims of this process */
     int64_t since;
-    bool settled;         /* starts are allowed */
+    bool settled; /* starts are allowed */
     struct ms_sched *sched;
     GHashTable *followers; /* job id -> GPtrArray of host names */
     GHashTable *held;      /* names of servers that are held */
@@ -128,7 +128,7 @@
     int64_t drain_until;
 
     struct ms_logstate *log;
-    GQueue *tail;           /* ms_tail_record: applied records, for relays */
+    GQueue *tail; /* ms_tail_record: applied records, for relays */
     int64_t snapshot_seen_at;
     uint64_t snapshot_seen; /* offset */
     int64_t snapshot_sent_at;
@@ -136,6 +136,7 @@
     GHashTable *hosts;   /* name -> ms_host */
     GHashTable *servers; /* name -> ms_listed, of every data centre */
     GHashTable *regions; /* data centre -> region, owned strings */
+    int64_t gauges_at;
     int64_t heartbeat_at;
     uint64_t heartbeat_count;
 
@@ -144,11 +145,11 @@
     char epoch_writer[MS_NAME_MAX];
     struct ms_hold hold;
 
-    GHashTable *pending; /* id -> ms_pending */
-    bool routes_due;     /* some pending job has to be offered anew */
+    GHashTable *pending;  /* id -> ms_pending */
+    bool routes_due;      /* some pending job has to be offered anew */
     GHashTable *dc_heard; /* data centre -> time it was last heard, int64_t */
     int64_t rehome_at;
-    GQueue *changes;      /* ms_change */
+    GQueue *changes;     /* ms_change */
     GHashTable *queries; /* request number -> ms_call */
     uint64_t query_count;
     GHashTable *token_writers; /* writer id -> ms_token_wait */
--- a/src/node/records.c
+++ b/src/node/records.c
@@ -282,13 +282,15 @@
                   int64_t give_up_ms)
 {
     char name[MS_NAME_MAX];
-    snprintf(name, sizeof(name), "%.24s.%08x.%" G_GUINT64_FORMAT,
-             node->settings->name, (unsigned int)node->incarnation, ++node->writer_count);
+    snprintf(name, sizeof(name), "%.24s.%08x.%" G_GUINT64_FORMAT, node->settings->name,
+             (unsigned int)node->incarnation, ++node->writer_count);
     record->writer = name;
     if (writer != NULL) {
         g_strlcpy(writer, name, MS_NAME_MAX);
     }
-    return ms_platform_append(node->platform, ms_record_pack(record), give_up_ms);
+    GByteArray *bytes = ms_record_pack(record);
+    record->writer = (char *)protobuf_c_empty_string;
+    return ms_platform_append(node->platform, bytes, give_up_ms);
 }
 
 static void
@@ -313,8 +315,7 @@
     }
     node->snapshot_sent_at = node->now;
     ms_counter_add(node->counters, MS_COUNT_SNAPSHOTS, 1);
-    ms_log(MS_LOG_NOTICE,
-           "event=snapshot_published as_of=%" G_GUINT64_FORMAT " bytes=%u parts=%u",
+    ms_log(MS_LOG_NOTICE, "event=snapshot_published as_of=%" G_GUINT64_FORMAT " bytes=%u parts=%u",
            ms_logstate_next(node->log), bytes->len, parts);
     g_byte_array_unref(bytes);
 }
--- a/src/obs/span.c
+++ b/src/obs/span.c
@@ -98,10 +98,9 @@
         if (strcmp(span->job, job) != 0) {
             continue;
         }
-        g_string_append_printf(text,
-                               "span %s start=%" G_GINT64_FORMAT " duration_ms=%" G_GINT64_FORMAT
-                               " trace=%s: %s\n",
-                               span->name, span->start_ms, span->duration_ms, span->trace,
-                               span->note);
+        g_string_append_printf(
+            text,
+            "span %s start=%" G_GINT64_FORMAT " duration_ms=%" G_GINT64_FORMAT " trace=%s: %s\n",
+            span->name, span->start_ms, span->duration_ms, span->trace, span->note);
     }
 }
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -13,6 +13,19 @@
     return size * count;
 }
 
+/* Notes the ETag among the headers of the answer. */
+static size_t
+read_header(char *data, size_t size, size_t count, void *opaque)
+{
+    struct ms_http *http = opaque;
+    char *line = g_strndup(data, size * count);
+    if (g_ascii_strncasecmp(line, "etag:", 5) == 0) {
+        g_strlcpy(http->tag, g_strstrip(line + 5), sizeof(http->tag));
+    }
+    g_free(line);
+    return size * count;
+}
+
 struct ms_http *
 ms_http_new(void)
 {
@@ -37,6 +50,7 @@
     }
     curl_easy_cleanup(http->easy);
     curl_slist_free_all(http->headers);
+    curl_slist_free_all(http->conditional);
     g_byte_array_unref(http->answer);
     free(http->body);
     g_free(http);
@@ -48,6 +62,7 @@
     g_byte_array_set_size(http->answer, 0);
     free(http->body);
     http->body = NULL;
+    http->tag[0] = '\0';
     curl_easy_reset(http->easy);
     curl_easy_setopt(http->easy, CURLOPT_URL, url);
     curl_easy_setopt(http->easy, CURLOPT_NOSIGNAL, 1L);
@@ -71,6 +86,29 @@
     curl_easy_setopt(http->easy, CURLOPT_POSTFIELDSIZE, (long)http->body_length);
 }
 
+void
+ms_http_if_changed(struct ms_http *http, const char *tag)
+{
+    curl_easy_setopt(http->easy, CURLOPT_HEADERFUNCTION, read_header);
+    curl_easy_setopt(http->easy, CURLOPT_HEADERDATA, http);
+    if (tag[0] == '\0') {
+        return;
+    }
+    char *header = g_strdup_printf("If-None-Match: %s", tag);
+    curl_slist_free_all(http->conditional);
+    http->conditional = curl_slist_append(NULL, header);
+    curl_easy_setopt(http->easy, CURLOPT_HTTPHEADER, http->conditional);
+    g_free(header);
+}
+
+void
+ms_http_tag(const struct ms_http *http, char *tag, size_t size)
+{
+    if (http->tag[0] != '\0') {
+        g_strlcpy(tag, http->tag, size);
+    }
+}
+
 json_t *
 ms_http_finish(struct ms_http *http, CURLcode code, long *status)
 {
--- a/src/platform/http.h
+++ b/src/platform/http.h
@@ -20,7 +20,9 @@
     GByteArray *answer;
     char *body; /* freed with free(): JSON text */
     size_t body_length;
-    void *owner; /* for the caller's own use */
+    struct curl_slist *conditional; /* headers of a conditional request */
+    char tag[64];                   /* ETag of the answer, "" when none */
+    void *owner;                    /* for the caller's own use */
 };
 
 /* Creates a handle; NULL when libcurl cannot. */
@@ -35,6 +37,15 @@
 void ms_http_prepare(struct ms_http *http, const char *url, json_t *body, long timeout_ms,
                      bool fresh);
 
+/*
+ * Makes the prepared request conditional: an answer whose ETag is TAG is not
+ * sent again.  An empty TAG asks for it in any case.
+ */
+void ms_http_if_changed(struct ms_http *http, const char *tag);
+
+/* The ETag of the last answer, if it had one; otherwise TAG is left as it is. */
+void ms_http_tag(const struct ms_http *http, char *tag, size_t size);
+
 /* Runs the prepared request and waits; see ms_http_finish() for the result. */
 json_t *ms_http_run(struct ms_http *http, long *status);
 
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -11,12 +11,12 @@
 #include "platform/platform.h"
 
 #define APPEND_RING_SLOTS 8192
-#define APPEND_BATCH_MAX 200       /* records in one append */
+#define APPEND_BATCH_MAX 200 /* records in one append */
 #define APPEND_BATCH_BYTES (1 << 20)
-#define READ_BATCH_MAX 1000        /* records in one read */
+#define READ_BATCH_MAX 1000 /* records in one read */
 #define RETRY_MIN_MS 50
 #define RETRY_MAX_MS 1000
-#define REPLY_SLACK_MS 1000        /* beyond the wait that a read asks for */
+#define REPLY_SLACK_MS 1000 /* beyond the wait that a read asks for */
 #define IDLE_MS 100
 
 struct append {
@@ -32,8 +32,9 @@
     pthread_t reader;
     pthread_t writer;
     atomic_bool stopping;
-    atomic_uint_fast64_t next; /* offset that the reader asks for */
-    bool reachable;            /* reader thread only */
+    atomic_uint_fast64_t next;   /* offset that the reader asks for */
+    bool reachable;              /* reader thread only */
+    char hosts_tag[MS_NAME_MAX]; /* ETag of the last host list, reader only */
 };
 
 static int64_t
@@ -76,8 +77,8 @@
     json_array_foreach((json_t *)records, index, record)
     {
         gsize length = 0;
-        guchar *bytes = g_base64_decode(json_is_string(record) ? json_string_value(record) : "",
-                                        &length);
+        guchar *bytes =
+            g_base64_decode(json_is_string(record) ? json_string_value(record) : "", &length);
         g_ptr_array_add(decoded, g_bytes_new_take(bytes, length));
     }
     return decoded;
@@ -118,9 +119,9 @@
     uint64_t from = atomic_load(&platform->next);
     long status = 0;
     int64_t wait_ms = wait ? platform->settings->log_poll_ms : 0;
-    char *url = g_strdup_printf("%s/log?from=%" G_GUINT64_FORMAT "&wait_ms=%" G_GINT64_FORMAT
-                                "&max=%d", platform->settings->platform_url, from, wait_ms,
-                                READ_BATCH_MAX);
+    char *url =
+        g_strdup_printf("%s/log?from=%" G_GUINT64_FORMAT "&wait_ms=%" G_GINT64_FORMAT "&max=%d",
+                        platform->settings->platform_url, from, wait_ms, READ_BATCH_MAX);
     ms_http_prepare(http, url, NULL, (long)wait_ms + REPLY_SLACK_MS, fresh);
     json_t *answer = ms_http_run(http, &status);
     ms_counter_add(platform->counters, MS_COUNT_PLATFORM_BYTES, ms_http_bytes(http));
@@ -159,8 +160,10 @@
     long status = 0;
     char *url = g_strdup_printf("%s/hosts", platform->settings->platform_url);
     ms_http_prepare(http, url, NULL, REPLY_SLACK_MS, false);
+    ms_http_if_changed(http, platform->hosts_tag);
     json_t *answer = ms_http_run(http, &status);
     ms_counter_add(platform->counters, MS_COUNT_PLATFORM_BYTES, ms_http_bytes(http));
+    ms_http_tag(http, platform->hosts_tag, sizeof(platform->hosts_tag));
     const json_t *hosts = json_object_get(answer, "hosts");
     if (status == 200 && json_is_array(hosts)) {
         struct ms_message *message = ms_message_new(MS_MESSAGE_HOSTS);
@@ -279,7 +282,8 @@
         ms_counter_add(platform->counters, MS_COUNT_APPENDS_FAILED, 1);
         return false;
     }
-    ms_counter_add(platform->counters, MS_COUNT_APPEND_RECORDS, g_queue_get_length((GQueue *)batch));
+    ms_counter_add(platform->counters, MS_COUNT_APPEND_RECORDS,
+                   g_queue_get_length((GQueue *)batch));
     return true;
 }
 
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -9,7 +9,7 @@
  *          -> {"first": N, "records": ["base64", ...], "begin": B, "end": E}
  *     POST /log {"records": ["base64", ...]} -> {"first": N}
  *     GET  /hosts -> {"hosts": [{name, dc, region, address, role, rack, slots,
- *          accels, state}, ...]}
+ *          accels, state}, ...]}, with an ETag; 304 when If-None-Match has it
  */
 #ifndef MS_PLATFORM_H
 #define MS_PLATFORM_H
--- a/src/trace/trace.c
+++ b/src/trace/trace.c
@@ -15,9 +15,9 @@
 #include "mustardspread/mustardspread.h"
 
 static const char *const event_names[] = {
-    "tick",     "rule",    "server_up", "server_lost", "server_leaving", "task_seen",
-    "submit",   "cancel",  "ask",       "prepared",  "started",     "refused",        "ended",
-    "usage",    "token",   "pause",
+    "tick",   "rule",   "server_up", "server_lost", "server_leaving", "task_seen",
+    "submit", "cancel", "ask",       "prepared",    "started",        "refused",
+    "ended",  "usage",  "token",     "pause",
 };
 static const char *const rule_names[] = {"account", "guarantee", "limit", "datacentre"};
 static const char *const seen_names[] = {"prepared", "running", "ended"};
@@ -35,8 +35,7 @@
     bool failed;
 };
 
-static void G_GNUC_PRINTF(2, 3)
-fail(struct parser *parser, const char *format, ...)
+static void G_GNUC_PRINTF(2, 3) fail(struct parser *parser, const char *format, ...)
 {
     if (parser->failed) {
         return;
@@ -260,8 +259,8 @@
     case MS_EVENT_TOKEN:
         get_text(parser, "id", event->token.id, sizeof(event->token.id));
         event->token.attempt = get_u32(parser, "attempt", 1);
-        event->token.answer = (enum ms_token_answer)get_name(parser, "answer", token_names,
-                                                             COUNT(token_names), 0);
+        event->token.answer =
+            (enum ms_token_answer)get_name(parser, "answer", token_names, COUNT(token_names), 0);
         break;
     case MS_EVENT_PAUSE:
         event->pause = get_u32(parser, "on", 1) != 0;
@@ -273,8 +272,7 @@
 ms_trace_parse(const char *line, struct ms_event *event, int64_t *now, uint8_t *buffer, size_t size,
                char *text, size_t text_size)
 {
-    struct parser parser = {
-        .buffer = buffer, .size = size, .text = text, .text_size = text_size};
+    struct parser parser = {.buffer = buffer, .size = size, .text = text, .text_size = text_size};
     gint count = 0;
     memset(event, 0, sizeof(*event));
     if (!g_shell_parse_argv(line, &count, &parser.words, NULL)) {
@@ -328,8 +326,8 @@
     g_string_append_printf(line,
                            " kind=%s name=%s account=%s dc=%s share=%u tasks=%u accels=%u"
                            " running=%u queued=%u adjacent=%s out=%d removed=%d",
-                           rule_names[rule->kind], rule->name, rule->account, rule->dc,
-                           rule->share, rule->tasks, rule->accels, rule->running, rule->queued,
+                           rule_names[rule->kind], rule->name, rule->account, rule->dc, rule->share,
+                           rule->tasks, rule->accels, rule->running, rule->queued,
                            ms_adjacency_name(rule->adjacency), rule->out, rule->removed);
 }
 
--- a/src/wire/convert.c
+++ b/src/wire/convert.c
@@ -37,7 +37,8 @@
         message->job_class > MS_CLASS_BATCH) {
         return MS_E_INVALID;
     }
-    if (g_strlcpy(spec->account, message->account, sizeof(spec->account)) >= sizeof(spec->account) ||
+    if (g_strlcpy(spec->account, message->account, sizeof(spec->account)) >=
+            sizeof(spec->account) ||
         g_strlcpy(spec->key, message->key, sizeof(spec->key)) >= sizeof(spec->key)) {
         return MS_E_INVALID;
     }
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -12,8 +12,8 @@
 #include "mustardspread/mustardspread.h"
 #include "wire/inner.pb-c.h"
 
-#define MS_FRAME_HEADER 4                 /* bytes */
-#define MS_FRAME_MAX (MS_OUTPUT_MAX * 2)  /* bytes of a packed envelope */
+#define MS_FRAME_HEADER 4                /* bytes */
+#define MS_FRAME_MAX (MS_OUTPUT_MAX * 2) /* bytes of a packed envelope */
 
 /* Appends the frame of ENVELOPE to BYTES. */
 void ms_frame_append(GByteArray *bytes, const Ms__Wire__Envelope *envelope);
--- a/tests/naive/differential.c
+++ b/tests/naive/differential.c
@@ -38,8 +38,8 @@
 add_guarantee(struct world *world, const char *name, const char *account, const char *dc,
               uint32_t tasks, uint32_t accels)
 {
-    struct ms_rule rule = {.kind = MS_RULE_GUARANTEE, .tasks = tasks, .accels = accels,
-                           .adjacency = MS_ADJACENT_RACK};
+    struct ms_rule rule = {
+        .kind = MS_RULE_GUARANTEE, .tasks = tasks, .accels = accels, .adjacency = MS_ADJACENT_RACK};
     g_strlcpy(rule.name, name, sizeof(rule.name));
     g_strlcpy(rule.account, account, sizeof(rule.account));
     g_strlcpy(rule.dc, dc, sizeof(rule.dc));
@@ -142,9 +142,8 @@
     for (int i = 0; i < JOBS; i++) {
         struct ms_job_spec spec = random_spec(world, i);
         int64_t at = world_random(world, 2, FAULTS_UNTIL_MS - 10000);
-        struct world_job *job =
-            world_submit(world, at, (unsigned int)world_random(world, 0, 2), &spec,
-                         world_random(world, 5, 8000));
+        struct world_job *job = world_submit(world, at, (unsigned int)world_random(world, 0, 2),
+                                             &spec, world_random(world, 5, 8000));
         job->fails = world_random(world, 0, 20) == 0;
         if (world_random(world, 0, 8) == 0) {
             world_cancel(world, at + world_random(world, 1, 5000), job->id);
@@ -202,8 +201,7 @@
     struct ms_rule shapes[3];
 };
 
-static bool
-pack(struct puzzle *puzzle, int shape, uint32_t task, int first, int rack);
+static bool pack(struct puzzle *puzzle, int shape, uint32_t task, int first, int rack);
 
 /* Whether shapes from SHAPE on can be packed: tries every rack and server. */
 static bool
@@ -286,7 +284,8 @@
     GArray *servers = small_servers();
     bool accepted = ms_rules_check_guarantees(lines, servers, error, sizeof(error)) == MS_OK;
     if (accepted != possible) {
-        printf("failed test=guarantees seed=%u possible=%d accepted=%d\n", seed, possible, accepted);
+        printf("failed test=guarantees seed=%u possible=%d accepted=%d\n", seed, possible,
+               accepted);
     }
     g_array_unref(servers);
     g_array_unref(lines);
--- a/tests/naive/naive.c
+++ b/tests/naive/naive.c
@@ -88,8 +88,8 @@
 emit(struct naive *naive, enum ms_action_kind kind, const char *id)
 {
     g_array_set_size(naive->actions, naive->actions->len + 1);
-    struct ms_action *action = &g_array_index(naive->actions, struct ms_action,
-                                              naive->actions->len - 1);
+    struct ms_action *action =
+        &g_array_index(naive->actions, struct ms_action, naive->actions->len - 1);
     action->kind = kind;
     g_strlcpy(action->id, id, sizeof(action->id));
     return action;
@@ -592,8 +592,8 @@
     for (guint i = 0; i < naive->queue->len; i++) {
         const struct work *work = g_ptr_array_index(naive->queue, i);
         if (work->phase == WAITING &&
-            (largest == NULL || work->spec.tasks * work->spec.accels >
-                                    largest->spec.tasks * largest->spec.accels)) {
+            (largest == NULL ||
+             work->spec.tasks * work->spec.accels > largest->spec.tasks * largest->spec.accels)) {
             largest = work;
         }
     }
--- a/tests/naive/world.c
+++ b/tests/naive/world.c
@@ -29,7 +29,7 @@
     int64_t lease_until;
     int64_t started_at;
     int64_t resumed_from; /* progress of the job when it started */
-    uint64_t timer; /* number of the valid end event */
+    uint64_t timer;       /* number of the valid end event */
 };
 
 struct server {
@@ -63,8 +63,26 @@
 };
 
 enum kind {
-    SUBMIT = 0, CANCEL, RULE, TO_POLICY, TO_SERVER, TASK_END, LEASE, RENEW, CUT, UNCUT, LOST,
-    RESTART, FAILS, WORKS, OUTAGE, NO_OUTAGE, TAKEOVER, LEAVE, TICK, SAMPLE,
+    SUBMIT = 0,
+    CANCEL,
+    RULE,
+    TO_POLICY,
+    TO_SERVER,
+    TASK_END,
+    LEASE,
+    RENEW,
+    CUT,
+    UNCUT,
+    LOST,
+    RESTART,
+    FAILS,
+    WORKS,
+    OUTAGE,
+    NO_OUTAGE,
+    TAKEOVER,
+    LEAVE,
+    TICK,
+    SAMPLE,
 };
 
 struct event {
@@ -170,8 +188,7 @@
     g_free(event);
 }
 
-static void G_GNUC_PRINTF(2, 3)
-violated(struct world *world, const char *format, ...)
+static void G_GNUC_PRINTF(2, 3) violated(struct world *world, const char *format, ...)
 {
     if (world->violation[0] != '\0') {
         return;
@@ -184,8 +201,7 @@
 
 /* ---- set-up ---- */
 
-static void
-feed(struct world *world, unsigned int dc, const struct ms_event *message);
+static void feed(struct world *world, unsigned int dc, const struct ms_event *message);
 
 static struct ms_event *
 message_copy(const struct ms_event *message)
@@ -760,7 +776,8 @@
     }
     float took = (float)(g_get_monotonic_time() - before);
     g_array_append_val(world->step_us, took);
-    size_t count = dc->core != NULL ? ms_sched_action_count(dc->core) : naive_action_count(dc->naive);
+    size_t count =
+        dc->core != NULL ? ms_sched_action_count(dc->core) : naive_action_count(dc->naive);
     for (size_t i = 0; i < count; i++) {
         act(world, dc_number,
             dc->core != NULL ? ms_sched_action(dc->core, i) : naive_action(dc->naive, i));
--- a/tests/naive/world.h
+++ b/tests/naive/world.h
@@ -28,11 +28,11 @@
     unsigned int rack_servers;
     uint32_t slots;
     uint32_t accels;
-    double lose;      /* share of messages to and from servers that are lost */
-    double duplicate; /* share that arrives twice */
+    double lose;       /* share of messages to and from servers that are lost */
+    double duplicate;  /* share that arrives twice */
     int64_t delay_max; /* milliseconds; messages may overtake each other */
-    bool check;       /* run the invariant checker after every step */
-    FILE *trace;      /* events of data centre trace_dc, or NULL */
+    bool check;        /* run the invariant checker after every step */
+    FILE *trace;       /* events of data centre trace_dc, or NULL */
     unsigned int trace_dc;
 };
 
@@ -40,22 +40,22 @@
 struct world_job {
     char id[MS_ID_MAX];
     struct ms_job_spec spec;
-    int64_t run_ms; /* real run time */
-    bool fails;     /* fails wherever it runs */
-    bool claim;     /* fits an unused guarantee of its account */
+    int64_t run_ms;  /* real run time */
+    bool fails;      /* fails wherever it runs */
+    bool claim;      /* fits an unused guarantee of its account */
     unsigned int dc; /* where it is now */
-    uint32_t tried; /* bits of data centres that refused it */
+    uint32_t tried;  /* bits of data centres that refused it */
     int64_t submitted_at;
     int64_t started_at; /* first start of all members of an attempt, -1 */
     int64_t ended_at;   /* -1 */
     unsigned int outcomes;
-    unsigned int ended_dc;   /* holder that told the outcome */
+    unsigned int ended_dc; /* holder that told the outcome */
     unsigned int ended_life;
     enum ms_outcome_code code;
     enum ms_ran ran;
     uint32_t starts[MS_GANG_MAX]; /* of each member, over all attempts */
     int64_t progress[MS_GANG_MAX];
-    uint32_t running;  /* members that run now */
+    uint32_t running; /* members that run now */
     uint32_t running_attempt;
     int64_t partial_since; /* -1 while all or none run */
     bool broken;           /* some member of the attempt ended badly */
@@ -74,7 +74,8 @@
 void world_cancel(struct world *world, int64_t at, const char *id);
 void world_rule(struct world *world, int64_t at, const struct ms_rule *rule);
 /* A server is cut off from its holder at AT and heard again at UNTIL. */
-void world_cut(struct world *world, int64_t at, int64_t until, unsigned int dc, unsigned int server);
+void world_cut(struct world *world, int64_t at, int64_t until, unsigned int dc,
+               unsigned int server);
 /* A server loses everything at AT; it is back at once. */
 void world_restart(struct world *world, int64_t at, unsigned int dc, unsigned int server);
 void world_fail_tasks(struct world *world, int64_t at, int64_t until, unsigned int dc,
@@ -84,7 +85,8 @@
 void world_takeover(struct world *world, int64_t at, unsigned int dc);
 void world_leave(struct world *world, int64_t at, unsigned int dc, unsigned int server);
 /* Takes the data centre out, cuts its servers off after GRACE_MS, brings it back. */
-void world_dc_away(struct world *world, int64_t at, int64_t until, unsigned int dc, int64_t grace_ms);
+void world_dc_away(struct world *world, int64_t at, int64_t until, unsigned int dc,
+                   int64_t grace_ms);
 
 /* Runs until virtual time UNTIL, or until the first violation. */
 void world_run(struct world *world, int64_t until);
--- a/tests/standins/platform_log.py
+++ b/tests/standins/platform_log.py
@@ -77,7 +77,11 @@
     async def hosts(self, request):
         await self.faults.before(request)
         visible = [entry for at, entry in self.lists if at + self.lag_ms <= now_ms()]
-        return web.json_response({"hosts": visible[-1] if visible else self.lists[0][1]})
+        tag = f'"{len(visible)}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        return web.json_response({"hosts": visible[-1] if visible else self.lists[0][1]},
+                                 headers={"ETag": tag})
 
     async def set_hosts(self, request):
         hosts = (await request.json())["hosts"]
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -24,9 +24,9 @@
 {
     record->writer = "test";
     GByteArray *bytes = ms_record_pack(record);
-    ck_assert_int_eq(ms_logstate_apply(state, ms_logstate_next(state), bytes->data, bytes->len,
-                                       NULL, NULL),
-                     MS_OK);
+    ck_assert_int_eq(
+        ms_logstate_apply(state, ms_logstate_next(state), bytes->data, bytes->len, NULL, NULL),
+        MS_OK);
     g_byte_array_unref(bytes);
 }
 
@@ -68,8 +68,7 @@
     const struct ms_rule_entry *entry = ms_logstate_rule(state, "account a");
     ck_assert_uint_eq(entry->line.rule.share, 2);
     ck_assert_uint_eq(entry->version, 2);
-    const struct ms_history_entry *last =
-        g_queue_peek_tail((GQueue *)ms_logstate_history(state));
+    const struct ms_history_entry *last = g_queue_peek_tail((GQueue *)ms_logstate_history(state));
     ck_assert(!last->taken);
     ck_assert_ptr_nonnull(strstr(last->reason, "version 2"));
     ms_logstate_free(state);
@@ -189,8 +188,12 @@
 START_TEST(claims)
 {
     struct ms_claim_host other = {.name = "h2", .alive = true, .claims = true, .epoch = 7};
-    struct ms_claim_view view = {.self = "h1", .dc = "d", .hosts = &other, .host_count = 1,
-                                 .settled = true, .log_reachable = true};
+    struct ms_claim_view view = {.self = "h1",
+                                 .dc = "d",
+                                 .hosts = &other,
+                                 .host_count = 1,
+                                 .settled = true,
+                                 .log_reachable = true};
     ck_assert_int_eq(ms_claim_decide(&view), MS_CLAIM_STAY);
     other.alive = false;
     ck_assert_int_eq(ms_claim_decide(&view), MS_CLAIM_ASK);
@@ -296,9 +299,9 @@
     for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
         struct ms_event event;
         int64_t now = 0;
-        ck_assert_int_eq(ms_trace_parse(lines[i], &event, &now, buffer, sizeof(buffer), error,
-                                        sizeof(error)),
-                         MS_OK);
+        ck_assert_int_eq(
+            ms_trace_parse(lines[i], &event, &now, buffer, sizeof(buffer), error, sizeof(error)),
+            MS_OK);
         char *text = ms_trace_event(&event, now);
         ck_assert_str_eq(text, lines[i]);
         ms_trace_release(text);
