Let libcurl work by events on the backend links

Cause: curl_multi_perform() looks at every transfer for each event, and nearly all of them are renewals that wait, so the cost of the placing host grew with the square of its servers (slope over servers bent upward: 1.2, 2.0, 3.3, 8.0 % of a core at 25, 50, 100, 200; and over tasks, as each server in use adds an open connection).

Ruled out: steps of the core (0 in 5 s with 300 idle tasks), the cost of libcurl's connection cache with all servers on one address (servers have addresses of their own now; no change: 3.4 % before and after).

--- a/bench/policy.c
+++ b/bench/policy.c
@@ -263,6 +263,45 @@
     world_free(world);
 }
 
+/* Start delay of urgent jobs while other work fills the data centre. */
+static void
+measure_urgent(uint32_t seed)
+{
+    struct world_options options = {.seed = seed, .dcs = 1, .servers = 400, .rack_servers = 8,
+                                    .slots = 13, .accels = 2, .delay_max = 20};
+    struct world *world = world_new(&options);
+    GArray *delays = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    add_rules(world);
+    for (uint32_t i = 0; i < 5600; i++) {
+        struct ms_job_spec spec = {.idempotent = true, .checkpointable = i % 2 == 0, .tasks = 1,
+                                   .accels = i % 13 < 2 ? 1 : 0, .job_class = MS_CLASS_NORMAL};
+        g_strlcpy(spec.account, "archive", MS_NAME_MAX);
+        g_snprintf(spec.key, sizeof(spec.key), "f%u", i);
+        world_submit(world, 10 + i, 0, &spec, 4 * HOUR_MS);
+    }
+    for (int i = 0; i < 100; i++) {
+        struct ms_job_spec spec = {.idempotent = true, .tasks = 1 + (uint32_t)(i % 8), .accels = 1,
+                                   .adjacency = MS_ADJACENT_RACK, .job_class = MS_CLASS_URGENT};
+        g_strlcpy(spec.account, "recipes", MS_NAME_MAX);
+        g_snprintf(spec.key, sizeof(spec.key), "u%d", i);
+        world_submit(world, 30000 + (int64_t)i * 1000, 0, &spec, 5000);
+    }
+    world_run(world, 300000);
+    GPtrArray *jobs = world_jobs(world);
+    for (guint i = 0; i < jobs->len; i++) {
+        const struct world_job *job = g_ptr_array_index(jobs, i);
+        if (job->spec.job_class == MS_CLASS_URGENT) {
+            int64_t delay = (job->started_at >= 0 ? job->started_at : 300000) - job->submitted_at;
+            g_array_append_val(delays, delay);
+        }
+    }
+    printf("measure=urgent seed=%u servers=400 jobs=%u p50_ms=%" G_GINT64_FORMAT
+           " max_ms=%" G_GINT64_FORMAT " bound_ms=1500\n",
+           seed, delays->len, percentile(delays, 0.5), percentile(delays, 1.0));
+    g_array_free(delays, TRUE);
+    world_free(world);
+}
+
 /* Cost of a step with many servers and tasks, and of placing a gang of 128. */
 static void
 measure_cost(uint32_t seed, unsigned int servers)
@@ -316,6 +355,7 @@
         measure_absence(seed + i);
     }
     measure_reclaim(seed);
+    measure_urgent(seed);
     static const unsigned int sizes[] = {50, 100, 200, 400, 1600};
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
         measure_cost(seed, sizes[i]);
--- a/src/backend/private.h
+++ b/src/backend/private.h
@@ -73,6 +73,8 @@
     pthread_t thread;
     atomic_bool stopping;
     CURLM *multi;
+    int epoll_fd;
+    int64_t curl_timer_at; /* when libcurl wants to run, INT64_MAX: not at all */
     GHashTable *links;   /* name -> ms_link_state */
     GPtrArray *removed;  /* links to free */
     uint64_t generation; /* 0: nothing is claimed */
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -98,10 +98,13 @@
                 host = Host(f"{dc}-h{i + 1}", dc, region, self.ports)
                 self.hosts[host.name] = host
             for i in range(servers):
+                # An address of its own for each server, as in a real network.
+                ip = f"127.{10 + len(self.farms)}.{i // 250}.{i % 250 + 1}"
                 self.servers.append({
                     "name": f"{dc}-s{i + 1:03d}", "dc": dc, "region": region, "role": "server",
                     "rack": f"{dc}-r{i // RACK_SERVERS + 1}", "slots": 8, "accels": 8,
-                    "state": "live", "address": f"http://127.0.0.1:{self.farms[dc]}/s/{dc}-s{i + 1:03d}"})
+                    "state": "live", "ip": ip,
+                    "address": f"http://{ip}:{self.farms[dc]}/s/{dc}-s{i + 1:03d}"})
         regions = {dc: region for dc, region, _, _ in self.shape}
         home = self.shape[0][1]
         for dc, region in regions.items():
@@ -171,7 +174,7 @@
                            + self.platform_options)
         self.start_standin("links", ["link.py", str(self.link_port)] + self.relays)
         for dc, port in self.farms.items():
-            texts = [f"{s['name']}:{s['rack']}:{s['slots']}:{s['accels']}"
+            texts = [f"{s['name']}:{s['rack']}:{s['slots']}:{s['accels']}:{s['ip']}"
                      for s in self.servers if s["dc"] == dc]
             self.start_standin(f"servers-{dc}", ["backend.py", str(port), "--lease-ms",
                                                  str(LEASE_MS)] + texts)
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -1,9 +1,9 @@
 #!/usr/bin/python3
 """Stand-in for backend servers; one process serves many of them.
 
-usage: backend.py PORT [--lease-ms N] NAME:RACK:SLOTS:ACCELS ...
+usage: backend.py PORT [--lease-ms N] NAME:RACK:SLOTS:ACCELS:ADDRESS ...
 
-Each server answers below /s/NAME.  The interface is described in
+Each server has a loopback address of its own and answers below /s/NAME.  The interface is described in
 src/backend/backend.h.  A task's payload is a JSON text: run_ms, echo, size (of
 the answer), fail, uses (accelerators really used).  GET /record returns every
 start, end and stop with its time; POST /fault?server=NAME sets fault switches
@@ -62,7 +62,7 @@
 class Server:
     def __init__(self, farm, text):
         self.farm = farm
-        self.name, self.rack, slots, accels = text.split(":")
+        self.name, self.rack, slots, accels, self.address = text.split(":")
         self.slots, self.accels = int(slots), int(accels)
         self.faults = Faults()
         self.leaving = False
@@ -338,7 +338,8 @@
         app.on_startup.append(farm.sweep)
         return app
 
-    run(make_sync(make), options.port)
+    addresses = {text.rsplit(":", 1)[1] for text in options.servers}
+    run(make_sync(make), options.port, ["127.0.0.1", *sorted(addresses)])
 
 
 if __name__ == "__main__":
--- a/tests/standins/common.py
+++ b/tests/standins/common.py
@@ -72,13 +72,13 @@
         return await handler(request)
 
 
-def run(app, port):
-    """Serves APP on 127.0.0.1:PORT and says so on standard output."""
+def run(app, port, addresses=("127.0.0.1",)):
+    """Serves APP on PORT of loopback ADDRESSES and says so on standard output."""
     app.middlewares.append(Connections().middleware)
 
     async def announce(_):
         print(f"listening port={port}", flush=True)
 
     app.on_startup.append(announce)
-    web.run_app(app, host="127.0.0.1", port=port, print=None, access_log=None,
+    web.run_app(app, host=list(addresses), port=port, print=None, access_log=None,
                 shutdown_timeout=0.1, backlog=1024)
