Split the large files of the decision thread; say what stood in several places once

Change: change.c (rules that operators wait for), offer.c (offers to placing hosts), rehome.c (jobs that move), obs/clock.h, ms_message_send(); the placing host's span continues the caller's trace.

--- a/bench/policy.c
+++ b/bench/policy.c
@@ -267,21 +267,32 @@
 static void
 measure_urgent(uint32_t seed)
 {
-    struct world_options options = {.seed = seed, .dcs = 1, .servers = 400, .rack_servers = 8,
-                                    .slots = 13, .accels = 2, .delay_max = 20};
+    struct world_options options = {.seed = seed,
+                                    .dcs = 1,
+                                    .servers = 400,
+                                    .rack_servers = 8,
+                                    .slots = 13,
+                                    .accels = 2,
+                                    .delay_max = 20};
     struct world *world = world_new(&options);
     GArray *delays = g_array_new(FALSE, FALSE, sizeof(int64_t));
     add_rules(world);
     for (uint32_t i = 0; i < 5600; i++) {
-        struct ms_job_spec spec = {.idempotent = true, .checkpointable = i % 2 == 0, .tasks = 1,
-                                   .accels = i % 13 < 2 ? 1 : 0, .job_class = MS_CLASS_NORMAL};
+        struct ms_job_spec spec = {.idempotent = true,
+                                   .checkpointable = i % 2 == 0,
+                                   .tasks = 1,
+                                   .accels = i % 13 < 2 ? 1 : 0,
+                                   .job_class = MS_CLASS_NORMAL};
         g_strlcpy(spec.account, "archive", MS_NAME_MAX);
         g_snprintf(spec.key, sizeof(spec.key), "f%u", i);
         world_submit(world, 10 + i, 0, &spec, 4 * HOUR_MS);
     }
     for (int i = 0; i < 100; i++) {
-        struct ms_job_spec spec = {.idempotent = true, .tasks = 1 + (uint32_t)(i % 8), .accels = 1,
-                                   .adjacency = MS_ADJACENT_RACK, .job_class = MS_CLASS_URGENT};
+        struct ms_job_spec spec = {.idempotent = true,
+                                   .tasks = 1 + (uint32_t)(i % 8),
+                                   .accels = 1,
+                                   .adjacency = MS_ADJACENT_RACK,
+                                   .job_class = MS_CLASS_URGENT};
         g_strlcpy(spec.account, "recipes", MS_NAME_MAX);
         g_snprintf(spec.key, sizeof(spec.key), "u%d", i);
         world_submit(world, 30000 + (int64_t)i * 1000, 0, &spec, 5000);
--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "backend/private.h"
+#include "obs/clock.h"
 #include "obs/log.h"
 
 #define COMMAND_RING_SLOTS 16384
@@ -14,12 +15,6 @@
 #define EPOLL_EVENTS 256
 #define CONNECTIONS_MAX 4096L
 
-int64_t
-ms_backend_now(void)
-{
-    return g_get_monotonic_time() / 1000;
-}
-
 void
 ms_server_op_free(void *memory)
 {
@@ -53,13 +48,7 @@
     struct ms_message *message = ms_message_new(MS_MESSAGE_BACKEND);
     message->backend.generation = backend->generation;
     message->backend.events = events;
-    while (!ms_ring_push(backend->node_ring, message)) {
-        if (atomic_load(&backend->stopping)) {
-            ms_message_free(message);
-            return;
-        }
-        g_usleep(1000);
-    }
+    ms_message_send(backend->node_ring, &backend->stopping, message);
 }
 
 struct ms_owned_event *
@@ -227,7 +216,7 @@
 {
     GHashTableIter iterator;
     gpointer value = NULL;
-    int64_t now = ms_backend_now();
+    int64_t now = ms_clock_ms();
     g_hash_table_iter_init(&iterator, backend->links);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct ms_link_state *link = value;
@@ -267,8 +256,8 @@
         epoll_ctl(backend->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
         return 0;
     }
-    event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0u) |
-                   ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0u);
+    event.events =
+        ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0u) | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0u);
     int operation = known != NULL ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
     if (epoll_ctl(backend->epoll_fd, operation, fd, &event) != 0) {
         epoll_ctl(backend->epoll_fd, EPOLL_CTL_ADD, fd, &event);
@@ -283,7 +272,7 @@
 {
     struct ms_backend *backend = opaque;
     (void)multi;
-    backend->curl_timer_at = timeout_ms < 0 ? INT64_MAX : ms_backend_now() + timeout_ms;
+    backend->curl_timer_at = timeout_ms < 0 ? INT64_MAX : ms_clock_ms() + timeout_ms;
     return 0;
 }
 
@@ -291,7 +280,7 @@
 run_curl_timer(struct ms_backend *backend)
 {
     int running = 0;
-    if (backend->curl_timer_at <= ms_backend_now()) {
+    if (backend->curl_timer_at <= ms_clock_ms()) {
         backend->curl_timer_at = INT64_MAX;
         curl_multi_socket_action(backend->multi, CURL_SOCKET_TIMEOUT, 0, &running);
     }
@@ -303,7 +292,7 @@
 {
     struct epoll_event events[EPOLL_EVENTS];
     int64_t longest = backend->generation != 0 ? STEP_MAX_MS : IDLE_MAX_MS;
-    int64_t wait = MIN(longest, MAX(backend->curl_timer_at - ms_backend_now(), 0));
+    int64_t wait = MIN(longest, MAX(backend->curl_timer_at - ms_clock_ms(), 0));
     int running = 0;
     int count = epoll_wait(backend->epoll_fd, events, EPOLL_EVENTS, (int)wait);
     for (int i = 0; i < count; i++) {
--- a/src/backend/ops.c
+++ b/src/backend/ops.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "backend/private.h"
+#include "obs/clock.h"
 #include "obs/log.h"
 
 #define OPS_PER_CALL 64
@@ -203,7 +204,7 @@
         link->send_failures = 0;
         return;
     }
-    link->send_at = ms_backend_now() + OPS_RETRY_MS;
+    link->send_at = ms_clock_ms() + OPS_RETRY_MS;
     for (GList *node = link->sent->head; node != NULL; node = node->next) {
         ((struct ms_server_op *)node->data)->uncertain = true;
     }
--- a/src/backend/private.h
+++ b/src/backend/private.h
@@ -75,13 +75,12 @@
     CURLM *multi;
     int epoll_fd;
     int64_t curl_timer_at; /* when libcurl wants to run, INT64_MAX: not at all */
-    GHashTable *links;   /* name -> ms_link_state */
-    GPtrArray *removed;  /* links to free */
-    uint64_t generation; /* 0: nothing is claimed */
+    GHashTable *links;     /* name -> ms_link_state */
+    GPtrArray *removed;    /* links to free */
+    uint64_t generation;   /* 0: nothing is claimed */
     uint64_t epoch;
 };
 
-int64_t ms_backend_now(void);
 void ms_server_op_free(void *op);
 void ms_backend_tell(struct ms_backend *backend, GPtrArray *events);
 struct ms_owned_event *ms_backend_event(GPtrArray *events, enum ms_event_kind kind);
--- a/src/backend/sync.c
+++ b/src/backend/sync.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "backend/private.h"
+#include "obs/clock.h"
 #include "obs/log.h"
 
 #define SYNC_REPLY_SLACK_MS 400 /* beyond the wait that the sync asks for */
@@ -163,12 +164,12 @@
     uint64_t fence = (uint64_t)ms_json_int(answer, "fence", 0);
     bool granted = json_is_true(json_object_get(answer, "new")) || !link->held;
     link->as_of = ms_json_int(answer, "as_of", 0);
-    link->last_answer_at = ms_backend_now();
+    link->last_answer_at = ms_clock_ms();
     link->fence = fence;
     if (granted && !json_is_true(json_object_get(answer, "new"))) {
         /* Held on the server's side, but given up here: ask for a full report. */
         link->fence = 0;
-        link->sync_at = ms_backend_now();
+        link->sync_at = ms_clock_ms();
         g_ptr_array_unref(events);
         return;
     }
@@ -211,14 +212,14 @@
     }
     else if (status == 409) {
         link->sync_failed = false;
-        link->sync_at = ms_backend_now() + HELD_RETRY_MS;
+        link->sync_at = ms_clock_ms() + HELD_RETRY_MS;
         link->fence = 0;
         ms_backend_lost(backend, link);
     }
     else {
         ms_counter_add(backend->counters, MS_COUNT_SYNCS_FAILED, 1);
         link->sync_failed = true;
-        link->sync_at = ms_backend_now() + SYNC_RETRY_MS;
+        link->sync_at = ms_clock_ms() + SYNC_RETRY_MS;
     }
     json_decref(answer);
 }
--- /dev/null
+++ b/src/node/change.c
@@ -0,0 +1,401 @@
+/*
+ * change.c - changes of rules that operators wait for.
+ *
+ * A text of rules is checked as a whole, then appended one rule a record, and
+ * followed until every record was seen in the log and the other hosts have
+ * applied it.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "node/private.h"
+#include "obs/log.h"
+
+#define CHANGE_GIVE_UP_MS 5000  /* for a change to be seen in the log */
+#define CONFIRM_GIVE_UP_MS 3000 /* for the other hosts to confirm it */
+#define RULE_GIVE_UP_MS 4000    /* for an append to be tried again */
+#define ERROR_MAX 512
+
+/* Sizes of all listed servers, for the check of guarantees. */
+static GArray *
+server_sizes(const struct ms_node *node)
+{
+    GArray *sizes = g_array_new(FALSE, TRUE, sizeof(struct ms_server_size));
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, node->servers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_listed *listed = value;
+        struct ms_server_size size = {.server = {.slots = listed->slots, .accels = listed->accels}};
+        g_strlcpy(size.dc, listed->dc, sizeof(size.dc));
+        g_strlcpy(size.server.name, listed->name, sizeof(size.server.name));
+        g_strlcpy(size.server.rack, listed->rack, sizeof(size.server.rack));
+        g_array_append_val(sizes, size);
+    }
+    return sizes;
+}
+
+static bool
+has_key(const GArray *lines, const char *key)
+{
+    for (guint i = 0; i < lines->len; i++) {
+        if (strcmp(g_array_index(lines, struct ms_rule_line, i).key, key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The rules as they would be: the text's, and those kept beside them. */
+static GArray *
+rules_after(const struct ms_node *node, const GArray *lines, bool replace_all)
+{
+    GArray *after = g_array_new(FALSE, FALSE, sizeof(struct ms_rule_line));
+    GPtrArray *present = ms_logstate_rules(node->log);
+    for (guint i = 0; i < present->len && !replace_all; i++) {
+        const struct ms_rule_entry *entry = g_ptr_array_index(present, i);
+        if (!has_key(lines, entry->key)) {
+            g_array_append_val(after, entry->line);
+        }
+    }
+    for (guint i = 0; i < lines->len; i++) {
+        g_array_append_val(after, g_array_index(lines, struct ms_rule_line, i));
+    }
+    g_ptr_array_free(present, TRUE);
+    return after;
+}
+
+/* Checks that a guarantee or limit names an account, and a known data centre. */
+static enum ms_result
+check_references(const struct ms_node *node, const GArray *after, char *error, size_t size)
+{
+    for (guint i = 0; i < after->len; i++) {
+        const struct ms_rule_line *line = &g_array_index(after, struct ms_rule_line, i);
+        const char *account = line->rule.kind == MS_RULE_GUARANTEE ? line->rule.account
+                              : line->rule.kind == MS_RULE_LIMIT   ? line->rule.name
+                                                                   : NULL;
+        const char *dc = line->rule.kind == MS_RULE_GUARANTEE ? line->rule.dc
+                         : line->rule.kind == MS_RULE_DC      ? line->rule.name
+                                                              : NULL;
+        char key[MS_RULE_KEY_MAX];
+        snprintf(key, sizeof(key), "account %s", account != NULL ? account : "");
+        if (account != NULL && !has_key(after, key)) {
+            snprintf(error, size, "line %u: %s: no rule creates the client account %s",
+                     line->number, line->key, account);
+            return MS_E_INVALID;
+        }
+        if (dc != NULL && !g_hash_table_contains(node->regions, dc)) {
+            snprintf(error, size, "line %u: %s: no data centre is called %s", line->number,
+                     line->key, dc);
+            return MS_E_INVALID;
+        }
+    }
+    return MS_OK;
+}
+
+static enum ms_result
+check_rules(const struct ms_node *node, const GArray *lines, bool replace_all, char *error,
+            size_t size)
+{
+    GArray *after = rules_after(node, lines, replace_all);
+    GArray *sizes = server_sizes(node);
+    enum ms_result result = check_references(node, after, error, size);
+    bool has_guarantee = false;
+    for (guint i = 0; i < lines->len; i++) {
+        has_guarantee |=
+            g_array_index(lines, struct ms_rule_line, i).rule.kind == MS_RULE_GUARANTEE;
+    }
+    if (result == MS_OK && has_guarantee) {
+        if (sizes->len == 0) {
+            snprintf(error, size, "the backend servers are not known yet; try again later");
+            result = MS_E_IO;
+        }
+        else {
+            result = ms_rules_check_guarantees(after, sizes, error, size);
+        }
+    }
+    g_array_unref(sizes);
+    g_array_unref(after);
+    return result;
+}
+
+static void
+append_change(struct ms_node *node, struct ms_change *change, const char *key, const char *text,
+              const char *requester)
+{
+    Ms__Wire__LogRecord record;
+    Ms__Wire__RuleChange rule;
+    char writer[MS_NAME_MAX];
+    const struct ms_rule_entry *entry = ms_logstate_rule(node->log, key);
+    ms__wire__log_record__init(&record);
+    ms__wire__rule_change__init(&rule);
+    rule.key = (char *)key;
+    rule.line = (char *)text;
+    rule.requester = (char *)requester;
+    rule.replaces = entry != NULL ? entry->version : 0;
+    rule.guarantees_version = ms_logstate_guarantees_version(node->log);
+    record.body_case = MS__WIRE__LOG_RECORD__BODY_RULE;
+    record.rule = &rule;
+    if (ms_records_append(node, &record, writer, RULE_GIVE_UP_MS)) {
+        g_ptr_array_add(change->writers, g_strdup(writer));
+        change->outstanding++;
+    }
+    else {
+        g_ptr_array_add(change->lost,
+                        g_strdup_printf("%s: too many records wait for the log", key));
+    }
+}
+
+/*
+ * Guarantees are appended one by one: each names the version of all
+ * guarantees that it was checked against, which the one before it changes.
+ */
+static bool
+next_change(struct ms_node *node, struct ms_change *change, const GArray *lines, bool guarantees)
+{
+    bool any = false;
+    for (guint i = 0; i < lines->len; i++) {
+        const struct ms_rule_line *line = &g_array_index(lines, struct ms_rule_line, i);
+        const struct ms_rule_entry *entry = ms_logstate_rule(node->log, line->key);
+        bool same = entry != NULL && !entry->removed && strcmp(entry->line.text, line->text) == 0;
+        if (same || (line->rule.kind == MS_RULE_GUARANTEE) != guarantees) {
+            continue;
+        }
+        append_change(node, change, line->key, line->text, line->requester);
+        any = true;
+        if (guarantees) {
+            return true;
+        }
+    }
+    return any;
+}
+
+static bool
+remove_missing(struct ms_node *node, struct ms_change *change, const GArray *lines, bool guarantees)
+{
+    GPtrArray *present = ms_logstate_rules(node->log);
+    bool any = false;
+    for (guint i = 0; i < present->len; i++) {
+        const struct ms_rule_entry *entry = g_ptr_array_index(present, i);
+        bool is_guarantee = entry->line.rule.kind == MS_RULE_GUARANTEE;
+        if (has_key(lines, entry->key) || is_guarantee != guarantees) {
+            continue;
+        }
+        append_change(node, change, entry->key, "", "removed: not in the applied file");
+        any = true;
+        if (guarantees) {
+            break;
+        }
+    }
+    g_ptr_array_free(present, TRUE);
+    return any;
+}
+
+/* Appends what still differs from the text; false when nothing does. */
+static bool
+append_more(struct ms_node *node, struct ms_change *change)
+{
+    char error[ERROR_MAX];
+    GArray *lines = ms_rules_parse(change->call->text, error, sizeof(error));
+    if (lines == NULL) {
+        return false;
+    }
+    bool replace = change->call->replace_all;
+    /* Removed guarantees first, so that new ones find room; accounts before them. */
+    bool any = replace && remove_missing(node, change, lines, true);
+    any = any || next_change(node, change, lines, false);
+    any = any || next_change(node, change, lines, true);
+    any = any || (replace && remove_missing(node, change, lines, false));
+    g_array_unref(lines);
+    return any;
+}
+
+static void
+change_free(struct ms_change *change)
+{
+    g_ptr_array_free(change->writers, TRUE);
+    g_ptr_array_free(change->lost, TRUE);
+    g_free(change);
+}
+
+/* Names of the hosts that have, or have not, applied VERSION. */
+static json_t *
+confirmations(const struct ms_node *node, uint64_t version, bool confirmed)
+{
+    json_t *names = json_array();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (confirmed) {
+        json_array_append_new(names, json_string(node->settings->name));
+    }
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_host *host = value;
+        bool has = ms_host_alive(node, host) && host->applied >= version;
+        if (has == confirmed) {
+            json_array_append_new(names, json_string(host->name));
+        }
+    }
+    return names;
+}
+
+static json_t *
+text_array(const GPtrArray *texts)
+{
+    json_t *array = json_array();
+    for (guint i = 0; i < texts->len; i++) {
+        json_array_append_new(array, json_string(g_ptr_array_index(texts, i)));
+    }
+    return array;
+}
+
+static void
+finish_change(struct ms_node *node, struct ms_change *change, unsigned int status,
+              const char *state)
+{
+    json_t *root = json_object();
+    json_object_set_new(root, "state", json_string(state));
+    json_object_set_new(root, "version", json_integer((json_int_t)change->version));
+    json_object_set_new(root, "lost", text_array(change->lost));
+    json_object_set_new(root, "confirmed", confirmations(node, change->version, true));
+    json_object_set_new(root, "unconfirmed", confirmations(node, change->version, false));
+    ms_node_answer(node, change->call, status, ms_take_json(root));
+    change_free(change);
+}
+
+/* Whether every host that is heard has applied the change. */
+static bool
+all_confirmed(const struct ms_node *node, uint64_t version)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, node->hosts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_host *host = value;
+        if (host->applied < version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Moves CHANGE on; true when it is finished and freed. */
+static bool
+look_at_change(struct ms_node *node, struct ms_change *change)
+{
+    bool late = node->now >= change->give_up_at;
+    if (change->outstanding > 0) {
+        if (!late) {
+            return false;
+        }
+        finish_change(node, change, 504, "unknown: the log did not confirm in time");
+        return true;
+    }
+    if (change->lost->len == 0 && append_more(node, change)) {
+        change->give_up_at = node->now + CHANGE_GIVE_UP_MS;
+        return false;
+    }
+    if (change->lost->len > 0) {
+        finish_change(node, change, 409, "another change came first");
+        return true;
+    }
+    if (all_confirmed(node, change->version)) {
+        finish_change(node, change, 200, "in force on every host");
+        return true;
+    }
+    if (late) {
+        finish_change(node, change, 200, "in force, but not confirmed by every host");
+        return true;
+    }
+    return false;
+}
+
+/* Moves every change on. */
+void
+ms_change_tick(struct ms_node *node)
+{
+    GList *link = node->changes->head;
+    while (link != NULL) {
+        GList *next = link->next;
+        if (look_at_change(node, link->data)) {
+            g_queue_delete_link(node->changes, link);
+        }
+        link = next;
+    }
+}
+
+/* Begins the change of rules that CALL asks for. */
+void
+ms_change_begin(struct ms_node *node, struct ms_call *call)
+{
+    char error[ERROR_MAX];
+    GArray *lines = ms_rules_parse(call->text, error, sizeof(error));
+    enum ms_result result = MS_E_INVALID;
+    if (lines != NULL) {
+        result = check_rules(node, lines, call->replace_all, error, sizeof(error));
+        g_array_unref(lines);
+    }
+    if (result != MS_OK) {
+        ms_node_answer(node, call, result == MS_E_IO ? 503 : 400, ms_error_json(error));
+        return;
+    }
+    if (call->check_only) {
+        json_t *root = json_object();
+        json_object_set_new(root, "state", json_string("the rules are well-formed and can be met"));
+        ms_node_answer(node, call, 200, ms_take_json(root));
+        return;
+    }
+    if (!node->log_reachable) {
+        ms_node_answer(node, call, 503,
+                       ms_error_json("the log cannot be reached; nothing was applied"));
+        return;
+    }
+    struct ms_change *change = g_new0(struct ms_change, 1);
+    change->call = call;
+    change->writers = g_ptr_array_new_with_free_func(g_free);
+    change->lost = g_ptr_array_new_with_free_func(g_free);
+    change->give_up_at = node->now + CHANGE_GIVE_UP_MS;
+    g_queue_push_tail(node->changes, change);
+    ms_change_tick(node);
+}
+
+static bool
+wrote(const struct ms_change *change, const char *writer)
+{
+    for (guint i = 0; i < change->writers->len; i++) {
+        if (strcmp(g_ptr_array_index(change->writers, i), writer) == 0) {
+            g_ptr_array_remove_index(change->writers, i);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A rule change was seen in the log: tells the operator who waits for it. */
+void
+ms_change_rule_seen(struct ms_node *node, const struct ms_applied *applied)
+{
+    for (GList *link = node->changes->head; link != NULL; link = link->next) {
+        struct ms_change *change = link->data;
+        if (!wrote(change, applied->record->writer)) {
+            continue;
+        }
+        change->outstanding--;
+        change->give_up_at = node->now + CONFIRM_GIVE_UP_MS;
+        if (applied->kind == MS_APPLIED_RULE) {
+            change->version = applied->version;
+            continue;
+        }
+        const struct ms_history_entry *entry =
+            g_queue_peek_tail((GQueue *)ms_logstate_history(node->log));
+        g_ptr_array_add(change->lost, g_strdup_printf("%s: %s", entry->key, entry->reason));
+    }
+}
+
+void
+ms_change_free_all(struct ms_node *node)
+{
+    g_queue_free_full(node->changes, (GDestroyNotify)change_free);
+}
--- a/src/node/hold.c
+++ b/src/node/hold.c
@@ -132,34 +132,6 @@
     ms_records_append(node, &record, NULL, DONE_GIVE_UP_MS);
 }
 
-/* Moves an accepted job that did not run here to another data centre. */
-static bool
-move_accepted(struct ms_node *node, const char *id, const struct ms_job_spec *spec)
-{
-    const struct ms_accept_entry *entry = ms_logstate_accept(node->log, id);
-    struct ms_pending probe = {.has_spec = true, .spec = *spec};
-    g_strlcpy(probe.id, id, sizeof(probe.id));
-    g_strlcpy(probe.tried[0], node->settings->dc, MS_NAME_MAX);
-    probe.tried_count = 1;
-    const char *target = ms_route_choose(node, &probe);
-    if (entry == NULL || target == NULL || !ms_route_could_fit(node, target, spec)) {
-        return false;
-    }
-    Ms__Wire__LogRecord record;
-    Ms__Wire__Accept accept;
-    Ms__Wire__Spec message;
-    ms__wire__log_record__init(&record);
-    ms__wire__accept__init(&accept);
-    ms_spec_to_wire(&entry->spec, node->now, &message);
-    accept.spec = &message;
-    accept.dc = (char *)target;
-    accept.replaces = entry->version;
-    record.body_case = MS__WIRE__LOG_RECORD__BODY_ACCEPT;
-    record.accept = &accept;
-    ms_log(MS_LOG_NOTICE, "event=job_moved job=%s from=%s to=%s", id, node->settings->dc, target);
-    return ms_records_append(node, &record, NULL, DONE_GIVE_UP_MS);
-}
-
 /* Tells the hosts whose callers wait for the job. */
 static void
 tell_followers(struct ms_node *node, const Ms__Wire__Outcome *outcome)
@@ -189,7 +161,8 @@
     struct ms_span span;
     char note[MS_DETAIL_MAX];
     outcome_to_wire(node, action, &message);
-    ms_span_begin(&span, action->id, "place", NULL);
+    ms_span_begin(&span, action->id, "place", g_hash_table_lookup(node->hold.traces, action->id));
+    g_hash_table_remove(node->hold.traces, action->id);
     span.start_ms -= outcome->queued_ms + outcome->ran_ms;
     snprintf(note, sizeof(note),
              "%s in %s on %s: waited %" G_GINT64_FORMAT " ms, ran %" G_GINT64_FORMAT " ms",
@@ -200,7 +173,7 @@
     bool has_token = ms_logstate_token(node->log, action->id) != NULL;
     bool elsewhere = outcome->code == MS_OUTCOME_DUPLICATE;
     if (accepted && outcome->ran == MS_RAN_NO && outcome->code != MS_OUTCOME_CANCELLED &&
-        move_accepted(node, action->id, outcome->spec)) {
+        ms_rehome_move(node, action->id, outcome->detail)) {
         g_hash_table_remove(node->hold.followers, action->id);
         return;
     }
@@ -260,6 +233,7 @@
     hold->sched = ms_sched_new(node->settings->dc, &node->settings->limits, NULL);
     hold->followers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    hold->traces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     hold->held = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     ms_counter_add(node->counters, MS_COUNT_TAKEOVERS, 1);
     ms_log(MS_LOG_NOTICE, "event=claim dc=%s epoch=%" G_GUINT64_FORMAT, node->settings->dc, epoch);
@@ -303,6 +277,7 @@
     ms_sched_free(hold->sched);
     hold->sched = NULL;
     g_hash_table_destroy(hold->followers);
+    g_hash_table_destroy(hold->traces);
     g_hash_table_destroy(hold->held);
     g_hash_table_remove_all(node->token_writers);
     ms_members_send_heartbeats(node);
@@ -362,13 +337,15 @@
 {
     struct ms_event event = {.kind = MS_EVENT_SUBMIT};
     char id[MS_ID_MAX];
-    (void)trace_parent;
     snprintf(id, sizeof(id), "%s/%s", spec->account, spec->key);
     if (!node->hold.active) {
         return; /* the sender tries again elsewhere when it learns of it */
     }
     bool own = strcmp(follower, node->settings->name) == 0;
     follow(node, id, follower);
+    if (trace_parent[0] != '\0') {
+        g_hash_table_replace(node->hold.traces, g_strdup(id), g_strdup(trace_parent));
+    }
     if (own) {
         ms_jobs_received(node, follower, id);
     }
--- a/src/node/jobs.c
+++ b/src/node/jobs.c
@@ -13,15 +13,10 @@
 #include "obs/log.h"
 #include "wire/convert.h"
 
-#define RESEND_MS 1000      /* before an unconfirmed job is sent again */
-#define RESENDS_PER_S 200.0 /* budget for jobs sent again, this host */
-#define RESEND_BURST 400.0
-#define UNROUTABLE_MS 8000 /* without a placing host before a refusal */
 #define ACCEPT_GIVE_UP_MS 5000
 #define IDLE_PENDING_MS 600000 /* without callers before it is forgotten */
 #define RETRY_AFTER_MS 1000
 #define QUEUE_RETRY_AFTER_MS 5000
-#define REHOME_LOOK_MS 1000
 
 unsigned int
 ms_outcome_status(const struct ms_call_outcome *outcome)
@@ -122,8 +117,9 @@
 }
 
 /* Answers every caller and forgets the job. */
-static void
-finish(struct ms_node *node, struct ms_pending *pending, const struct ms_call_outcome *outcome)
+void
+ms_jobs_finish(struct ms_node *node, struct ms_pending *pending,
+               const struct ms_call_outcome *outcome)
 {
     char note[MS_DETAIL_MAX];
     for (guint i = 0; i < pending->calls->len; i++) {
@@ -142,8 +138,8 @@
  * A refusal says "not run" only when that is certain: an earlier host that had
  * the job may have started it.
  */
-static void
-make_true(const struct ms_pending *pending, struct ms_call_outcome *outcome)
+void
+ms_jobs_make_true(const struct ms_pending *pending, struct ms_call_outcome *outcome)
 {
     if (outcome->ran != MS_RAN_NO || !pending->uncertain) {
         return;
@@ -155,120 +151,14 @@
               sizeof(outcome->detail));
 }
 
-static void
-refuse(struct ms_node *node, struct ms_pending *pending, enum ms_outcome_code code,
-       const char *detail)
+void
+ms_jobs_refuse(struct ms_node *node, struct ms_pending *pending, enum ms_outcome_code code,
+               const char *detail)
 {
     struct ms_call_outcome outcome;
     outcome_set(&outcome, code, MS_RAN_NO, detail);
-    make_true(pending, &outcome);
-    finish(node, pending, &outcome);
-}
-
-static bool
-take_resend_budget(struct ms_node *node)
-{
-    double elapsed = (double)(node->now - node->resend_refilled_at) / 1000.0;
-    node->resend_refilled_at = node->now;
-    node->resend_budget = MIN(node->resend_budget + elapsed * RESENDS_PER_S, RESEND_BURST);
-    if (node->resend_budget < 1) {
-        return false;
-    }
-    node->resend_budget -= 1;
-    return true;
-}
-
-/* Sends the job to the placing host HOST of data centre DC. */
-static void
-send_to(struct ms_node *node, struct ms_pending *pending, const char *dc, const char *host)
-{
-    Ms__Wire__Envelope envelope;
-    Ms__Wire__Submit submit;
-    Ms__Wire__Spec spec;
-    char header[MS_TRACE_PARENT_MAX];
-    g_strlcpy(pending->dc, dc, sizeof(pending->dc));
-    g_strlcpy(pending->host, host, sizeof(pending->host));
-    pending->received = false;
-    pending->sent_at = node->now;
-    pending->sends++;
-    ms_counter_add(node->counters, pending->sends == 1 ? MS_COUNT_FORWARDED : MS_COUNT_RESENT, 1);
-    ms_span_header(&pending->span, header, sizeof(header));
-    if (strcmp(host, node->settings->name) == 0) {
-        ms_hold_submit(node, &pending->spec, host, pending->uncertain, header);
-        return;
-    }
-    ms__wire__envelope__init(&envelope);
-    ms__wire__submit__init(&submit);
-    ms_spec_to_wire(&pending->spec, node->now, &spec);
-    submit.spec = &spec;
-    submit.trace_parent = header;
-    submit.may_have_run = pending->uncertain;
-    envelope.body_case = MS__WIRE__ENVELOPE__BODY_SUBMIT;
-    envelope.submit = &submit;
-    ms_peers_send(node->peers, host, &envelope);
-}
-
-/* The data centre that alone may run the job, or NULL when any may. */
-static const char *
-bound_dc(const struct ms_node *node, const struct ms_pending *pending)
-{
-    const Ms__Wire__Token *token = ms_logstate_token(node->log, pending->id);
-    if (token != NULL) {
-        return token->dc;
-    }
-    const struct ms_accept_entry *accept = ms_logstate_accept(node->log, pending->id);
-    return accept != NULL ? accept->dc : NULL;
-}
-
-static bool
-deadline_passed(const struct ms_node *node, const struct ms_pending *pending)
-{
-    return pending->spec.deadline_ms > 0 && pending->spec.deadline_ms <= node->now;
-}
-
-/* No placing host can be reached: wait a while, then refuse. */
-static void
-cannot_route(struct ms_node *node, struct ms_pending *pending)
-{
-    if (pending->unroutable_since == 0) {
-        pending->unroutable_since = node->now;
-    }
-    bool late = node->now - pending->unroutable_since >= UNROUTABLE_MS;
-    if (pending->accepted || (!late && !deadline_passed(node, pending))) {
-        return;
-    }
-    if (pending->tried_count > 0) {
-        struct ms_call_outcome outcome = pending->last_refusal;
-        make_true(pending, &outcome);
-        finish(node, pending, &outcome);
-        return;
-    }
-    refuse(node, pending, MS_OUTCOME_UNAVAILABLE, "no host that places work can be reached");
-}
-
-/* Offers the job to the best data centre, or to the one that it is bound to. */
-static void
-offer(struct ms_node *node, struct ms_pending *pending)
-{
-    const char *bound = bound_dc(node, pending);
-    const char *dc = bound != NULL ? bound : ms_route_choose(node, pending);
-    if (dc == NULL && pending->tried_count > 0) {
-        /* Every data centre that can be reached has refused it. */
-        struct ms_call_outcome outcome = pending->last_refusal;
-        make_true(pending, &outcome);
-        finish(node, pending, &outcome);
-        return;
-    }
-    const char *host = dc != NULL ? ms_members_holder(node, dc) : NULL;
-    if (host == NULL) {
-        cannot_route(node, pending);
-        return;
-    }
-    pending->unroutable_since = 0;
-    if (pending->sends > 0 && !take_resend_budget(node)) {
-        return; /* a later tick offers it */
-    }
-    send_to(node, pending, dc, host);
+    ms_jobs_make_true(pending, &outcome);
+    ms_jobs_finish(node, pending, &outcome);
 }
 
 /* Answers a call from what the log says already; true when it did. */
@@ -341,7 +231,7 @@
     record.body_case = MS__WIRE__LOG_RECORD__BODY_ACCEPT;
     record.accept = &accept;
     if (!ms_records_append(node, &record, pending->accept_writer, ACCEPT_GIVE_UP_MS)) {
-        refuse(node, pending, MS_OUTCOME_UNAVAILABLE, "too many records wait for the log");
+        ms_jobs_refuse(node, pending, MS_OUTCOME_UNAVAILABLE, "too many records wait for the log");
         return;
     }
     pending->accepting = true;
@@ -390,7 +280,7 @@
         accept_job(node, pending);
         return;
     }
-    offer(node, pending);
+    ms_offer(node, pending);
 }
 
 /* The acceptance of a job was seen in the log, in first place or not. */
@@ -554,8 +444,8 @@
         try_elsewhere(node, pending, &outcome, message->dc);
     }
     else {
-        make_true(pending, &outcome);
-        finish(node, pending, &outcome);
+        ms_jobs_make_true(pending, &outcome);
+        ms_jobs_finish(node, pending, &outcome);
     }
     if (outcome.output != NULL) {
         g_bytes_unref(outcome.output);
@@ -573,7 +463,7 @@
         return; /* its waiting hosts are told directly, see ms_jobs_outcome() */
     }
     outcome_from_wire(message, &outcome);
-    finish(node, pending, &outcome);
+    ms_jobs_finish(node, pending, &outcome);
     if (outcome.output != NULL) {
         g_bytes_unref(outcome.output);
     }
@@ -608,25 +498,6 @@
     node->routes_due = true;
 }
 
-/* Whether PENDING has to be offered (again) now. */
-static bool
-offer_due(const struct ms_node *node, const struct ms_pending *pending)
-{
-    if (!pending->has_spec || pending->accepting) {
-        return false;
-    }
-    if (pending->host[0] == '\0') {
-        bool waits_for_log = pending->sent_at > 0 && pending->sends > 0 &&
-                             ms_logstate_token(node->log, pending->id) != NULL;
-        return !waits_for_log || node->now - pending->sent_at >= RESEND_MS;
-    }
-    const char *holder = ms_members_holder(node, pending->dc);
-    if (holder != NULL && strcmp(holder, pending->host) != 0) {
-        return true;
-    }
-    return !pending->received && node->now - pending->sent_at >= RESEND_MS;
-}
-
 /* Answers calls that have waited as long as they asked to. */
 static void
 answer_late_calls(struct ms_node *node, struct ms_pending *pending)
@@ -675,11 +546,11 @@
         struct ms_call_outcome outcome;
         outcome_set(&outcome, MS_OUTCOME_LOST_CONTACT, MS_RAN_UNKNOWN,
                     "the log did not confirm the acceptance in time");
-        finish(node, pending, &outcome);
+        ms_jobs_finish(node, pending, &outcome);
         return;
     }
-    if (offer_due(node, pending)) {
-        offer(node, pending);
+    if (ms_offer_due(node, pending)) {
+        ms_offer(node, pending);
     }
 }
 
@@ -691,77 +562,13 @@
     GPtrArray *ids = pending_ids(node);
     for (guint i = 0; i < ids->len; i++) {
         struct ms_pending *pending = g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
-        if (pending != NULL && offer_due(node, pending)) {
-            offer(node, pending);
+        if (pending != NULL && ms_offer_due(node, pending)) {
+            ms_offer(node, pending);
         }
     }
     g_ptr_array_unref(ids);
 }
 
-static void
-note_heard(struct ms_node *node)
-{
-    GHashTableIter iterator;
-    gpointer key = NULL;
-    g_hash_table_iter_init(&iterator, node->regions);
-    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
-        bool known = g_hash_table_contains(node->dc_heard, key);
-        if (!known || ms_members_dc_heard(node, key)) {
-            g_hash_table_replace(node->dc_heard, g_strdup(key),
-                                 g_memdup2(&node->now, sizeof(node->now)));
-        }
-    }
-}
-
-/* Moves one accepted job away from a data centre that is silent for long. */
-static void
-rehome(struct ms_node *node, const char *id)
-{
-    const struct ms_accept_entry *entry = ms_logstate_accept(node->log, id);
-    const int64_t *heard = g_hash_table_lookup(node->dc_heard, entry->dc);
-    if (heard == NULL || node->now - *heard < node->settings->rehome_ms ||
-        ms_logstate_token(node->log, id) != NULL || !ms_members_first_alive(node, id)) {
-        return;
-    }
-    struct ms_pending probe = {.has_spec = true, .spec = entry->spec, .tried_count = 1};
-    g_strlcpy(probe.tried[0], entry->dc, MS_NAME_MAX);
-    const char *target = ms_route_choose(node, &probe);
-    if (target == NULL || !ms_route_could_fit(node, target, &entry->spec)) {
-        return;
-    }
-    Ms__Wire__LogRecord record;
-    Ms__Wire__Accept accept;
-    Ms__Wire__Spec spec;
-    ms__wire__log_record__init(&record);
-    ms__wire__accept__init(&accept);
-    ms_spec_to_wire(&entry->spec, node->now, &spec);
-    accept.spec = &spec;
-    accept.dc = (char *)target;
-    accept.replaces = entry->version;
-    record.body_case = MS__WIRE__LOG_RECORD__BODY_ACCEPT;
-    record.accept = &accept;
-    ms_log(MS_LOG_NOTICE, "event=job_rehomed job=%s from=%s to=%s", id, entry->dc, target);
-    ms_records_append(node, &record, NULL, ACCEPT_GIVE_UP_MS);
-}
-
-static void
-consider_rehoming(struct ms_node *node)
-{
-    if (node->now < node->rehome_at) {
-        return;
-    }
-    node->rehome_at = node->now + REHOME_LOOK_MS;
-    note_heard(node);
-    if (!node->log_reachable) {
-        return;
-    }
-    GPtrArray *ids = ms_logstate_accepted_ids(node->log);
-    for (guint i = 0; i < ids->len; i++) {
-        rehome(node, g_ptr_array_index(ids, i));
-    }
-    g_ptr_array_free(ids, TRUE);
-}
-
 void
 ms_jobs_tick(struct ms_node *node)
 {
@@ -773,7 +580,7 @@
         }
     }
     g_ptr_array_unref(ids);
-    consider_rehoming(node);
+    ms_rehome_tick(node);
     ms_counter_set(node->counters, MS_GAUGE_PENDING, g_hash_table_size(node->pending));
 }
 
@@ -785,7 +592,7 @@
     for (guint i = 0; i < ids->len; i++) {
         struct ms_pending *pending = g_hash_table_lookup(node->pending, g_ptr_array_index(ids, i));
         pending->uncertain |= pending->sends > 0 || pending->accepted;
-        refuse(node, pending, MS_OUTCOME_UNAVAILABLE, "this entry host is shutting down");
+        ms_jobs_refuse(node, pending, MS_OUTCOME_UNAVAILABLE, "this entry host is shutting down");
     }
     g_ptr_array_unref(ids);
 }
--- a/src/node/message.c
+++ b/src/node/message.c
@@ -3,6 +3,8 @@
  */
 #include "node/message.h"
 
+#define FULL_WAIT_US 1000 /* between two tries to push */
+
 struct ms_message *
 ms_message_new(enum ms_message_kind kind)
 {
@@ -49,3 +51,15 @@
     }
     g_free(message);
 }
+
+void
+ms_message_send(struct ms_ring *ring, const atomic_bool *stopping, struct ms_message *message)
+{
+    while (!ms_ring_push(ring, message)) {
+        if (atomic_load(stopping)) {
+            ms_message_free(message);
+            return;
+        }
+        g_usleep(FULL_WAIT_US);
+    }
+}
--- a/src/node/message.h
+++ b/src/node/message.h
@@ -7,10 +7,13 @@
 #ifndef MS_MESSAGE_H
 #define MS_MESSAGE_H
 
+#include <stdatomic.h>
+
 #include <glib.h>
 
 #include "config/settings.h"
 #include "mustardspread/mustardspread.h"
+#include "obs/ring.h"
 #include "wire/inner.pb-c.h"
 
 struct ms_call; /* caller/call.h */
@@ -78,6 +81,13 @@
 
 struct ms_message *ms_message_new(enum ms_message_kind kind);
 void ms_message_free(struct ms_message *message);
+
+/*
+ * Pushes MESSAGE into RING and waits while that is full, so that the sender
+ * slows down.  Once *STOPPING is true the message is freed instead.
+ */
+void ms_message_send(struct ms_ring *ring, const atomic_bool *stopping, struct ms_message *message);
+
 void ms_owned_event_free(void *event);
 
 #endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "node/private.h"
+#include "obs/clock.h"
 #include "obs/log.h"
 #include "wire/convert.h"
 
@@ -183,12 +184,6 @@
     check_drained(node);
 }
 
-static int64_t
-now_ms(void)
-{
-    return g_get_monotonic_time() / 1000;
-}
-
 static void *
 node_thread(void *opaque)
 {
@@ -196,10 +191,10 @@
     int64_t timers_at = 0;
     while (!atomic_load(&node->done)) {
         struct ms_message *message = NULL;
-        node->now = now_ms();
+        node->now = ms_clock_ms();
         int64_t next = MIN(timers_at, ms_hold_next_tick(node));
         ms_ring_wait(node->ring, (int)CLAMP(next - node->now, 0, STEP_MAX_MS));
-        node->now = now_ms();
+        node->now = ms_clock_ms();
         while ((message = ms_ring_pop(node->ring)) != NULL) {
             take_message(node, message);
             if (node->routes_due) {
@@ -221,7 +216,7 @@
     node->settings = settings;
     node->counters = counters;
     node->record = record;
-    node->now = now_ms();
+    node->now = ms_clock_ms();
     node->started_at = node->now;
     node->snapshot_seen_at = node->now;
     node->incarnation = ((uint64_t)g_random_int() << 20) ^ (uint64_t)g_get_real_time();
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -10,6 +10,8 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include <jansson.h>
+
 #include "backend/backend.h"
 #include "caller/call.h"
 #include "caller/caller.h"
@@ -102,6 +104,7 @@
     bool settled; /* starts are allowed */
     struct ms_sched *sched;
     GHashTable *followers; /* job id -> GPtrArray of host names */
+    GHashTable *traces;    /* job id -> trace header of its submission */
     GHashTable *held;      /* names of servers that are held */
 };
 
@@ -230,6 +233,20 @@
 void ms_jobs_free(struct ms_node *node);
 unsigned int ms_outcome_status(const struct ms_call_outcome *outcome);
 
+void ms_jobs_finish(struct ms_node *node, struct ms_pending *pending,
+                    const struct ms_call_outcome *outcome);
+void ms_jobs_refuse(struct ms_node *node, struct ms_pending *pending, enum ms_outcome_code code,
+                    const char *detail);
+void ms_jobs_make_true(const struct ms_pending *pending, struct ms_call_outcome *outcome);
+
+/* offer.c: offers jobs to placing hosts; an offer may end the job. */
+void ms_offer(struct ms_node *node, struct ms_pending *pending);
+bool ms_offer_due(const struct ms_node *node, const struct ms_pending *pending);
+
+/* rehome.c: accepted jobs that move to another data centre. */
+bool ms_rehome_move(struct ms_node *node, const char *id, const char *reason);
+void ms_rehome_tick(struct ms_node *node);
+
 /* route.c: choice of a data centre. */
 const char *ms_route_choose(const struct ms_node *node, const struct ms_pending *pending);
 bool ms_route_could_fit(const struct ms_node *node, const char *dc, const struct ms_job_spec *spec);
@@ -247,9 +264,17 @@
 bool ms_records_append(struct ms_node *node, Ms__Wire__LogRecord *record, char *writer,
                        int64_t give_up_ms);
 
-/* control.c: operators. */
+/* change.c: changes of rules that operators wait for. */
+void ms_change_begin(struct ms_node *node, struct ms_call *call);
+void ms_change_rule_seen(struct ms_node *node, const struct ms_applied *applied);
+void ms_change_tick(struct ms_node *node);
+void ms_change_free_all(struct ms_node *node);
+
+/* control.c: what operators ask. */
+char *ms_error_json(const char *error);
+/* The text of ROOT, which is released; freed with free(). */
+char *ms_take_json(json_t *root);
 void ms_control_call(struct ms_node *node, struct ms_call *call);
-void ms_control_rule_seen(struct ms_node *node, const struct ms_applied *applied);
 void ms_control_query(struct ms_node *node, const char *from, const Ms__Wire__Query *query);
 void ms_control_query_reply(struct ms_node *node, const Ms__Wire__QueryReply *reply);
 void ms_control_tick(struct ms_node *node);
--- a/src/node/records.c
+++ b/src/node/records.c
@@ -75,7 +75,7 @@
 rule_applied(struct ms_node *node, const struct ms_applied *applied)
 {
     const char *key = applied->record->rule->key;
-    ms_control_rule_seen(node, applied);
+    ms_change_rule_seen(node, applied);
     if (applied->kind != MS_APPLIED_RULE) {
         return;
     }
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include "node/message.h"
+#include "obs/clock.h"
 #include "obs/log.h"
 #include "peer/peer.h"
 #include "wire/frame.h"
@@ -73,12 +74,6 @@
     GHashTable *connections; /* set of connection */
 };
 
-static int64_t
-now_ms(void)
-{
-    return g_get_monotonic_time() / 1000;
-}
-
 static bool
 parse_address(const char *text, struct sockaddr_in *address)
 {
@@ -95,25 +90,13 @@
     return inet_pton(AF_INET, host, &address->sin_addr) == 1;
 }
 
-static void
-tell_node(struct ms_peers *peers, struct ms_message *message)
-{
-    while (!ms_ring_push(peers->node_ring, message)) {
-        if (atomic_load(&peers->stopping)) {
-            ms_message_free(message);
-            return;
-        }
-        g_usleep(1000);
-    }
-}
-
 static void
 tell_state(struct ms_peers *peers, enum ms_message_kind kind, const struct connection *connection)
 {
     struct ms_message *message = ms_message_new(kind);
     g_strlcpy(message->peer.name, connection->name, sizeof(message->peer.name));
     g_strlcpy(message->peer.dc, connection->dc, sizeof(message->peer.dc));
-    tell_node(peers, message);
+    ms_message_send(peers->node_ring, &peers->stopping, message);
 }
 
 static struct connection *
@@ -125,7 +108,7 @@
     connection->state = state;
     connection->in = g_byte_array_new();
     connection->out = g_byte_array_new();
-    connection->opened_at = now_ms();
+    connection->opened_at = ms_clock_ms();
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     struct epoll_event event = {.events = EPOLLIN | EPOLLOUT, .data.ptr = connection};
     epoll_ctl(peers->epoll_fd, EPOLL_CTL_ADD, fd, &event);
@@ -147,7 +130,7 @@
     struct target *target = target_of(peers, connection);
     if (target != NULL) {
         target->connection = NULL;
-        target->connect_at = now_ms() + RECONNECT_MS;
+        target->connect_at = ms_clock_ms() + RECONNECT_MS;
         if (connection->state == CONNECTION_OPEN) {
             ms_counter_add(peers->counters, MS_COUNT_PEERS_LOST, 1);
             tell_state(peers, MS_MESSAGE_PEER_DOWN, connection);
@@ -256,7 +239,7 @@
         g_strlcpy(message->peer.name, connection->name, sizeof(message->peer.name));
         g_strlcpy(message->peer.dc, connection->dc, sizeof(message->peer.dc));
         message->peer.envelope = envelope;
-        tell_node(peers, message);
+        ms_message_send(peers->node_ring, &peers->stopping, message);
     }
     return result == MS_E_NOTFOUND;
 }
@@ -335,7 +318,7 @@
 start_connecting(struct ms_peers *peers, struct target *target)
 {
     struct sockaddr_in address;
-    target->connect_at = now_ms() + RECONNECT_MS;
+    target->connect_at = ms_clock_ms() + RECONNECT_MS;
     if (!parse_address(target->address, &address)) {
         return;
     }
@@ -357,7 +340,7 @@
 {
     GHashTableIter iterator;
     gpointer value = NULL;
-    int64_t now = now_ms();
+    int64_t now = ms_clock_ms();
     g_hash_table_iter_init(&iterator, peers->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct target *target = value;
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "node/message.h"
+#include "obs/clock.h"
 #include "obs/log.h"
 #include "platform/http.h"
 #include "platform/platform.h"
@@ -37,25 +38,6 @@
     char hosts_tag[MS_NAME_MAX]; /* ETag of the last host list, reader only */
 };
 
-static int64_t
-now_ms(void)
-{
-    return g_get_monotonic_time() / 1000;
-}
-
-/* Pushes MESSAGE, waiting while the node's ring is full. */
-static void
-tell_node(struct ms_platform *platform, struct ms_message *message)
-{
-    while (!ms_ring_push(platform->node_ring, message)) {
-        if (atomic_load(&platform->stopping)) {
-            ms_message_free(message);
-            return;
-        }
-        g_usleep(1000);
-    }
-}
-
 static void
 tell_reachable(struct ms_platform *platform, bool reachable)
 {
@@ -65,7 +47,7 @@
     platform->reachable = reachable;
     struct ms_message *message = ms_message_new(MS_MESSAGE_LOG_STATE);
     message->reachable = reachable;
-    tell_node(platform, message);
+    ms_message_send(platform->node_ring, &platform->stopping, message);
 }
 
 static GPtrArray *
@@ -97,7 +79,7 @@
     if ((uint64_t)begin > asked) {
         struct ms_message *gap = ms_message_new(MS_MESSAGE_LOG_BEGINS);
         gap->offset = (uint64_t)begin;
-        tell_node(platform, gap);
+        ms_message_send(platform->node_ring, &platform->stopping, gap);
     }
     size_t count = json_array_size(records);
     if (count == 0) {
@@ -108,7 +90,7 @@
     message->records.first_offset = (uint64_t)first;
     message->records.records = decode_records(records);
     atomic_compare_exchange_strong(&platform->next, &asked, (uint64_t)first + count);
-    tell_node(platform, message);
+    ms_message_send(platform->node_ring, &platform->stopping, message);
     return true;
 }
 
@@ -177,7 +159,7 @@
                 g_array_append_val(message->listed, listed);
             }
         }
-        tell_node(platform, message);
+        ms_message_send(platform->node_ring, &platform->stopping, message);
     }
     json_decref(answer);
     g_free(url);
@@ -192,9 +174,9 @@
     int64_t delay = RETRY_MIN_MS;
     bool failed = true; /* the first read does not wait */
     while (!atomic_load(&platform->stopping)) {
-        if (now_ms() >= hosts_at) {
+        if (ms_clock_ms() >= hosts_at) {
             read_hosts(platform, http);
-            hosts_at = now_ms() + platform->settings->host_list_ms;
+            hosts_at = ms_clock_ms() + platform->settings->host_list_ms;
         }
         bool good = read_log(platform, http, failed, !failed);
         tell_reachable(platform, good);
@@ -243,7 +225,7 @@
     while (node != NULL) {
         GList *next = node->next;
         struct append *append = node->data;
-        if (append->give_up_at <= now_ms()) {
+        if (append->give_up_at <= ms_clock_ms()) {
             append_free(append);
             g_queue_delete_link(batch, node);
         }
@@ -369,7 +351,7 @@
 {
     struct append *append = g_new0(struct append, 1);
     append->bytes = bytes;
-    append->give_up_at = now_ms() + give_up_ms;
+    append->give_up_at = ms_clock_ms() + give_up_ms;
     if (!ms_ring_push(platform->appends, append)) {
         append_free(append);
         return false;
