Choose the failure detector by measurement; sanitizers and mutants

Cause: the limit for silent hosts was set without a run; the sanitizer builds and the deliberate faults had not been run over the tests.

Found on the way: heartbeats below 100 ms went every 100 ms only (the thread's step), mended.

`leaving_used` was not, as no test of the core had a leaving server: replay-leaving. `out_ignored` changed a second guard behind the first, and is replaced by `out_not_refused`.

Address and undefined behaviour sanitizers found memset() of an empty array with a null pointer, and a leak of 24 bytes in the command line: both mended.

--- a/bench/detector.c
+++ b/bench/detector.c
@@ -1,9 +1,10 @@
 /*
  * detector.c - failure detectors on recorded heartbeat gaps.
  *
- * usage: bench-detector FILE
+ * usage: bench-detector FILE HEARTBEAT_MS
  *
- * FILE has one gap in milliseconds a line.  For each detector prints wrong
+ * FILE has one gap in milliseconds a line, of one pair of hosts, which sent a
+ * heartbeat every HEARTBEAT_MS (bench/gaps.py records such files).  For each detector prints wrong
  * suspicions an hour and the mean time from a failure to its detection, which
  * is the limit less the mean time since the last heartbeat, half a gap.
  */
@@ -44,19 +45,20 @@
     static int64_t gaps[GAPS_MAX];
     int count = 0;
     long gap = 0;
-    FILE *file = argc == 2 ? fopen(argv[1], "r") : NULL;
+    FILE *file = argc == 3 ? fopen(argv[1], "r") : NULL;
+    int64_t heartbeat = argc == 3 ? atoi(argv[2]) : 0;
     if (file == NULL) {
-        fprintf(stderr, "usage: bench-detector FILE\n");
+        fprintf(stderr, "usage: bench-detector FILE HEARTBEAT_MS\n");
         return 2;
     }
     while (count < GAPS_MAX && fscanf(file, "%ld", &gap) == 1) {
         gaps[count++] = gap;
     }
     fclose(file);
-    run("fixed_1000", MS_DETECTOR_FIXED, 1000, 0, gaps, count);
-    run("fixed_2000", MS_DETECTOR_FIXED, 2000, 0, gaps, count);
-    run("mean_4_deviations", MS_DETECTOR_DEVIATIONS, 10000, 4, gaps, count);
-    run("mean_8_deviations", MS_DETECTOR_DEVIATIONS, 10000, 8, gaps, count);
-    run("double_average", MS_DETECTOR_DOUBLE_AVERAGE, 10000, 0, gaps, count);
+    run("fixed_2_heartbeats", MS_DETECTOR_FIXED, 2 * heartbeat, 0, gaps, count);
+    run("fixed_4_heartbeats", MS_DETECTOR_FIXED, 4 * heartbeat, 0, gaps, count);
+    run("mean_4_deviations", MS_DETECTOR_DEVIATIONS, 100 * heartbeat, 4, gaps, count);
+    run("mean_8_deviations", MS_DETECTOR_DEVIATIONS, 100 * heartbeat, 8, gaps, count);
+    run("double_average", MS_DETECTOR_DOUBLE_AVERAGE, 100 * heartbeat, 0, gaps, count);
     return 0;
 }
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -14,7 +14,7 @@
 TESTS = [["build/unit-tests"], ["build/differential", "faults", "1", "400"],
          ["build/differential", "agree", "1", "60"], ["build/differential", "guarantees", "1", "2000"],
          ["/usr/bin/python3", "tests/check.py", "replay-reclaim", "replay-takeover", "replay-dc_out",
-          "replay-quarantine"]]
+          "replay-quarantine", "replay-leaving"]]
 LIMIT_S = 60
 
 # Name, file, text, its replacement, and the promise that it breaks.
@@ -35,8 +35,8 @@
      "    if (running == present) {", "no gang in part"),
     ("says_not_run", "src/core/job.c", "    if (!job->may_have_run) {", "    if (true) {",
      "a true refusal"),
-    ("out_ignored", "src/core/queue.c", "    if (sched->out) {\n        return;", "    if (false) {\n"
-     "        return;", "no start in a data centre that is out"),
+    ("out_not_refused", "src/core/job.c", "    if (sched->out) {\n        snprintf",
+     "    if (false) {\n        snprintf", "no start in a data centre that is out"),
     ("out_not_told", "src/core/sched.c", "                take_out(sched);", "                ;",
      "no start in a data centre that is out"),
     ("cells_ignored", "src/core/place.c",
@@ -64,9 +64,9 @@
     for name in ("src", "include", "tests", "examples", "bench", "Makefile"):
         source, target = os.path.join(ROOT, name), os.path.join(COPY, name)
         if os.path.isdir(source):
-            shutil.copytree(source, target, dirs_exist_ok=True)
+            shutil.copytree(source, target, dirs_exist_ok=True, copy_function=shutil.copy)
         else:
-            shutil.copy2(source, target)
+            shutil.copy(source, target)
     build()
 
 
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -26,6 +26,7 @@
 struct cli {
     char *host;    /* IP:PORT of an entry host */
     gboolean json; /* print the reply as it came */
+    char **words;  /* arguments without options; freed at the end */
 };
 
 /* The reply of an entry host; body is NULL when none answered. */
@@ -58,8 +59,9 @@
 
 /*
  * Parses the options ENTRIES, which may stand between arguments, out of ARGV;
- * *ARGC is what is left.  Returns false after printing the error.
+ * *ARGC is what is left, and *ARGV belongs to CLI.  Returns false after printing the error.
  */
-bool cli_options(const GOptionEntry *entries, const char *usage, int *argc, char ***argv);
+bool cli_options(struct cli *cli, const GOptionEntry *entries, const char *usage, int *argc,
+                 char ***argv);
 
 #endif
--- a/src/cli/job.c
+++ b/src/cli/job.c
@@ -118,7 +118,7 @@
         {"payload", 'p', 0, G_OPTION_ARG_STRING, &options.payload, "Text given to the tasks",
          "TEXT"},
         G_OPTION_ENTRY_NULL};
-    if (!cli_options(entries, "job submit", &argc, &argv)) {
+    if (!cli_options(cli, entries, "job submit", &argc, &argv)) {
         return MS_EXIT_USAGE;
     }
     if (options.account == NULL || options.key == NULL || argc > 0) {
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -103,5 +103,6 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     int result = command->run(&cli, argc - index - 1, argv + index + 1);
     curl_global_cleanup();
+    g_free(cli.words);
     return result;
 }
--- a/src/cli/replay.c
+++ b/src/cli/replay.c
@@ -89,8 +89,7 @@
     gchar *text = NULL;
     GError *failure = NULL;
     bool good = true;
-    (void)cli;
-    if (!cli_options(entries, "replay FILE", &argc, &argv) || argc != 1) {
+    if (!cli_options(cli, entries, "replay FILE", &argc, &argv) || argc != 1) {
         fprintf(stderr, "mustardspread: replay [--dc NAME] FILE\n");
         return MS_EXIT_USAGE;
     }
--- a/src/cli/request.c
+++ b/src/cli/request.c
@@ -78,7 +78,8 @@
 }
 
 bool
-cli_options(const GOptionEntry *entries, const char *usage, int *argc, char ***argv)
+cli_options(struct cli *cli, const GOptionEntry *entries, const char *usage, int *argc,
+            char ***argv)
 {
     GError *error = NULL;
     GOptionContext *context = g_option_context_new(usage);
@@ -90,6 +91,8 @@
         words[i + 1] = (*argv)[i];
     }
     int count = *argc + 1;
+    g_free(cli->words);
+    cli->words = words;
     bool good = g_option_context_parse(context, &count, &words, &error);
     if (!good) {
         fprintf(stderr, "mustardspread: %s\n", error->message);
--- a/src/cli/rules.c
+++ b/src/cli/rules.c
@@ -178,7 +178,7 @@
     char *by = NULL;
     const GOptionEntry entries[] = {
         {"by", 'b', 0, G_OPTION_ARG_STRING, &by, "Who asks for it", "WHO"}, G_OPTION_ENTRY_NULL};
-    if (!cli_options(entries, "dc out|in NAME", &argc, &argv)) {
+    if (!cli_options(cli, entries, "dc out|in NAME", &argc, &argv)) {
         return MS_EXIT_USAGE;
     }
     bool known = argc == 2 && (strcmp(argv[0], "out") == 0 || strcmp(argv[0], "in") == 0);
--- a/src/core/guarantee.c
+++ b/src/core/guarantee.c
@@ -206,7 +206,7 @@
 static void
 measure_cells(struct ms_sched *sched, const struct ms_guarantee *guarantee)
 {
-    memset(sched->rack_totals->data, 0, sched->rack_totals->len * sizeof(struct ms_rack_total));
+    ms_rack_totals_clear(sched);
     MS_LIST_EACH(link, &sched->servers)
     {
         struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -24,6 +24,15 @@
     return count;
 }
 
+/* Sets all totals to 0; there are none before the first server is known. */
+void
+ms_rack_totals_clear(const struct ms_sched *sched)
+{
+    if (sched->rack_totals->len > 0) {
+        memset(sched->rack_totals->data, 0, sched->rack_totals->len * sizeof(struct ms_rack_total));
+    }
+}
+
 /* Work that may be stopped and later run again or resumed. */
 bool
 ms_job_stoppable(const struct ms_job *job)
@@ -136,7 +145,7 @@
 measure_fit(struct ms_sched *sched, const struct ms_job *job, enum ms_victims victims)
 {
     uint32_t total = 0;
-    memset(sched->rack_totals->data, 0, sched->rack_totals->len * sizeof(struct ms_rack_total));
+    ms_rack_totals_clear(sched);
     MS_LIST_EACH(link, &sched->servers)
     {
         struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
@@ -465,7 +474,7 @@
     uint32_t total = 0;
     uint32_t best_one = 0;
     uint32_t best_in_rack = 0;
-    memset(sched->rack_totals->data, 0, sched->rack_totals->len * sizeof(struct ms_rack_total));
+    ms_rack_totals_clear(sched);
     MS_LIST_EACH(link, &sched->servers)
     {
         const struct ms_server *server = MS_CONTAINER(link, struct ms_server, link);
--- a/src/core/sched.h
+++ b/src/core/sched.h
@@ -257,6 +257,7 @@
     MS_VICTIMS_RESUMABLE,   /* checkpointable, not urgent, not stopped often */
 };
 
+void ms_rack_totals_clear(const struct ms_sched *sched);
 uint32_t ms_rack_intern(struct ms_sched *sched, const char *name);
 bool ms_job_stoppable(const struct ms_job *job);
 bool ms_server_usable(const struct ms_server *server, const struct ms_job *job);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -203,7 +203,7 @@
         }
         if (node->now >= MIN(timers_at, ms_hold_next_tick(node))) {
             run_timers(node);
-            timers_at = node->now + STEP_MAX_MS;
+            timers_at = MIN(node->now + STEP_MAX_MS, node->heartbeat_at);
         }
     }
     return NULL;
