Split the fakes of the differential test; a check that the linter asked for

Change: world_server.c (servers and promises), world_plan.c (plans and figures), world_private.h; anchor_rack() looks at the server, too.

--- a/Makefile
+++ b/Makefile
@@ -45,10 +45,10 @@
 $(BUILD)/unit-tests: $(TEST_OBJECTS) $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
-$(BUILD)/differential: $(BUILD)/tests/naive/differential.o $(BUILD)/tests/naive/world.o $(BUILD)/tests/naive/naive.o $(LIB)
+$(BUILD)/differential: $(BUILD)/tests/naive/differential.o $(BUILD)/tests/naive/world.o $(BUILD)/tests/naive/world_plan.o $(BUILD)/tests/naive/world_server.o $(BUILD)/tests/naive/naive.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/bench-policy: $(BUILD)/bench/policy.o $(BUILD)/tests/naive/world.o $(BUILD)/tests/naive/naive.o $(LIB)
+$(BUILD)/bench-policy: $(BUILD)/bench/policy.o $(BUILD)/tests/naive/world.o $(BUILD)/tests/naive/world_plan.o $(BUILD)/tests/naive/world_server.o $(BUILD)/tests/naive/naive.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bench-detector: $(BUILD)/bench/detector.o $(LIB)
--- a/src/core/guarantee.c
+++ b/src/core/guarantee.c
@@ -196,8 +196,9 @@
 anchor_rack(const struct ms_guarantee *guarantee)
 {
     for (uint32_t i = 0; i < guarantee->rule.tasks; i++) {
-        if (guarantee->cells[i].task != NULL) {
-            return (int)guarantee->cells[i].server->rack_id;
+        const struct ms_cell *cell = &guarantee->cells[i];
+        if (cell->task != NULL && cell->server != NULL) {
+            return (int)cell->server->rack_id;
         }
     }
     return -1;
--- a/tests/naive/world.c
+++ b/tests/naive/world.c
@@ -7,118 +7,11 @@
 #include <string.h>
 
 #include "naive/naive.h"
-#include "naive/world.h"
+#include "naive/world_private.h"
 
 #define TOKEN_MS 5
 #define SAMPLE_MS 1000
 #define PAUSE_MS 50
-#define OUT_GRACE_MS 3000
-#define PARTIAL_SLACK_MS 200
-#define TEXT_MAX 512
-
-/* A task on a fake server. */
-struct task {
-    char id[MS_ID_MAX];
-    uint32_t member;
-    uint32_t attempt;
-    struct ms_job_spec spec;
-    enum ms_seen_state state;
-    enum ms_task_result result;
-    bool withheld;
-    bool fails; /* decided at its start */
-    int64_t lease_until;
-    int64_t started_at;
-    int64_t resumed_from; /* progress of the job when it started */
-    uint64_t timer;       /* number of the valid end event */
-};
-
-struct server {
-    char name[MS_NAME_MAX];
-    char rack[MS_NAME_MAX];
-    bool cut;
-    bool known; /* the holder counts it as held */
-    bool fails;
-    bool leaving;
-    bool restarted; /* while cut: the holder learns it with the next answer */
-    uint64_t fence;
-    GPtrArray *tasks;
-    GHashTable *decided; /* "id#member#attempt" of starts decided under this fence */
-};
-
-struct dc {
-    char name[MS_NAME_MAX];
-    struct server *servers;
-    struct ms_sched *core;
-    struct naive *naive;
-    unsigned int life; /* of the present holder */
-    bool out;
-    int64_t out_since;
-    int64_t tick_at; /* of the tick that is scheduled */
-};
-
-struct run {
-    int64_t from;
-    int64_t to;
-    double weight;
-};
-
-enum kind {
-    SUBMIT = 0,
-    CANCEL,
-    RULE,
-    TO_POLICY,
-    TO_SERVER,
-    TASK_END,
-    LEASE,
-    RENEW,
-    CUT,
-    UNCUT,
-    LOST,
-    RESTART,
-    FAILS,
-    WORKS,
-    OUTAGE,
-    NO_OUTAGE,
-    TAKEOVER,
-    LEAVE,
-    TICK,
-    SAMPLE,
-};
-
-struct event {
-    int64_t at;
-    uint64_t number;
-    enum kind kind;
-    unsigned int dc;
-    unsigned int server;
-    unsigned int life;
-    uint64_t fence;
-    uint64_t timer;
-    enum ms_task_op op;
-    uint32_t member;
-    uint32_t attempt;
-    struct world_job *job;
-    struct ms_event *message; /* owned; TO_POLICY, RULE */
-};
-
-struct world {
-    struct world_options options;
-    GRand *random;
-    int64_t now;
-    uint64_t handled;
-    uint64_t next_number;
-    GPtrArray *heap; /* event, a binary heap */
-    struct dc dcs[WORLD_DCS_MAX];
-    GPtrArray *jobs;
-    GHashTable *job_index;
-    GPtrArray *rules; /* ms_event, those in force, for take-overs */
-    bool outage;
-    char violation[TEXT_MAX];
-    GArray *runs;
-    GArray *step_us;
-    double fragmentation_sum;
-    uint64_t fragmentation_count;
-};
 
 /* ---- the heap of events ---- */
 
@@ -167,8 +60,9 @@
     }
 }
 
-static struct event *
-schedule(struct world *world, int64_t at, enum kind kind, unsigned int dc, unsigned int server)
+struct event *
+world_schedule(struct world *world, int64_t at, enum kind kind, unsigned int dc,
+               unsigned int server)
 {
     struct event *event = g_new0(struct event, 1);
     event->at = MAX(at, world->now);
@@ -188,7 +82,8 @@
     g_free(event);
 }
 
-static void G_GNUC_PRINTF(2, 3) violated(struct world *world, const char *format, ...)
+void
+world_violated(struct world *world, const char *format, ...)
 {
     if (world->violation[0] != '\0') {
         return;
@@ -203,8 +98,8 @@
 
 static void feed(struct world *world, unsigned int dc, const struct ms_event *message);
 
-static struct ms_event *
-message_copy(const struct ms_event *message)
+struct ms_event *
+world_message_copy(const struct ms_event *message)
 {
     return g_memdup2(message, sizeof(*message));
 }
@@ -295,9 +190,9 @@
             server->decided = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
             grant(world, d, server);
         }
-        schedule(world, WORLD_RENEW_MS, RENEW, d, 0);
+        world_schedule(world, WORLD_RENEW_MS, RENEW, d, 0);
     }
-    schedule(world, SAMPLE_MS, SAMPLE, 0, 0);
+    world_schedule(world, SAMPLE_MS, SAMPLE, 0, 0);
     return world;
 }
 
@@ -346,15 +241,15 @@
 static void
 to_policy(struct world *world, unsigned int dc, const struct ms_event *message, int64_t after)
 {
-    struct event *event = schedule(world, world->now + after, TO_POLICY, dc, 0);
+    struct event *event = world_schedule(world, world->now + after, TO_POLICY, dc, 0);
     event->life = world->dcs[dc].life;
-    event->message = message_copy(message);
+    event->message = world_message_copy(message);
 }
 
 /* An answer of a server: may be lost, doubled or late. */
-static void
-answer(struct world *world, unsigned int dc, const struct server *server, enum ms_event_kind kind,
-       const struct task *task)
+void
+world_answer(struct world *world, unsigned int dc, const struct server *server,
+             enum ms_event_kind kind, const struct task *task)
 {
     struct ms_event message = {.kind = kind};
     if (server->cut || chance(world, world->options.lose)) {
@@ -371,233 +266,12 @@
     }
 }
 
-/* ---- what runs, and the promises about it ---- */
-
-static struct world_job *
-job_of(const struct world *world, const char *id)
+struct world_job *
+world_job_of(const struct world *world, const char *id)
 {
     return g_hash_table_lookup(world->job_index, id);
 }
 
-static void
-note_partial(struct world *world, struct world_job *job)
-{
-    bool partial = job->running > 0 && job->running < job->spec.tasks;
-    if (partial && job->partial_since < 0) {
-        job->partial_since = world->now;
-    }
-    if (job->partial_since >= 0 &&
-        world->now - job->partial_since > WORLD_LEASE_MS + PARTIAL_SLACK_MS) {
-        violated(world, "gang %s ran with only part of its members for %" G_GINT64_FORMAT " ms",
-                 job->id, world->now - job->partial_since);
-    }
-    if (!partial) {
-        job->partial_since = -1;
-    }
-}
-
-static void
-note_start(struct world *world, unsigned int dc, struct task *task)
-{
-    struct world_job *job = job_of(world, task->id);
-    job->starts[task->member]++;
-    if (!job->spec.idempotent && !job->spec.checkpointable && job->starts[task->member] > 1) {
-        violated(world, "non-idempotent job %s: member %u started twice", job->id, task->member);
-    }
-    if (job->ended_at >= 0 && job->ran == MS_RAN_NO) {
-        violated(world, "job %s started after it was answered with not run", job->id);
-    }
-    const struct dc *where = &world->dcs[dc];
-    if (where->out && world->now - where->out_since > OUT_GRACE_MS) {
-        violated(world, "job %s started in %s, out for %" G_GINT64_FORMAT " ms", job->id,
-                 where->name, world->now - where->out_since);
-    }
-    if (job->running_attempt != task->attempt) {
-        job->running_attempt = task->attempt;
-    }
-    job->running++;
-    note_partial(world, job);
-    if (job->running == job->spec.tasks && job->started_at < 0) {
-        job->started_at = world->now;
-    }
-}
-
-static void
-note_end(struct world *world, const struct task *task)
-{
-    struct world_job *job = job_of(world, task->id);
-    bool useful = task->result == MS_TASK_OK || task->result == MS_TASK_CHECKPOINTED;
-    job->running--;
-    note_partial(world, job);
-    if (useful) {
-        struct run run = {task->started_at, world->now, task->spec.accels};
-        g_array_append_val(world->runs, run);
-    }
-    if (task->result == MS_TASK_CHECKPOINTED) {
-        job->progress[task->member] = task->resumed_from + world->now - task->started_at;
-    }
-}
-
-/* ---- servers ---- */
-
-static struct task *
-find_task(const struct server *server, const char *id, uint32_t member, uint32_t attempt)
-{
-    for (guint i = 0; i < server->tasks->len; i++) {
-        struct task *task = g_ptr_array_index(server->tasks, i);
-        if (task->member == member && task->attempt == attempt && strcmp(task->id, id) == 0) {
-            return task;
-        }
-    }
-    return NULL;
-}
-
-static void
-task_end(struct world *world, unsigned int dc, struct server *server, struct task *task,
-         enum ms_task_result result)
-{
-    if (task->state == MS_SEEN_ENDED) {
-        return;
-    }
-    bool ran = task->state == MS_SEEN_RUNNING;
-    task->state = MS_SEEN_ENDED;
-    task->result = ran ? result : MS_TASK_NOT_STARTED;
-    if (ran) {
-        note_end(world, task);
-    }
-    answer(world, dc, server, MS_EVENT_TASK_ENDED, task);
-}
-
-/* A gang resumes from the last checkpoint that all its members have. */
-static int64_t
-common_progress(const struct world_job *job)
-{
-    int64_t least = job->progress[0];
-    for (uint32_t i = 1; i < job->spec.tasks; i++) {
-        least = MIN(least, job->progress[i]);
-    }
-    return least;
-}
-
-static void
-task_start(struct world *world, unsigned int dc, unsigned int index, struct task *task)
-{
-    struct world_job *job = job_of(world, task->id);
-    struct server *server = &world->dcs[dc].servers[index];
-    task->state = MS_SEEN_RUNNING;
-    task->started_at = world->now;
-    task->resumed_from = common_progress(job);
-    note_start(world, dc, task);
-    int64_t left = MAX(job->run_ms - common_progress(job), 1);
-    bool fails = server->fails || job->fails;
-    task->fails = fails;
-    struct event *end = schedule(world, world->now + (fails ? 5 : left), TASK_END, dc, index);
-    end->job = job;
-    end->member = task->member;
-    end->attempt = task->attempt;
-    end->timer = task->timer = end->number;
-}
-
-static bool
-has_room(const struct world *world, const struct server *server, const struct ms_job_spec *spec)
-{
-    uint32_t slots = 0;
-    uint32_t accels = 0;
-    for (guint i = 0; i < server->tasks->len; i++) {
-        const struct task *task = g_ptr_array_index(server->tasks, i);
-        if (task->state != MS_SEEN_ENDED) {
-            slots++;
-            accels += task->spec.accels;
-        }
-    }
-    return slots < world->options.slots && accels + spec->accels <= world->options.accels;
-}
-
-static struct task *
-task_new(struct world *world, struct server *server, const struct event *event)
-{
-    struct task *task = g_new0(struct task, 1);
-    g_strlcpy(task->id, event->job->id, MS_ID_MAX);
-    task->member = event->member;
-    task->attempt = event->attempt;
-    task->spec = event->job->spec;
-    task->lease_until = world->now + WORLD_LEASE_MS;
-    g_ptr_array_add(server->tasks, task);
-    struct event *lease = schedule(world, task->lease_until, LEASE, event->dc, event->server);
-    lease->job = event->job;
-    lease->member = task->member;
-    lease->attempt = task->attempt;
-    return task;
-}
-
-static void
-carry_out(struct world *world, const struct event *event)
-{
-    struct server *server = &world->dcs[event->dc].servers[event->server];
-    struct task *task = find_task(server, event->job->id, event->member, event->attempt);
-    struct task stranger = {.member = event->member, .attempt = event->attempt};
-    bool starts = event->op == MS_OP_START || event->op == MS_OP_PREPARE || event->op == MS_OP_GO;
-    g_strlcpy(stranger.id, event->job->id, MS_ID_MAX);
-    if (server->cut || (event->fence != server->fence && !starts)) {
-        return;
-    }
-    if (event->fence != server->fence) {
-        return; /* fenced off; the old holder is gone in this world */
-    }
-    if (event->op == MS_OP_ACK) {
-        if (task != NULL && task->state == MS_SEEN_ENDED) {
-            g_ptr_array_remove(server->tasks, task);
-        }
-        return;
-    }
-    char key[MS_ID_MAX + 32];
-    g_snprintf(key, sizeof(key), "%s#%u#%u", event->job->id, event->member, event->attempt);
-    if (event->op == MS_OP_PREPARE || event->op == MS_OP_START) {
-        if (task == NULL && g_hash_table_contains(server->decided, key)) {
-            return; /* a doubled message, after the task's end or refusal */
-        }
-        if (task == NULL && !has_room(world, server, &event->job->spec)) {
-            g_hash_table_add(server->decided, g_strdup(key));
-            answer(world, event->dc, server, MS_EVENT_TASK_REFUSED, &stranger);
-            return;
-        }
-        if (task == NULL) {
-            task = task_new(world, server, event);
-            g_hash_table_add(server->decided, g_strdup(key));
-            if (event->op == MS_OP_START) {
-                task_start(world, event->dc, event->server, task);
-            }
-        }
-        answer(world, event->dc, server,
-               event->op == MS_OP_START ? MS_EVENT_TASK_STARTED : MS_EVENT_TASK_PREPARED, task);
-        return;
-    }
-    if (task == NULL && event->op != MS_OP_GO && event->op != MS_OP_THROTTLE) {
-        /* A stop that overtook its start: remembered, so that the start is refused. */
-        task = task_new(world, server, event);
-        g_hash_table_add(server->decided, g_strdup(key));
-        task->state = MS_SEEN_PREPARED;
-        task_end(world, event->dc, server, task, MS_TASK_NOT_STARTED);
-        return;
-    }
-    if (task == NULL) {
-        answer(world, event->dc, server, MS_EVENT_TASK_REFUSED, &stranger);
-        return;
-    }
-    if (event->op == MS_OP_GO) {
-        if (task->state == MS_SEEN_PREPARED) {
-            task_start(world, event->dc, event->server, task);
-        }
-        answer(world, event->dc, server, MS_EVENT_TASK_STARTED, task);
-    }
-    else if (event->op == MS_OP_STOP) {
-        task_end(world, event->dc, server, task, MS_TASK_STOPPED);
-    }
-    else if (event->op == MS_OP_CHECKPOINT) {
-        task_end(world, event->dc, server, task, MS_TASK_CHECKPOINTED);
-    }
-}
-
 /* ---- the policy and its actions ---- */
 
 static unsigned int
@@ -622,7 +296,7 @@
     }
     struct server *server = &world->dcs[dc].servers[number];
     if (op->op == MS_OP_WITHHOLD || op->op == MS_OP_RENEW) {
-        struct task *task = find_task(server, action->id, op->member, op->attempt);
+        struct task *task = world_find_task(server, action->id, op->member, op->attempt);
         if (task != NULL) {
             task->withheld = op->op == MS_OP_WITHHOLD;
         }
@@ -633,19 +307,20 @@
     }
     int copies = chance(world, world->options.duplicate) ? 2 : 1;
     for (int i = 0; i < copies; i++) {
-        struct event *event = schedule(world, world->now + delay(world), TO_SERVER, dc, number);
+        struct event *event =
+            world_schedule(world, world->now + delay(world), TO_SERVER, dc, number);
         event->op = op->op;
         event->fence = server->fence;
         event->member = op->member;
         event->attempt = op->attempt;
-        event->job = job_of(world, action->id);
+        event->job = world_job_of(world, action->id);
     }
 }
 
 static void
 token_action(struct world *world, unsigned int dc, const struct ms_action *action)
 {
-    struct world_job *job = job_of(world, action->id);
+    struct world_job *job = world_job_of(world, action->id);
     struct ms_event message = {.kind = MS_EVENT_TOKEN};
     g_strlcpy(message.token.id, action->id, MS_ID_MAX);
     message.token.attempt = action->token.attempt;
@@ -699,7 +374,7 @@
 static void
 outcome_action(struct world *world, unsigned int dc, const struct ms_action *action)
 {
-    struct world_job *job = job_of(world, action->id);
+    struct world_job *job = world_job_of(world, action->id);
     const struct ms_outcome_action *outcome = &action->outcome;
     uint32_t started = 0;
     for (uint32_t i = 0; i < job->spec.tasks; i++) {
@@ -718,8 +393,8 @@
         }
     }
     if (outcome->ran == MS_RAN_NO && started > 0) {
-        violated(world, "job %s was answered with not run (%s), but it had started", job->id,
-                 ms_outcome_name(outcome->code));
+        world_violated(world, "job %s was answered with not run (%s), but it had started", job->id,
+                       ms_outcome_name(outcome->code));
     }
     job->outcomes++;
     /*
@@ -733,8 +408,8 @@
     job->ended_dc = dc;
     job->ended_life = world->dcs[dc].life;
     if (job->outcomes > 1) {
-        violated(world, "job %s was answered twice: %s in dc %u, now %s in dc %u", job->id,
-                 ms_outcome_name(job->code), job->dc, ms_outcome_name(outcome->code), dc);
+        world_violated(world, "job %s was answered twice: %s in dc %u, now %s in dc %u", job->id,
+                       ms_outcome_name(job->code), job->dc, ms_outcome_name(outcome->code), dc);
     }
     job->code = outcome->code;
     job->ran = outcome->ran;
@@ -784,13 +459,13 @@
     }
     if (world->options.check && dc->core != NULL &&
         ms_sched_check(dc->core, text, sizeof(text)) != MS_OK) {
-        violated(world, "%s", text);
+        world_violated(world, "%s", text);
     }
     int64_t tick = dc->core != NULL ? ms_sched_next_tick(dc->core) : naive_next_tick(dc->naive);
     /* One pending tick is enough: the earliest. */
     if (tick != INT64_MAX && (dc->tick_at <= world->now || tick < dc->tick_at)) {
         dc->tick_at = MAX(tick, world->now + 1);
-        schedule(world, MAX(tick, world->now + 1), TICK, dc_number, 0)->life = dc->life;
+        world_schedule(world, MAX(tick, world->now + 1), TICK, dc_number, 0)->life = dc->life;
     }
 }
 
@@ -810,26 +485,26 @@
                 task->lease_until = world->now + WORLD_LEASE_MS;
             }
             if (task->state == MS_SEEN_ENDED) {
-                answer(world, dc, server, MS_EVENT_TASK_ENDED, task);
+                world_answer(world, dc, server, MS_EVENT_TASK_ENDED, task);
             }
         }
     }
-    schedule(world, world->now + WORLD_RENEW_MS, RENEW, dc, 0);
+    world_schedule(world, world->now + WORLD_RENEW_MS, RENEW, dc, 0);
 }
 
 static void
 lease(struct world *world, const struct event *event)
 {
     struct server *server = &world->dcs[event->dc].servers[event->server];
-    struct task *task = find_task(server, event->job->id, event->member, event->attempt);
+    struct task *task = world_find_task(server, event->job->id, event->member, event->attempt);
     if (task == NULL || task->state == MS_SEEN_ENDED) {
         return;
     }
     if (task->lease_until <= world->now) {
-        task_end(world, event->dc, server, task, MS_TASK_LAPSED);
+        world_task_end(world, event->dc, server, task, MS_TASK_LAPSED);
         return;
     }
-    struct event *next = schedule(world, task->lease_until, LEASE, event->dc, event->server);
+    struct event *next = world_schedule(world, task->lease_until, LEASE, event->dc, event->server);
     next->job = event->job;
     next->member = event->member;
     next->attempt = event->attempt;
@@ -852,7 +527,7 @@
         if (task->state == MS_SEEN_RUNNING) {
             task->state = MS_SEEN_ENDED;
             task->result = MS_TASK_LAPSED;
-            note_end(world, task);
+            world_note_end(world, task);
         }
     }
     g_ptr_array_set_size(server->tasks, 0);
@@ -903,7 +578,7 @@
 static void
 rule(struct world *world, const struct event *event)
 {
-    g_ptr_array_add(world->rules, message_copy(event->message));
+    g_ptr_array_add(world->rules, world_message_copy(event->message));
     for (unsigned int d = 0; d < world->options.dcs; d++) {
         const struct ms_rule *parsed = &event->message->rule;
         struct dc *dc = &world->dcs[d];
@@ -940,7 +615,7 @@
             world->fragmentation_count++;
         }
     }
-    schedule(world, world->now + SAMPLE_MS, SAMPLE, 0, 0);
+    world_schedule(world, world->now + SAMPLE_MS, SAMPLE, 0, 0);
 }
 
 static void
@@ -967,12 +642,13 @@
         }
         break;
     case TO_SERVER:
-        carry_out(world, event);
+        world_carry_out(world, event);
         break;
     case TASK_END: {
-        struct task *task = find_task(server, event->job->id, event->member, event->attempt);
+        struct task *task = world_find_task(server, event->job->id, event->member, event->attempt);
         if (task != NULL && task->timer == event->timer) {
-            task_end(world, event->dc, server, task, task->fails ? MS_TASK_FAILED : MS_TASK_OK);
+            world_task_end(world, event->dc, server, task,
+                           task->fails ? MS_TASK_FAILED : MS_TASK_OK);
         }
         break;
     }
@@ -984,7 +660,7 @@
         break;
     case CUT:
         server->cut = true;
-        schedule(world, world->now + WORLD_LOST_MS, LOST, event->dc, event->server);
+        world_schedule(world, world->now + WORLD_LOST_MS, LOST, event->dc, event->server);
         break;
     case LOST:
         if (server->cut && server->known) {
@@ -1051,163 +727,3 @@
     }
     world->now = MAX(world->now, until);
 }
-
-/* ---- what a test or a measurement asks for ---- */
-
-struct world_job *
-world_submit(struct world *world, int64_t at, unsigned int dc, const struct ms_job_spec *spec,
-             int64_t run_ms)
-{
-    struct world_job *job = g_new0(struct world_job, 1);
-    job->spec = *spec;
-    g_snprintf(job->id, sizeof(job->id), "%s/%s", spec->account, spec->key);
-    job->run_ms = run_ms;
-    job->dc = dc;
-    job->submitted_at = INT64_MAX;
-    job->started_at = -1;
-    job->ended_at = -1;
-    job->partial_since = -1;
-    job->token_dc = -1;
-    g_ptr_array_add(world->jobs, job);
-    g_hash_table_insert(world->job_index, job->id, job);
-    schedule(world, at, SUBMIT, 0, 0)->job = job;
-    return job;
-}
-
-void
-world_cancel(struct world *world, int64_t at, const char *id)
-{
-    schedule(world, at, CANCEL, 0, 0)->job = job_of(world, id);
-}
-
-void
-world_rule(struct world *world, int64_t at, const struct ms_rule *parsed)
-{
-    struct ms_event message = {.kind = MS_EVENT_RULE, .rule = *parsed};
-    schedule(world, at, RULE, 0, 0)->message = message_copy(&message);
-}
-
-void
-world_cut(struct world *world, int64_t at, int64_t until, unsigned int dc, unsigned int server)
-{
-    schedule(world, at, CUT, dc, server);
-    schedule(world, until, UNCUT, dc, server);
-}
-
-void
-world_restart(struct world *world, int64_t at, unsigned int dc, unsigned int server)
-{
-    schedule(world, at, RESTART, dc, server);
-}
-
-void
-world_fail_tasks(struct world *world, int64_t at, int64_t until, unsigned int dc,
-                 unsigned int server)
-{
-    schedule(world, at, FAILS, dc, server);
-    schedule(world, until, WORKS, dc, server);
-}
-
-void
-world_log_outage(struct world *world, int64_t at, int64_t until)
-{
-    schedule(world, at, OUTAGE, 0, 0);
-    schedule(world, until, NO_OUTAGE, 0, 0);
-}
-
-void
-world_takeover(struct world *world, int64_t at, unsigned int dc)
-{
-    schedule(world, at, TAKEOVER, dc, 0);
-}
-
-void
-world_leave(struct world *world, int64_t at, unsigned int dc, unsigned int server)
-{
-    schedule(world, at, LEAVE, dc, server);
-}
-
-void
-world_dc_away(struct world *world, int64_t at, int64_t until, unsigned int dc, int64_t grace_ms)
-{
-    struct ms_rule parsed = {.kind = MS_RULE_DC, .out = true};
-    g_strlcpy(parsed.name, world->dcs[dc].name, MS_NAME_MAX);
-    world_rule(world, at, &parsed);
-    for (unsigned int s = 0; s < world->options.servers && at + grace_ms < until - 1; s++) {
-        world_cut(world, at + grace_ms, until - 1, dc, s);
-    }
-    parsed.out = false;
-    world_rule(world, until, &parsed);
-}
-
-const char *
-world_violation(const struct world *world)
-{
-    return world->violation[0] != '\0' ? world->violation : NULL;
-}
-
-uint64_t
-world_events(const struct world *world)
-{
-    return world->handled;
-}
-
-GPtrArray *
-world_jobs(const struct world *world)
-{
-    return world->jobs;
-}
-
-static double
-overlap(int64_t from, int64_t to, const struct run *run)
-{
-    int64_t begin = MAX(from, run->from);
-    int64_t end = MIN(to, run->to);
-    return end > begin ? (double)(end - begin) * run->weight : 0;
-}
-
-double
-world_work(const struct world *world, int64_t from, int64_t to)
-{
-    double work = 0;
-    for (guint i = 0; i < world->runs->len; i++) {
-        work += overlap(from, to, &g_array_index(world->runs, struct run, i));
-    }
-    return work;
-}
-
-double
-world_fragmentation(const struct world *world)
-{
-    return world->fragmentation_count > 0
-               ? world->fragmentation_sum / (double)world->fragmentation_count
-               : 0;
-}
-
-static gint
-by_value(gconstpointer a, gconstpointer b)
-{
-    float left = *(const float *)a;
-    float right = *(const float *)b;
-    return (left > right) - (left < right);
-}
-
-void
-world_step_times(const struct world *world, size_t *count, double *p99, double *max)
-{
-    GArray *sorted = g_array_copy(world->step_us);
-    g_array_sort(sorted, by_value);
-    *count = sorted->len;
-    *p99 = sorted->len > 0 ? g_array_index(sorted, float, (guint)((double)sorted->len * 0.99)) : 0;
-    *max = sorted->len > 0 ? g_array_index(sorted, float, sorted->len - 1) : 0;
-    g_array_free(sorted, TRUE);
-}
-
-void
-world_explain(const struct world *world, const struct world_job *job, char *text, size_t size)
-{
-    const struct dc *dc = &world->dcs[job->dc];
-    if (dc->core == NULL || ms_sched_explain(dc->core, job->id, text, size) != MS_OK) {
-        g_strlcpy(text, "no policy knows it", size);
-    }
-}
--- a/tests/naive/world.h
+++ b/tests/naive/world.h
@@ -9,6 +9,8 @@
 #ifndef MS_WORLD_H
 #define MS_WORLD_H
 
+#include <stdio.h>
+
 #include <glib.h>
 
 #include "mustardspread/mustardspread.h"
