--- a/Makefile
+++ b/Makefile
@@ -20,13 +20,14 @@
 LDFLAGS += $(SANITIZE)
 
 LIB_SOURCES = $(filter-out src/daemon/% src/cli/%,$(wildcard src/*/*.c))
+PLATFORM_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 LIB_OBJECTS = $(LIB_SOURCES:%.c=$(BUILD)/%.o) $(BUILD)/src/config/toml_json.o
 LIB = $(BUILD)/libmustardspread.a
 TEST_SOURCES = $(wildcard tests/unit/*.c)
 TEST_OBJECTS = $(TEST_SOURCES:%.c=$(BUILD)/%.o)
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | grep -v pb-c)
 
-PROGRAMS = $(BUILD)/mustardspreadd $(BUILD)/mustardspread
+PROGRAMS = $(BUILD)/mustardspreadd $(BUILD)/mustardspread-entryd $(BUILD)/mustardspread
 TEST_PROGRAMS = $(BUILD)/unit-tests $(BUILD)/differential $(BUILD)/bench-policy $(BUILD)/bench-detector
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
 
@@ -39,6 +40,10 @@
 $(BUILD)/mustardspreadd: $(BUILD)/src/daemon/main.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+# The adapter of the users' platform is linked in here, behind src/ports.
+$(BUILD)/mustardspread-entryd: $(BUILD)/src/daemon/entry_main.o $(PLATFORM_OBJECTS) $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/mustardspread: $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/cli/*.c)) $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -57,7 +62,7 @@
 $(BUILD)/example-%: $(BUILD)/examples/%.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/src/wire/inner.pb-c.o: WARN =
+$(BUILD)/src/wire/inner.pb-c.o $(BUILD)/src/wire/batch.pb-c.o: WARN =
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
@@ -70,7 +75,7 @@
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
 proto:
-	cd src/wire && protoc-c --c_out=. inner.proto
+	cd src/wire && protoc-c --c_out=. inner.proto batch.proto
 
 deps:
 	scripts/install-packages.sh
--- /dev/null
+++ b/src/batch/engine.c
@@ -0,0 +1,430 @@
+/*
+ * engine.c - the placing host's engine: its life, its jobs, its timers.
+ */
+#include <stdarg.h>
+#include <string.h>
+
+#include "batch/engine_private.h"
+
+#define PLACE_GAP_MS 20       /* shortest time between two placing passes */
+#define PLACE_AGAIN_MS 300    /* longest time between two placing passes */
+#define TICK_MS 200           /* longest time between two ticks */
+#define STORE_DELAY_MS 100    /* ends wait this long for others to be stored along */
+
+void
+ms_engine_defaults(struct ms_engine_limits *limits)
+{
+    limits->lease_ms = 9000;
+    limits->gang_start_ms = 2200;
+    limits->stop_grace_ms = 900;
+    limits->far_factor = 3.0;
+    limits->early_ms = 0;
+    limits->keep_ended_ms = 150000;
+}
+
+static void
+free_occurrence(gpointer opaque)
+{
+    struct ms_occurrence *occurrence = opaque;
+    if (occurrence->steps != NULL) {
+        for (size_t i = 0; i < occurrence->job->spec->step_count; i++) {
+            g_free(occurrence->steps[i].tasks);
+        }
+        g_free(occurrence->steps);
+    }
+    g_free(occurrence);
+}
+
+static void
+free_job(gpointer opaque)
+{
+    struct ms_bjob *job = opaque;
+    g_ptr_array_unref(job->occurrences);
+    g_free(job);
+}
+
+struct ms_engine *
+ms_engine_new(const struct ms_engine_limits *limits, uint64_t epoch, int64_t old_leases_until,
+              int64_t now)
+{
+    struct ms_engine *engine = g_new0(struct ms_engine, 1);
+    engine->limits = *limits;
+    engine->epoch = epoch;
+    engine->now = now;
+    engine->old_leases_until = old_leases_until;
+    engine->jobs_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+    engine->servers_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    ms_link_init(&engine->jobs);
+    ms_link_init(&engine->servers);
+    ms_link_init(&engine->dirty);
+    engine->actions = g_queue_new();
+    return engine;
+}
+
+void
+ms_engine_free(struct ms_engine *engine)
+{
+    if (engine == NULL) {
+        return;
+    }
+    struct ms_engine_action *action = NULL;
+    while ((action = g_queue_pop_head(engine->actions)) != NULL) {
+        ms_engine_action_free(action);
+    }
+    g_queue_free(engine->actions);
+    g_hash_table_destroy(engine->jobs_by_id);
+    g_hash_table_destroy(engine->servers_by_id);
+    g_free(engine);
+}
+
+void
+ms_engine_log(struct ms_engine *engine, void (*line)(void *opaque, const char *text), void *opaque)
+{
+    engine->log_line = line;
+    engine->log_opaque = opaque;
+}
+
+void
+ms_engine_note(struct ms_engine *engine, const char *format, ...)
+{
+    if (engine->log_line == NULL) {
+        return;
+    }
+    va_list arguments;
+    va_start(arguments, format);
+    char *text = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    engine->log_line(engine->log_opaque, text);
+    g_free(text);
+}
+
+struct ms_engine_action *
+ms_engine_emit(struct ms_engine *engine, enum ms_engine_action_kind kind,
+               const struct ms_bserver *server)
+{
+    struct ms_engine_action *action = g_new0(struct ms_engine_action, 1);
+    action->kind = kind;
+    if (server != NULL) {
+        g_strlcpy(action->server, server->id, sizeof(action->server));
+        g_strlcpy(action->address, server->entry.address, sizeof(action->address));
+        action->life = server->life;
+    }
+    g_queue_push_tail(engine->actions, action);
+    return action;
+}
+
+struct ms_engine_action *
+ms_engine_take(struct ms_engine *engine)
+{
+    return g_queue_pop_head(engine->actions);
+}
+
+static void
+free_item(gpointer opaque)
+{
+    struct ms_store_item *item = opaque;
+    if (item->value != NULL) {
+        g_bytes_unref(item->value);
+    }
+    g_free(item);
+}
+
+void
+ms_engine_action_free(struct ms_engine_action *action)
+{
+    if (action == NULL) {
+        return;
+    }
+    if (action->items != NULL) {
+        g_ptr_array_set_free_func(action->items, free_item);
+        g_ptr_array_unref(action->items);
+    }
+    g_free(action->payload);
+    g_free(action);
+}
+
+void
+ms_engine_dirty(struct ms_engine *engine, struct ms_bjob *job, bool urgent)
+{
+    if (ms_list_empty(&engine->dirty)) {
+        engine->dirty_since = engine->now;
+    }
+    ms_list_remove(&job->dirty);
+    ms_list_append(&engine->dirty, &job->dirty);
+    engine->dirty_urgent |= urgent;
+}
+
+struct ms_bjob *
+ms_btask_job(const struct ms_btask *task)
+{
+    return task->step->occurrence->job;
+}
+
+const char *
+ms_btask_name(const struct ms_btask *task, char *out)
+{
+    ms_task_name(out, ms_btask_job(task)->id, task->step->occurrence->number, task->step->number,
+                 task->index);
+    return out;
+}
+
+struct ms_btask *
+ms_engine_task(const struct ms_engine *engine, const char *name)
+{
+    char id[MS_JOB_ID_MAX];
+    uint32_t number = 0;
+    uint32_t step = 0;
+    uint32_t index = 0;
+    if (ms_task_name_parse(name, id, &number, &step, &index) != MS_OK) {
+        return NULL;
+    }
+    struct ms_bjob *job = g_hash_table_lookup(engine->jobs_by_id, id);
+    if (job == NULL || number >= job->occurrences->len || step >= job->spec->step_count ||
+        index >= job->spec->steps[step].count) {
+        return NULL;
+    }
+    struct ms_occurrence *occurrence = g_ptr_array_index(job->occurrences, number);
+    return occurrence->steps != NULL ? &occurrence->steps[step].tasks[index] : NULL;
+}
+
+/* Makes the next occurrence of JOB. */
+static void
+add_occurrence(struct ms_bjob *job)
+{
+    struct ms_occurrence *occurrence = g_new0(struct ms_occurrence, 1);
+    occurrence->job = job;
+    occurrence->number = job->occurrences->len;
+    if (job->spec->repeat_count > 0) {
+        occurrence->due_ms =
+            job->spec->start_ms + (int64_t)occurrence->number * job->spec->interval_ms;
+    }
+    occurrence->steps = g_new0(struct ms_bstep, job->spec->step_count);
+    for (size_t i = 0; i < job->spec->step_count; i++) {
+        struct ms_bstep *step = &occurrence->steps[i];
+        step->occurrence = occurrence;
+        step->spec = &job->spec->steps[i];
+        step->number = (uint32_t)i;
+        step->waiting = step->spec->count;
+        step->tasks = g_new0(struct ms_btask, step->spec->count);
+        for (uint32_t k = 0; k < step->spec->count; k++) {
+            step->tasks[k].step = step;
+            step->tasks[k].index = k;
+            ms_link_init(&step->tasks[k].server_link);
+        }
+    }
+    g_ptr_array_add(job->occurrences, occurrence);
+}
+
+/* Makes the occurrences of JOB whose time has come. */
+static void
+add_due_occurrences(struct ms_engine *engine, struct ms_bjob *job)
+{
+    uint32_t total = MAX(job->spec->repeat_count, 1);
+    while (job->occurrences->len < total) {
+        int64_t due = job->spec->start_ms + (int64_t)job->occurrences->len * job->spec->interval_ms;
+        if (job->spec->repeat_count > 0 && due > engine->unix_ms) {
+            return;
+        }
+        add_occurrence(job);
+        engine->place_due = true;
+    }
+}
+
+static void
+resolve_queue(const struct ms_engine *engine, struct ms_bjob *job)
+{
+    job->queue = engine->policy != NULL ? ms_policy_queue(engine->policy, job->spec->queue) : NULL;
+}
+
+void
+ms_engine_policy(struct ms_engine *engine, const struct ms_policy *policy)
+{
+    engine->policy = policy;
+    MS_LIST_EACH(link, &engine->jobs) {
+        resolve_queue(engine, MS_CONTAINER(link, struct ms_bjob, link));
+    }
+    engine->place_due = true;
+}
+
+void
+ms_engine_dcs_out(struct ms_engine *engine, GHashTable *dcs)
+{
+    engine->dcs_out = dcs;
+    engine->place_due = true;
+}
+
+void
+ms_engine_job(struct ms_engine *engine, const struct ms_stored_job *stored, int64_t now)
+{
+    engine->now = MAX(engine->now, now);
+    if (g_hash_table_contains(engine->jobs_by_id, stored->id) || !stored->accepted ||
+        ms_stored_phase(stored) != MS_PHASE_OPEN) {
+        return;
+    }
+    struct ms_bjob *job = g_new0(struct ms_bjob, 1);
+    g_strlcpy(job->id, stored->id, sizeof(job->id));
+    job->spec = &stored->spec;
+    job->begun = stored->begun;
+    job->accepted_at = engine->now;
+    job->occurrences = g_ptr_array_new_with_free_func(free_occurrence);
+    ms_link_init(&job->dirty);
+    ms_link_init(&job->link);
+    ms_list_append(&engine->jobs, &job->link);
+    g_hash_table_insert(engine->jobs_by_id, job->id, job);
+    resolve_queue(engine, job);
+    if (stored->state != NULL) {
+        ms_engine_restore(engine, job, stored->state);
+    }
+    add_due_occurrences(engine, job);
+    engine->place_due = true;
+    ms_job_check(engine, job);
+}
+
+/* Used by ms_engine_restore(): occurrence NUMBER of JOB. */
+struct ms_occurrence *
+ms_bjob_occurrence(struct ms_bjob *job, uint32_t number)
+{
+    while (job->occurrences->len <= number) {
+        add_occurrence(job);
+    }
+    return g_ptr_array_index(job->occurrences, number);
+}
+
+void
+ms_engine_cancel(struct ms_engine *engine, const char *id, int64_t now)
+{
+    engine->now = MAX(engine->now, now);
+    struct ms_bjob *job = g_hash_table_lookup(engine->jobs_by_id, id);
+    if (job == NULL || job->phase != MS_PHASE_OPEN) {
+        return;
+    }
+    job->phase = MS_PHASE_CANCELLED;
+    job->ended_at = engine->now;
+    ms_engine_note(engine, "event=job_cancel id=%s active=%u", id, job->active);
+    ms_job_stop_all(engine, job, "cancelled");
+    ms_engine_dirty(engine, job, false);
+}
+
+void
+ms_engine_stored(struct ms_engine *engine, int64_t now)
+{
+    engine->now = MAX(engine->now, now);
+    engine->storing = false;
+    MS_LIST_EACH(server_link, &engine->servers) {
+        struct ms_bserver *server = MS_CONTAINER(server_link, struct ms_bserver, link);
+        if (server->ends_storing > server->ends_stored) {
+            server->ends_stored = server->ends_storing;
+            server->hold_at = MIN(server->hold_at, engine->now);
+        }
+    }
+    MS_LIST_EACH(link, &engine->jobs) {
+        struct ms_bjob *job = MS_CONTAINER(link, struct ms_bjob, link);
+        if (!job->storing) {
+            continue;
+        }
+        job->storing = false;
+        if (job->forgetting) {
+            ms_list_remove(&job->link);
+            ms_list_remove(&job->dirty);
+            g_hash_table_remove(engine->jobs_by_id, job->id);
+            continue;
+        }
+        for (guint i = 0; i < job->occurrences->len; i++) {
+            struct ms_occurrence *occurrence = g_ptr_array_index(job->occurrences, i);
+            for (size_t s = 0; occurrence->steps != NULL && s < job->spec->step_count; s++) {
+                struct ms_bstep *step = &occurrence->steps[s];
+                for (uint32_t k = 0; step->active > 0 && k < step->spec->count; k++) {
+                    struct ms_btask *task = &step->tasks[k];
+                    if (task->state == MS_BTASK_RECORDING && task->recorded) {
+                        task->state = MS_BTASK_STARTING;
+                        task->order_at = engine->now;
+                        ms_btask_order(engine, task);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/* Drops ended jobs from the log when their states have been kept long enough. */
+static void
+forget_ended(struct ms_engine *engine, struct ms_bjob *job)
+{
+    if (job->phase != MS_PHASE_OPEN && job->active == 0 && !job->storing &&
+        engine->now - job->ended_at > engine->limits.keep_ended_ms && !job->forgetting) {
+        job->forgetting = true;
+        ms_engine_dirty(engine, job, false);
+    }
+}
+
+static void
+tick_job(struct ms_engine *engine, struct ms_bjob *job)
+{
+    if (job->phase != MS_PHASE_OPEN) {
+        forget_ended(engine, job);
+    }
+    else {
+        add_due_occurrences(engine, job);
+    }
+}
+
+void
+ms_engine_tick(struct ms_engine *engine, int64_t now, int64_t unix_ms)
+{
+    engine->now = MAX(engine->now, now);
+    engine->unix_ms = unix_ms + engine->limits.early_ms;
+    MS_LIST_EACH(server_link, &engine->servers) {
+        ms_bserver_tick(engine, MS_CONTAINER(server_link, struct ms_bserver, link));
+    }
+    MS_LIST_EACH(link, &engine->jobs) {
+        tick_job(engine, MS_CONTAINER(link, struct ms_bjob, link));
+    }
+    if (engine->now - engine->placed_at >= PLACE_AGAIN_MS) {
+        engine->place_due = true; /* waits and backoffs may be over */
+    }
+    if (engine->place_due && engine->now - engine->placed_at >= PLACE_GAP_MS) {
+        engine->place_due = false;
+        engine->placed_at = engine->now;
+        ms_engine_place(engine);
+    }
+    if (!engine->storing && !ms_list_empty(&engine->dirty) &&
+        (engine->dirty_urgent || engine->now - engine->dirty_since >= STORE_DELAY_MS)) {
+        ms_engine_store(engine);
+    }
+}
+
+int64_t
+ms_engine_next_tick(const struct ms_engine *engine)
+{
+    int64_t next = engine->now + TICK_MS;
+    if (engine->place_due) {
+        next = MIN(next, engine->placed_at + PLACE_GAP_MS);
+    }
+    if (!engine->storing && !ms_list_empty(&engine->dirty)) {
+        int64_t due = engine->dirty_urgent ? engine->now : engine->dirty_since + STORE_DELAY_MS;
+        next = MIN(next, due);
+    }
+    MS_LIST_EACH(link, &engine->servers) {
+        const struct ms_bserver *server = MS_CONTAINER(link, struct ms_bserver, link);
+        if (!server->hold_pending) {
+            next = MIN(next, server->hold_at);
+        }
+    }
+    return next;
+}
+
+void
+ms_engine_stats(const struct ms_engine *engine, struct ms_engine_stats *stats)
+{
+    memset(stats, 0, sizeof(*stats));
+    MS_LIST_EACH(job_link, &engine->jobs) {
+        stats->jobs++;
+        stats->tasks_active += MS_CONTAINER(job_link, struct ms_bjob, link)->active;
+    }
+    MS_LIST_EACH(link, &engine->servers) {
+        stats->servers++;
+        stats->servers_usable +=
+            ms_bserver_usable(engine, MS_CONTAINER(link, struct ms_bserver, link));
+    }
+    stats->units_waiting = engine->units_waiting;
+}
--- /dev/null
+++ b/src/batch/engine_place.c
@@ -0,0 +1,549 @@
+/*
+ * engine_place.c - which waiting work starts where.
+ *
+ * A unit is a gang or a single task.  Units are looked at in order of their
+ * queue's priority, then of arrival.  Each is tried at rising levels:
+ *
+ *     free        it fits into what is free: it starts
+ *     soon        it fits once stops that were ordered are done: it waits, and
+ *                 the room is kept for it
+ *     reclaim     it fits if work of lower priority is stopped: that is ordered
+ *     keep        it fits once running work has ended: room is kept for it, so
+ *                 that smaller units do not take it again and again
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/engine_private.h"
+
+#define RECLAIM_WAIT_MS 2500  /* before a unit below the top priority stops others */
+#define KEEP_WAIT_MS 3000     /* before room is kept for a unit */
+#define KEEPERS_MAX 3         /* units that room is kept for in one pass */
+#define FAR_WAIT_SHARE 1.0    /* of the estimate: wait for a place near the data */
+#define FAR_WAIT_MAX_MS 6000
+#define SCORE_FAR 1000000
+#define SCORE_SUSPECT 100000
+#define SCORE_COLD 50000
+
+enum level { LEVEL_FREE = 0, LEVEL_SOON, LEVEL_RECLAIM, LEVEL_KEEP };
+
+struct unit {
+    struct ms_bstep *step;
+    struct ms_btask *task; /* NULL for a gang */
+    uint32_t count;
+};
+
+/* State of one pass. */
+struct pass {
+    struct ms_engine *engine;
+    GPtrArray *servers; /* usable ms_bserver */
+    GHashTable *racks;  /* rack -> GPtrArray of ms_bserver */
+    uint32_t keepers;
+    const struct unit *unit; /* the unit being placed */
+};
+
+static uint32_t
+priority_of(const struct ms_bjob *job)
+{
+    return job->queue != NULL ? job->queue->priority : UINT32_MAX;
+}
+
+/* Whether VICTIM may be stopped for work of priority CLAIMANT. */
+static bool
+may_stop(const struct ms_btask *victim, uint32_t claimant)
+{
+    return (victim->state == MS_BTASK_STARTING || victim->state == MS_BTASK_RUNNING) &&
+           !victim->adopted && !victim->step->spec->lasting &&
+           priority_of(ms_btask_job(victim)) > claimant;
+}
+
+/* What of SERVER a unit of priority CLAIMANT can have at LEVEL. */
+static struct ms_resources
+available(const struct ms_bserver *server, enum level level, uint32_t claimant)
+{
+    struct ms_resources room = server->entry.capacity;
+    ms_resources_add(&room, &server->reserved, -1);
+    if (level == LEVEL_KEEP) {
+        return room;
+    }
+    ms_resources_add(&room, &server->used, -1);
+    ms_resources_add(&room, &server->stopping, 1);
+    if (level == LEVEL_RECLAIM) {
+        MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
+            const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
+            if (may_stop(task, claimant)) {
+                ms_resources_add(&room, &task->step->spec->each, 1);
+            }
+        }
+        return room;
+    }
+    if (level == LEVEL_FREE) {
+        struct ms_resources now = server->entry.capacity;
+        ms_resources_add(&now, &server->used, -1);
+        room.cpu_millis = MIN(room.cpu_millis, now.cpu_millis);
+        room.memory_mb = MIN(room.memory_mb, now.memory_mb);
+        room.accels = MIN(room.accels, now.accels);
+    }
+    return room;
+}
+
+/* Tasks of STEP that are on SERVER. */
+static uint32_t
+tasks_there(const struct ms_bstep *step, const struct ms_bserver *server)
+{
+    uint32_t count = 0;
+    MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
+        count += MS_CONTAINER(link, struct ms_btask, server_link)->step == step;
+    }
+    return count;
+}
+
+static bool
+avoided(const struct ms_btask *task, const struct ms_bserver *server)
+{
+    for (uint32_t i = 0; i < MIN(task->avoid_count, MS_AVOID_MAX); i++) {
+        if (strcmp(task->avoid[i], server->id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether tasks of STEP may be on SERVER at all. */
+static bool
+allowed(const struct ms_bstep *step, const struct ms_bserver *server)
+{
+    const struct ms_queue_rule *queue = step->occurrence->job->queue;
+    return queue != NULL && strcmp(queue->service, server->entry.service) == 0 &&
+           ms_bserver_has_label(server, step->spec->label);
+}
+
+/* How many tasks of STEP SERVER can take at LEVEL, up to MOST. */
+static uint32_t
+fits(const struct ms_bstep *step, const struct ms_bserver *server, enum level level, uint32_t most)
+{
+    if (!allowed(step, server)) {
+        return 0;
+    }
+    if (step->spec->per_server_max > 0) {
+        uint32_t there = tasks_there(step, server);
+        uint32_t limit = step->spec->per_server_max;
+        most = MIN(most, there < limit ? limit - there : 0);
+    }
+    uint32_t priority = priority_of(step->occurrence->job);
+    struct ms_resources room = available(server, level, priority);
+    uint32_t count = 0;
+    while (count < most && ms_resources_fit(&room, &step->spec->each)) {
+        ms_resources_add(&room, &step->spec->each, -1);
+        count++;
+    }
+    return count;
+}
+
+/* Lower is better: near the data, sound, and leaving little room. */
+static int64_t
+score(const struct pass *pass, const struct ms_bstep *step, const struct ms_btask *task,
+      const struct ms_bserver *server)
+{
+    const struct ms_engine *engine = pass->engine;
+    struct ms_resources room = available(server, LEVEL_FREE, 0);
+    int64_t result = room.accels * 100 + room.cpu_millis / 10000;
+    if (step->spec->rack[0] != '\0' && strcmp(step->spec->rack, server->entry.rack) != 0) {
+        result += SCORE_FAR;
+    }
+    if (engine->now < server->suspect_until) {
+        result += SCORE_SUSPECT;
+    }
+    if (task != NULL && avoided(task, server)) {
+        result += 2 * SCORE_SUSPECT;
+    }
+    if (server->entry.cold_ms > 0) {
+        result += SCORE_COLD;
+    }
+    return result;
+}
+
+/* A plan: `planned` of each server; the sum is returned. */
+static void
+clear_plan(const struct pass *pass)
+{
+    for (guint i = 0; i < pass->servers->len; i++) {
+        struct ms_bserver *server = g_ptr_array_index(pass->servers, i);
+        server->planned = 0;
+    }
+}
+
+struct ranked {
+    struct ms_bserver *server;
+    uint32_t fit;
+    int64_t score;
+};
+
+static int
+by_score(const void *left, const void *right)
+{
+    const struct ranked *a = left;
+    const struct ranked *b = right;
+    return a->score < b->score ? -1 : a->score > b->score;
+}
+
+/* Plans COUNT tasks of the unit's step on SERVERS at LEVEL; true if all fit. */
+static bool
+plan_on(const struct pass *pass, const GPtrArray *servers, enum level level, uint32_t count)
+{
+    const struct unit *unit = pass->unit;
+    const struct ms_btask *task = unit->task != NULL ? unit->task : &unit->step->tasks[0];
+    struct ranked *ranked = g_new(struct ranked, servers->len + 1);
+    guint found = 0;
+    for (guint i = 0; i < servers->len; i++) {
+        struct ms_bserver *server = g_ptr_array_index(servers, i);
+        uint32_t fit = fits(unit->step, server, level, count);
+        if (fit > 0) {
+            ranked[found].server = server;
+            ranked[found].fit = fit;
+            ranked[found].score = score(pass, unit->step, task, server);
+            found++;
+        }
+    }
+    qsort(ranked, found, sizeof(*ranked), by_score);
+    uint32_t left = count;
+    for (guint i = 0; i < found && left > 0; i++) {
+        ranked[i].server->planned = MIN(ranked[i].fit, left);
+        left -= ranked[i].server->planned;
+    }
+    g_free(ranked);
+    return left == 0;
+}
+
+/* Whether the unit may by now run far from its data or over several racks. */
+static bool
+may_be_far(const struct pass *pass, const struct ms_bstep *step)
+{
+    int64_t wait = (int64_t)((double)step->spec->estimate_ms * FAR_WAIT_SHARE);
+    wait = CLAMP(wait, 500, FAR_WAIT_MAX_MS);
+    return pass->engine->now - step->ready_since >= wait;
+}
+
+/* Plans the unit within one rack: the fullest that has room, its data's first. */
+static bool
+plan_in_rack(const struct pass *pass, enum level level)
+{
+    const struct unit *unit = pass->unit;
+    const struct ms_step *spec = unit->step->spec;
+    GPtrArray *best = NULL;
+    const char *best_key = NULL;
+    uint32_t best_room = UINT32_MAX;
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, pass->racks);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        GPtrArray *servers = value;
+        uint32_t room = 0;
+        for (guint i = 0; i < servers->len; i++) {
+            room += fits(unit->step, g_ptr_array_index(servers, i), level, UINT32_MAX / 1024);
+        }
+        if (room < unit->count) {
+            continue;
+        }
+        bool data_here = spec->rack[0] != '\0' && strcmp(spec->rack, key) == 0;
+        if (data_here) {
+            room = 0;
+        }
+        bool before = best_key != NULL && strcmp(key, best_key) < 0;
+        if (room < best_room || (room == best_room && before)) {
+            best_key = key;
+            best = servers;
+            best_room = room;
+        }
+    }
+    return best != NULL && plan_on(pass, best, level, unit->count);
+}
+
+/* Plans the unit on servers of the rack of its data. */
+static bool
+plan_near(const struct pass *pass, enum level level)
+{
+    const GPtrArray *servers = g_hash_table_lookup(pass->racks, pass->unit->step->spec->rack);
+    return servers != NULL && plan_on(pass, servers, level, pass->unit->count);
+}
+
+static bool
+plan(const struct pass *pass, enum level level)
+{
+    const struct ms_step *spec = pass->unit->step->spec;
+    clear_plan(pass);
+    if (spec->same_rack && pass->unit->task == NULL) {
+        if (plan_in_rack(pass, level)) {
+            return true;
+        }
+        clear_plan(pass);
+        if (!may_be_far(pass, pass->unit->step)) {
+            return false;
+        }
+    }
+    else if (spec->rack[0] != '\0') {
+        if (plan_near(pass, level)) {
+            return true;
+        }
+        clear_plan(pass);
+        if (!may_be_far(pass, pass->unit->step)) {
+            return false;
+        }
+    }
+    return plan_on(pass, pass->servers, level, pass->unit->count);
+}
+
+static void
+begin_task(struct ms_engine *engine, struct ms_btask *task, struct ms_bserver *server,
+           uint32_t run)
+{
+    char name[MS_TASK_NAME_MAX];
+    task->run = run;
+    ms_btask_assign(engine, task, server);
+    ms_engine_note(engine,
+                   "event=place task=%s run=%u server=%s dc=%s rack=%s priority=%u"
+                   " waited_ms=%" G_GINT64_FORMAT " heard_age_ms=%" G_GINT64_FORMAT,
+                   ms_btask_name(task, name), run, server->id, server->entry.dc,
+                   server->entry.rack, priority_of(ms_btask_job(task)),
+                   engine->now - task->step->ready_since, engine->now - server->heard_at);
+}
+
+/* Starts the unit where it is planned. */
+static void
+start_unit(const struct pass *pass)
+{
+    struct ms_engine *engine = pass->engine;
+    const struct unit *unit = pass->unit;
+    struct ms_bstep *step = unit->step;
+    struct ms_bjob *job = step->occurrence->job;
+    uint32_t run = unit->task != NULL ? unit->task->run : 0;
+    for (uint32_t i = 0; unit->task == NULL && i < step->spec->count; i++) {
+        run = MAX(run, step->tasks[i].run);
+    }
+    run++;
+    uint32_t index = 0;
+    for (guint i = 0; i < pass->servers->len; i++) {
+        struct ms_bserver *server = g_ptr_array_index(pass->servers, i);
+        for (uint32_t k = 0; k < server->planned; k++, index++) {
+            struct ms_btask *task = unit->task != NULL ? unit->task : &step->tasks[index];
+            begin_task(engine, task, server, run);
+        }
+    }
+    if (step->spec->gang) {
+        step->gang_since = engine->now;
+    }
+    job->begun = true;
+    ms_engine_dirty(engine, job, true);
+}
+
+/* Keeps the planned room from units that come later in this pass. */
+static void
+reserve_unit(const struct pass *pass)
+{
+    for (guint i = 0; i < pass->servers->len; i++) {
+        struct ms_bserver *server = g_ptr_array_index(pass->servers, i);
+        ms_resources_add(&server->reserved, &pass->unit->step->spec->each, server->planned);
+    }
+}
+
+/* Work that a stop of TASK's unit would throw away, in core-milliseconds. */
+static int64_t
+waste_of(const struct ms_engine *engine, const struct ms_btask *task)
+{
+    int64_t cores = task->step->spec->each.cpu_millis / 1000 + task->step->spec->each.accels * 8;
+    int64_t ran = task->began_at > 0 ? engine->now - task->began_at : 0;
+    int64_t waste = task->step->spec->checkpoints ? 0 : cores * ran;
+    return task->step->spec->gang ? waste * task->step->spec->count : waste;
+}
+
+/* Orders stops on SERVER until the planned tasks fit. */
+static void
+make_room(const struct pass *pass, struct ms_bserver *server)
+{
+    struct ms_engine *engine = pass->engine;
+    uint32_t claimant = priority_of(pass->unit->step->occurrence->job);
+    struct ms_resources need = {0, 0, 0};
+    ms_resources_add(&need, &pass->unit->step->spec->each, server->planned);
+    for (;;) {
+        struct ms_resources room = available(server, LEVEL_SOON, claimant);
+        if (ms_resources_fit(&room, &need)) {
+            return;
+        }
+        struct ms_btask *victim = NULL;
+        MS_LIST_EACH(link, &server->tasks) {
+            struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
+            if (may_stop(task, claimant) &&
+                (victim == NULL || waste_of(engine, task) < waste_of(engine, victim))) {
+                victim = task;
+            }
+        }
+        if (victim == NULL) {
+            return;
+        }
+        struct ms_bstep *step = victim->step;
+        ms_btask_stop_unit(engine, victim, "reclaimed");
+        for (uint32_t i = 0; i < step->spec->count; i++) {
+            struct ms_btask *task = &step->tasks[i];
+            if (task->state == MS_BTASK_STOPPING && (step->spec->gang || task == victim)) {
+                ms_resources_add(&task->server->stopping, &step->spec->each, 1);
+            }
+        }
+    }
+}
+
+static void
+reclaim_unit(const struct pass *pass)
+{
+    for (guint i = 0; i < pass->servers->len; i++) {
+        struct ms_bserver *server = g_ptr_array_index(pass->servers, i);
+        if (server->planned > 0) {
+            make_room(pass, server);
+        }
+    }
+}
+
+/* Tries the unit at all levels; true if it starts. */
+static bool
+place_unit(struct pass *pass, const struct unit *unit)
+{
+    struct ms_engine *engine = pass->engine;
+    struct ms_bstep *step = unit->step;
+    int64_t waited = engine->now - step->ready_since;
+    pass->unit = unit;
+    if (plan(pass, LEVEL_FREE)) {
+        start_unit(pass);
+        return true;
+    }
+    engine->units_waiting++;
+    if (plan(pass, LEVEL_SOON)) {
+        reserve_unit(pass);
+        return false;
+    }
+    bool top = priority_of(step->occurrence->job) == 0;
+    if ((top || waited >= RECLAIM_WAIT_MS) && plan(pass, LEVEL_RECLAIM)) {
+        reclaim_unit(pass);
+        reserve_unit(pass);
+        return false;
+    }
+    if (waited >= KEEP_WAIT_MS && pass->keepers < KEEPERS_MAX && plan(pass, LEVEL_KEEP)) {
+        pass->keepers++;
+        reserve_unit(pass);
+    }
+    return false;
+}
+
+/* Places what is waiting of STEP. */
+static void
+place_step(struct pass *pass, struct ms_bstep *step)
+{
+    struct ms_engine *engine = pass->engine;
+    if (step->spec->gang) {
+        for (uint32_t i = 0; i < step->spec->count; i++) {
+            if (step->tasks[i].state != MS_BTASK_WAITING ||
+                engine->now < step->tasks[i].not_before) {
+                return;
+            }
+        }
+        struct unit unit = {.step = step, .task = NULL, .count = step->spec->count};
+        place_unit(pass, &unit);
+        return;
+    }
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        struct ms_btask *task = &step->tasks[i];
+        if (task->state != MS_BTASK_WAITING || engine->now < task->not_before) {
+            continue;
+        }
+        struct unit unit = {.step = step, .task = task, .count = 1};
+        if (!place_unit(pass, &unit) && task->avoid_count == 0) {
+            return; /* the others are alike */
+        }
+    }
+}
+
+static void
+collect_servers(struct pass *pass)
+{
+    struct ms_engine *engine = pass->engine;
+    MS_LIST_EACH(link, &engine->servers) {
+        struct ms_bserver *server = MS_CONTAINER(link, struct ms_bserver, link);
+        memset(&server->reserved, 0, sizeof(server->reserved));
+        memset(&server->stopping, 0, sizeof(server->stopping));
+        server->planned = 0;
+        if (!ms_bserver_usable(engine, server)) {
+            continue;
+        }
+        MS_LIST_EACH(task_link, &server->tasks) {
+            const struct ms_btask *task = MS_CONTAINER(task_link, struct ms_btask, server_link);
+            if (task->state == MS_BTASK_STOPPING) {
+                ms_resources_add(&server->stopping, &task->step->spec->each, 1);
+            }
+        }
+        g_ptr_array_add(pass->servers, server);
+        GPtrArray *rack = g_hash_table_lookup(pass->racks, server->entry.rack);
+        if (rack == NULL) {
+            rack = g_ptr_array_new();
+            g_hash_table_insert(pass->racks, server->entry.rack, rack);
+        }
+        g_ptr_array_add(rack, server);
+    }
+}
+
+static gint
+by_priority(gconstpointer left, gconstpointer right)
+{
+    const struct ms_bstep *a = *(struct ms_bstep *const *)left;
+    const struct ms_bstep *b = *(struct ms_bstep *const *)right;
+    uint32_t a_priority = priority_of(a->occurrence->job);
+    uint32_t b_priority = priority_of(b->occurrence->job);
+    if (a_priority != b_priority) {
+        return a_priority < b_priority ? -1 : 1;
+    }
+    int64_t a_at = a->occurrence->job->spec->accepted_ms;
+    int64_t b_at = b->occurrence->job->spec->accepted_ms;
+    if (a_at != b_at) {
+        return a_at < b_at ? -1 : 1;
+    }
+    return strcmp(a->occurrence->job->id, b->occurrence->job->id);
+}
+
+static void
+collect_steps(struct ms_engine *engine, GPtrArray *steps)
+{
+    MS_LIST_EACH(link, &engine->jobs) {
+        struct ms_bjob *job = MS_CONTAINER(link, struct ms_bjob, link);
+        for (guint i = 0; job->phase == MS_PHASE_OPEN && i < job->occurrences->len; i++) {
+            struct ms_occurrence *occurrence = g_ptr_array_index(job->occurrences, i);
+            for (size_t s = 0; occurrence->steps != NULL && s < job->spec->step_count; s++) {
+                struct ms_bstep *step = &occurrence->steps[s];
+                if (!ms_bstep_ready(engine, step)) {
+                    continue;
+                }
+                if (step->ready_since == 0) {
+                    step->ready_since = engine->now;
+                }
+                g_ptr_array_add(steps, step);
+            }
+        }
+    }
+}
+
+void
+ms_engine_place(struct ms_engine *engine)
+{
+    struct pass pass = {.engine = engine};
+    GPtrArray *steps = g_ptr_array_new();
+    pass.servers = g_ptr_array_new();
+    pass.racks =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+    collect_servers(&pass);
+    collect_steps(engine, steps);
+    g_ptr_array_sort(steps, by_priority);
+    engine->units_waiting = 0;
+    for (guint i = 0; i < steps->len; i++) {
+        place_step(&pass, g_ptr_array_index(steps, i));
+    }
+    g_hash_table_destroy(pass.racks);
+    g_ptr_array_unref(pass.servers);
+    g_ptr_array_unref(steps);
+}
--- /dev/null
+++ b/src/batch/engine_server.c
@@ -0,0 +1,456 @@
+/*
+ * engine_server.c - backend servers: leases, reports, loss, quarantine.
+ *
+ * A lease ends at a time of the server's clock, which may run 2 % slow.  From
+ * the last clock value heard follows the latest moment at which a silent
+ * server's runs have lapsed; only then are they placed again.
+ */
+#include <string.h>
+
+#include "batch/engine_private.h"
+
+#define HOLD_WAIT_MS 1500        /* an idle renewal waits this long for an end */
+#define HOLD_RETRY_MS 300        /* between renewals without an answer */
+#define IDLE_RETRY_MS 1000       /* the same, for a server without work */
+#define STORE_WAIT_MS 300        /* longest wait for ends to be stored */
+#define CLOCK_SLACK 1.03         /* a server's clock may be 2 % slow */
+#define LEASE_MARGIN_MS 100
+#define ENDED_ROWS_FULL 500      /* a report with so many ends may be cut off */
+#define STALL_MIN_MS 3500        /* without progress: the run stands still */
+#define SUSPECT_MS 3000          /* a server with a failure is chosen last */
+#define QUARANTINE_MS 4000       /* first quarantine; doubles */
+#define QUARANTINE_DOUBLINGS 3
+#define STREAK_MAX 2             /* distinct jobs failed in a row: quarantine */
+
+int64_t
+ms_bserver_deadline(struct ms_engine *engine, struct ms_bserver *server)
+{
+    int64_t clock = server->clock_ms + (engine->now - server->heard_at);
+    int64_t deadline = clock + engine->limits.lease_ms;
+    server->deadline_max = MAX(server->deadline_max, deadline);
+    return deadline;
+}
+
+int64_t
+ms_bserver_dead_at(const struct ms_engine *engine, const struct ms_bserver *server)
+{
+    double rest = (double)(server->deadline_max - server->clock_ms) * CLOCK_SLACK;
+    int64_t lapsed = server->heard_at + (int64_t)MAX(rest, 0.0) + LEASE_MARGIN_MS;
+    return server->fenced ? lapsed : MAX(lapsed, engine->old_leases_until);
+}
+
+bool
+ms_bserver_has_label(const struct ms_bserver *server, const char *label)
+{
+    if (label[0] == '\0') {
+        return true;
+    }
+    for (size_t i = 0; i < server->entry.label_count; i++) {
+        if (strcmp(server->entry.labels[i], label) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+ms_bserver_usable(const struct ms_engine *engine, const struct ms_bserver *server)
+{
+    return server->listed && server->fenced && !server->silent && !server->entry.draining &&
+           server->foreign == 0 && engine->now >= server->avoid_until &&
+           (engine->dcs_out == NULL || !g_hash_table_contains(engine->dcs_out, server->entry.dc));
+}
+
+void
+ms_bserver_failed(struct ms_engine *engine, struct ms_bserver *server, const struct ms_bjob *job)
+{
+    server->suspect_until = engine->now + SUSPECT_MS;
+    if (strcmp(server->last_failed_job, job->id) != 0) {
+        server->fail_streak++;
+        g_strlcpy(server->last_failed_job, job->id, sizeof(server->last_failed_job));
+    }
+    if (server->fail_streak < STREAK_MAX) {
+        return;
+    }
+    int64_t time = (int64_t)QUARANTINE_MS << MIN(server->quarantines, QUARANTINE_DOUBLINGS);
+    server->avoid_until = engine->now + time;
+    server->quarantines++;
+    server->fail_streak = 0;
+    ms_engine_note(engine, "event=quarantine server=%s for_ms=%" G_GINT64_FORMAT, server->id, time);
+}
+
+/* All that ran on SERVER is gone. */
+static void
+lose_tasks(struct ms_engine *engine, struct ms_bserver *server, const char *reason)
+{
+    while (!ms_list_empty(&server->tasks)) {
+        struct ms_btask *task = MS_CONTAINER(server->tasks.next, struct ms_btask, server_link);
+        ms_btask_lost(engine, task, reason);
+    }
+}
+
+void
+ms_bserver_reset(struct ms_engine *engine, struct ms_bserver *server, const char *reason)
+{
+    ms_engine_note(engine, "event=server_reset server=%s reason=%s", server->id, reason);
+    server->life++;
+    server->listed = false;
+    server->fenced = false;
+    server->silent = false;
+    server->hold_pending = false;
+    server->hold_at = INT64_MAX;
+    server->deadline_max = 0;
+    server->clock_ms = 0;
+    server->ends_seen = 0;
+    server->ends_storing = 0;
+    server->ends_stored = 0;
+    server->ends_acked = 0;
+    server->foreign = 0;
+    lose_tasks(engine, server, reason);
+}
+
+static struct ms_bserver *
+get_server(struct ms_engine *engine, const char *id)
+{
+    struct ms_bserver *server = g_hash_table_lookup(engine->servers_by_id, id);
+    if (server == NULL) {
+        server = g_new0(struct ms_bserver, 1);
+        g_strlcpy(server->id, id, sizeof(server->id));
+        server->hold_at = INT64_MAX;
+        ms_link_init(&server->tasks);
+        ms_link_init(&server->link);
+        ms_list_append(&engine->servers, &server->link);
+        g_hash_table_insert(engine->servers_by_id, server->id, server);
+    }
+    return server;
+}
+
+/* Used by ms_engine_restore(): a server that the directory may not have. */
+struct ms_bserver *
+ms_engine_server_by_id(struct ms_engine *engine, const char *id)
+{
+    return get_server(engine, id);
+}
+
+void
+ms_engine_server(struct ms_engine *engine, const struct ms_directory_entry *entry, int64_t now)
+{
+    engine->now = MAX(engine->now, now);
+    struct ms_bserver *server = get_server(engine, entry->id);
+    bool reborn = server->entry.born != 0 && entry->born != 0 && server->entry.born != entry->born;
+    if (server->entry.id[0] != '\0' && entry->born != 0 && entry->born < server->entry.born) {
+        return; /* an entry of an earlier life that came late */
+    }
+    if (reborn) {
+        ms_bserver_reset(engine, server, "reborn");
+    }
+    bool changed = server->entry.draining != entry->draining;
+    bool was_listed = server->listed;
+    server->entry = *entry;
+    server->listed = true;
+    server->left = false;
+    if (!server->fenced && !server->hold_pending && server->hold_at == INT64_MAX) {
+        server->heard_at = engine->now;
+        server->clock_ms = entry->clock_ms;
+        server->hold_at = engine->now;
+    }
+    if (changed || !was_listed) {
+        ms_engine_note(engine, "event=server_listed server=%s dc=%s rack=%s draining=%d", entry->id,
+                       entry->dc, entry->rack, entry->draining);
+        engine->place_due = true;
+    }
+}
+
+void
+ms_engine_server_gone(struct ms_engine *engine, const char *id, int64_t now)
+{
+    engine->now = MAX(engine->now, now);
+    struct ms_bserver *server = g_hash_table_lookup(engine->servers_by_id, id);
+    if (server == NULL || !server->listed) {
+        return;
+    }
+    server->listed = false;
+    server->left = server->entry.draining;
+    server->hold_at = MIN(server->hold_at, engine->now);
+    ms_engine_note(engine, "event=server_unlisted server=%s draining=%d tasks=%d", id,
+                   server->entry.draining, !ms_list_empty(&server->tasks));
+}
+
+/* A run that no record allows is stopped. */
+static void
+stop_foreign(struct ms_engine *engine, struct ms_bserver *server, const struct ms_running_row *row)
+{
+    struct ms_engine_action *action = ms_engine_emit(engine, MS_ENGINE_STOP, server);
+    g_strlcpy(action->task, row->task, sizeof(action->task));
+    action->run = row->run;
+    server->foreign++;
+    ms_engine_note(engine, "event=stop_unknown task=%s run=%u server=%s", row->task, row->run,
+                   server->id);
+}
+
+/* The task of ROW, if it is where and what its record says. */
+static struct ms_btask *
+match(const struct ms_engine *engine, const struct ms_bserver *server, const char *name,
+      uint32_t run)
+{
+    struct ms_btask *task = ms_engine_task(engine, name);
+    if (task == NULL || task->server != server || task->run != run ||
+        task->state == MS_BTASK_RECORDING) {
+        return NULL;
+    }
+    return task;
+}
+
+static void
+take_running_row(struct ms_engine *engine, struct ms_bserver *server,
+                 const struct ms_running_row *row, GHashTable *seen)
+{
+    struct ms_btask *task = match(engine, server, row->task, row->run);
+    if (task == NULL) {
+        stop_foreign(engine, server, row);
+        return;
+    }
+    g_hash_table_add(seen, task);
+    if (task->state == MS_BTASK_STARTING) {
+        /* The report proves the start, whatever became of the order's answer. */
+        struct ms_engine_action order = {.kind = MS_ENGINE_START, .life = server->life};
+        g_strlcpy(order.server, server->id, sizeof(order.server));
+        g_strlcpy(order.task, row->task, sizeof(order.task));
+        order.run = row->run;
+        ms_engine_order_answer(engine, &order, MS_ORDER_OK, 0, engine->now);
+        task->adopted = false;
+    }
+    if (row->percent != task->percent) {
+        task->percent = row->percent;
+        task->progress_at = engine->now;
+    }
+    ms_btask_checkpoint(task, row->checkpoint);
+}
+
+static void
+take_ended_row(struct ms_engine *engine, struct ms_bserver *server,
+               const struct ms_ended_row *row)
+{
+    if (row->position <= server->ends_seen) {
+        return;
+    }
+    server->ends_seen = row->position;
+    struct ms_btask *task = match(engine, server, row->task, row->run);
+    if (task != NULL) {
+        ms_btask_ended(engine, task, row->how, row->checkpoint);
+    }
+}
+
+/* Whether a report asked for at SENT_AT would have had TASK if it existed. */
+static bool
+proven_absent(const struct ms_btask *task, int64_t sent_at)
+{
+    if (task->answered_at >= sent_at || task->order_pending) {
+        return false;
+    }
+    switch (task->state) {
+    case MS_BTASK_STARTING:
+        return task->adopted;
+    case MS_BTASK_RUNNING:
+        return true;
+    case MS_BTASK_STOPPING:
+        return task->stop_confirmed;
+    case MS_BTASK_WAITING:
+    case MS_BTASK_RECORDING:
+    case MS_BTASK_DONE:
+        return false;
+    }
+    return false;
+}
+
+static void
+take_report(struct ms_engine *engine, struct ms_bserver *server,
+            const struct ms_hold_report *report, int64_t sent_at)
+{
+    GHashTable *seen = g_hash_table_new(NULL, NULL);
+    server->foreign = 0;
+    for (size_t i = 0; i < report->ended_count; i++) {
+        take_ended_row(engine, server, &report->ended[i]);
+    }
+    for (size_t i = 0; i < report->running_count; i++) {
+        take_running_row(engine, server, &report->running[i], seen);
+    }
+    bool whole = report->ended_count < ENDED_ROWS_FULL;
+    bool again = whole;
+    while (again) {
+        again = false;
+        MS_LIST_EACH(link, &server->tasks) {
+            struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
+            if (!g_hash_table_contains(seen, task) && proven_absent(task, sent_at)) {
+                ms_btask_lost(engine, task, "absent");
+                again = true; /* a gang's other members may have moved */
+                break;
+            }
+        }
+    }
+    g_hash_table_destroy(seen);
+}
+
+/* With nothing left to store, all ends that were seen are covered. */
+static void
+cover_ends(const struct ms_engine *engine, struct ms_bserver *server)
+{
+    if (!engine->storing && ms_list_empty(&engine->dirty)) {
+        server->ends_stored = server->ends_seen;
+    }
+}
+
+/* Sets when SERVER is to be held next. */
+static void
+schedule_hold(struct ms_engine *engine, struct ms_bserver *server)
+{
+    bool busy = !ms_list_empty(&server->tasks) || server->foreign > 0;
+    cover_ends(engine, server);
+    if (server->ends_seen > server->ends_stored) {
+        server->hold_at = engine->now + STORE_WAIT_MS;
+    }
+    else if (busy || server->ends_stored > server->ends_acked) {
+        server->hold_at = engine->now;
+    }
+    else {
+        server->hold_at = INT64_MAX;
+    }
+}
+
+static void
+hold_failed(struct ms_engine *engine, struct ms_bserver *server)
+{
+    if (!server->silent) {
+        ms_engine_note(engine, "event=server_silent server=%s heard_age_ms=%" G_GINT64_FORMAT,
+                       server->id, engine->now - server->heard_at);
+    }
+    server->silent = true;
+    if (server->left) {
+        ms_bserver_reset(engine, server, "left");
+        return;
+    }
+    bool busy = !ms_list_empty(&server->tasks);
+    if (!busy && !server->listed) {
+        server->hold_at = INT64_MAX;
+        return;
+    }
+    server->hold_at = engine->now + (busy || !server->fenced ? HOLD_RETRY_MS : IDLE_RETRY_MS);
+}
+
+void
+ms_engine_hold_answer(struct ms_engine *engine, const struct ms_engine_action *order,
+                      enum ms_order_result result, const struct ms_hold_report *report,
+                      int64_t sent_at, int64_t now)
+{
+    engine->now = MAX(engine->now, now);
+    struct ms_bserver *server = g_hash_table_lookup(engine->servers_by_id, order->server);
+    if (server == NULL || server->life != order->life) {
+        return;
+    }
+    server->hold_pending = false;
+    if (result == MS_ORDER_FENCED) {
+        if (!engine->stepped_down) {
+            engine->stepped_down = true;
+            ms_engine_emit(engine, MS_ENGINE_STEP_DOWN, NULL);
+        }
+        return;
+    }
+    bool other = report != NULL && report->born != 0 && server->entry.born != 0 &&
+                 report->born != server->entry.born;
+    if (result == MS_ORDER_OTHER_LIFE || other) {
+        ms_bserver_reset(engine, server, "other_life");
+        return;
+    }
+    if (result != MS_ORDER_OK || report == NULL) {
+        hold_failed(engine, server);
+        return;
+    }
+    if (!server->fenced || server->silent) {
+        ms_engine_note(engine, "event=server_held server=%s epoch=%" G_GUINT64_FORMAT
+                               " running=%zu ended=%zu",
+                       server->id, engine->epoch, report->running_count, report->ended_count);
+        engine->place_due = true;
+    }
+    server->fenced = true;
+    server->silent = false;
+    server->heard_at = engine->now;
+    server->clock_ms = report->clock_ms;
+    server->ends_acked = MAX(server->ends_acked, order->ack_position);
+    take_report(engine, server, report, sent_at);
+    schedule_hold(engine, server);
+}
+
+static void
+emit_hold(struct ms_engine *engine, struct ms_bserver *server)
+{
+    cover_ends(engine, server);
+    bool may_wait = server->fenced && !server->silent && !ms_list_empty(&server->tasks) &&
+                    server->ends_seen == server->ends_stored && server->foreign == 0;
+    struct ms_engine_action *action = ms_engine_emit(engine, MS_ENGINE_HOLD, server);
+    action->deadline_ms = ms_bserver_deadline(engine, server);
+    action->ack_position = server->ends_stored;
+    action->wait_ms = may_wait ? HOLD_WAIT_MS : 0;
+    server->hold_pending = true;
+    server->hold_at = INT64_MAX;
+}
+
+/* Whether a running task makes no progress. */
+static bool
+stalled(const struct ms_engine *engine, const struct ms_btask *task)
+{
+    return task->state == MS_BTASK_RUNNING && !task->step->spec->lasting &&
+           !task->step->spec->fills && task->percent < 100 && !task->server->silent &&
+           engine->now - task->progress_at >
+               MAX(STALL_MIN_MS, task->step->spec->estimate_ms / 4);
+}
+
+static void
+tick_task(struct ms_engine *engine, struct ms_bserver *server, struct ms_btask *task)
+{
+    struct ms_bstep *step = task->step;
+    if (task->state == MS_BTASK_STARTING && !task->adopted) {
+        ms_btask_order(engine, task);
+    }
+    else if (task->state == MS_BTASK_STOPPING && !task->stop_confirmed) {
+        ms_btask_order(engine, task);
+    }
+    else if (stalled(engine, task)) {
+        server->suspect_until = engine->now + SUSPECT_MS;
+        ms_bserver_failed(engine, server, ms_btask_job(task));
+        ms_btask_stop_unit(engine, task, "no_progress");
+    }
+    if (step->spec->gang && task->state == MS_BTASK_STARTING && step->gang_since > 0 &&
+        engine->now - step->gang_since > engine->limits.gang_start_ms) {
+        ms_btask_stop_unit(engine, task, "gang_incomplete");
+    }
+}
+
+void
+ms_bserver_tick(struct ms_engine *engine, struct ms_bserver *server)
+{
+    bool lapsed = engine->now >= ms_bserver_dead_at(engine, server);
+    if (lapsed && !ms_list_empty(&server->tasks) && (server->silent || !server->fenced)) {
+        bool recording_only = true;
+        MS_LIST_EACH(link, &server->tasks) {
+            recording_only &= MS_CONTAINER(link, struct ms_btask, server_link)->state ==
+                              MS_BTASK_RECORDING;
+        }
+        if (!recording_only) {
+            lose_tasks(engine, server, "lease_lapsed");
+        }
+    }
+    MS_LIST_EACH(link, &server->tasks) {
+        tick_task(engine, server, MS_CONTAINER(link, struct ms_btask, server_link));
+    }
+    if (!server->hold_pending && engine->now >= server->hold_at &&
+        server->entry.address[0] != '\0') {
+        emit_hold(engine, server);
+    }
+}
+
+void
+ms_engine_directory_read(struct ms_engine *engine, int64_t now)
+{
+    engine->now = MAX(engine->now, now);
+    engine->place_due = true;
+}
--- /dev/null
+++ b/src/batch/engine_store.c
@@ -0,0 +1,240 @@
+/*
+ * engine_store.c - the state of jobs as records of the log, and back.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/engine_private.h"
+#include "wire/batch.pb-c.h"
+
+#define BATCH_BYTES_MAX (512 * 1024) /* of one append call */
+
+/* Status of a task in a record. */
+enum stored_status { STORED_WAITING = 0, STORED_ACTIVE, STORED_DONE };
+
+/* Index, plus one, of SERVER in SERVERS, where it is added if need be. */
+static uint32_t
+server_index(GPtrArray *servers, const struct ms_bserver *server)
+{
+    char *text = g_strdup_printf("%s/%" G_GINT64_FORMAT, server->id, server->entry.born);
+    for (guint i = 0; i < servers->len; i++) {
+        if (strcmp(g_ptr_array_index(servers, i), text) == 0) {
+            g_free(text);
+            return i + 1;
+        }
+    }
+    g_ptr_array_add(servers, text);
+    return servers->len;
+}
+
+static void
+pack_task(struct ms_btask *task, Ms__Batch__OccurrenceRecord *record, size_t index,
+          GPtrArray *servers)
+{
+    enum stored_status status = STORED_WAITING;
+    if (task->state == MS_BTASK_DONE) {
+        status = STORED_DONE;
+    }
+    else if (task->server != NULL) {
+        status = STORED_ACTIVE;
+        record->server[index] = server_index(servers, task->server);
+    }
+    if (task->state == MS_BTASK_RECORDING) {
+        task->recorded = true;
+    }
+    record->status.data[index] = (uint8_t)status;
+    record->run[index] = task->run;
+    record->failures[index] = task->failures;
+    if (status != STORED_DONE) {
+        record->checkpoint[index] = task->checkpoint;
+    }
+}
+
+static Ms__Batch__OccurrenceRecord *
+pack_occurrence(struct ms_occurrence *occurrence, GPtrArray *servers)
+{
+    Ms__Batch__OccurrenceRecord *record = g_new0(Ms__Batch__OccurrenceRecord, 1);
+    ms__batch__occurrence_record__init(record);
+    record->number = occurrence->number;
+    record->complete = occurrence->steps == NULL;
+    if (record->complete) {
+        return record;
+    }
+    const struct ms_batch_spec *spec = occurrence->job->spec;
+    size_t count = 0;
+    for (size_t s = 0; s < spec->step_count; s++) {
+        count += spec->steps[s].count;
+    }
+    record->status.len = count;
+    record->status.data = g_malloc0(count);
+    record->n_run = record->n_failures = record->n_server = record->n_checkpoint = count;
+    record->run = g_new0(uint32_t, count);
+    record->failures = g_new0(uint32_t, count);
+    record->server = g_new0(uint32_t, count);
+    record->checkpoint = g_new0(char *, count);
+    size_t index = 0;
+    for (size_t s = 0; s < spec->step_count; s++) {
+        for (uint32_t k = 0; k < spec->steps[s].count; k++, index++) {
+            record->checkpoint[index] = "";
+            pack_task(&occurrence->steps[s].tasks[k], record, index, servers);
+        }
+    }
+    return record;
+}
+
+static void
+free_occurrence_record(Ms__Batch__OccurrenceRecord *record)
+{
+    g_free(record->status.data);
+    g_free(record->run);
+    g_free(record->failures);
+    g_free(record->server);
+    g_free(record->checkpoint);
+    g_free(record);
+}
+
+static GBytes *
+pack_state(struct ms_bjob *job)
+{
+    Ms__Batch__StateRecord record = MS__BATCH__STATE_RECORD__INIT;
+    GPtrArray *servers = g_ptr_array_new_with_free_func(g_free);
+    size_t count = job->phase == MS_PHASE_OPEN ? job->occurrences->len : 0;
+    record.phase = job->phase;
+    record.begun = job->begun;
+    record.n_occurrences = count;
+    record.occurrences = g_new0(Ms__Batch__OccurrenceRecord *, count + 1);
+    for (size_t i = 0; i < count; i++) {
+        record.occurrences[i] = pack_occurrence(g_ptr_array_index(job->occurrences, i), servers);
+    }
+    record.n_servers = servers->len;
+    record.servers = (char **)servers->pdata;
+    size_t length = ms__batch__state_record__get_packed_size(&record);
+    uint8_t *bytes = g_malloc(length + 1);
+    ms__batch__state_record__pack(&record, bytes);
+    for (size_t i = 0; i < count; i++) {
+        free_occurrence_record(record.occurrences[i]);
+    }
+    g_free(record.occurrences);
+    g_ptr_array_unref(servers);
+    /* An open job that has not begun packs to nothing, which would remove the key. */
+    if (length == 0) {
+        static const uint8_t phase_open[] = {0x08, 0x00}; /* field 1 = 0, written out */
+        g_free(bytes);
+        return g_bytes_new_static(phase_open, sizeof(phase_open));
+    }
+    return g_bytes_new_take(bytes, length);
+}
+
+static void
+add_item(GPtrArray *items, const char *prefix, const char *id, GBytes *value)
+{
+    struct ms_store_item *item = g_new0(struct ms_store_item, 1);
+    snprintf(item->key, sizeof(item->key), "%s%s", prefix, id);
+    item->value = value;
+    g_ptr_array_add(items, item);
+}
+
+void
+ms_engine_store(struct ms_engine *engine)
+{
+    struct ms_engine_action *action = ms_engine_emit(engine, MS_ENGINE_STORE, NULL);
+    size_t bytes = 0;
+    action->items = g_ptr_array_new();
+    MS_LIST_EACH(link, &engine->dirty) {
+        struct ms_bjob *job = MS_CONTAINER(link, struct ms_bjob, dirty);
+        if (bytes > BATCH_BYTES_MAX) {
+            break;
+        }
+        ms_list_remove(&job->dirty);
+        job->storing = true;
+        if (job->forgetting) {
+            add_item(action->items, MS_KEY_CANCEL, job->id, NULL);
+            add_item(action->items, MS_KEY_STATE, job->id, NULL);
+            add_item(action->items, MS_KEY_JOB, job->id, NULL);
+            continue;
+        }
+        GBytes *value = pack_state(job);
+        bytes += g_bytes_get_size(value);
+        add_item(action->items, MS_KEY_STATE, job->id, value);
+    }
+    engine->storing = true;
+    bool rest = !ms_list_empty(&engine->dirty);
+    engine->dirty_urgent = rest && engine->dirty_urgent;
+    if (rest) {
+        return; /* ends of the jobs left over are not covered */
+    }
+    MS_LIST_EACH(server_link, &engine->servers) {
+        struct ms_bserver *server = MS_CONTAINER(server_link, struct ms_bserver, link);
+        server->ends_storing = server->ends_seen;
+    }
+}
+
+/* Puts a task to where its record says that it was started. */
+static void
+restore_active(struct ms_engine *engine, struct ms_btask *task, const char *where)
+{
+    char **parts = g_strsplit(where, "/", 2);
+    int64_t born = parts[0] != NULL && parts[1] != NULL ? g_ascii_strtoll(parts[1], NULL, 10) : 0;
+    struct ms_bserver *server = ms_engine_server_by_id(engine, parts[0] != NULL ? parts[0] : "");
+    bool other_life = server->entry.born != 0 && born != 0 && server->entry.born != born;
+    if (!other_life) {
+        if (server->entry.born == 0) {
+            server->entry.born = born;
+        }
+        ms_btask_assign(engine, task, server);
+        task->state = MS_BTASK_STARTING;
+        task->adopted = true;
+    }
+    g_strfreev(parts);
+}
+
+static void
+restore_occurrence(struct ms_engine *engine, struct ms_occurrence *occurrence,
+                   const Ms__Batch__OccurrenceRecord *record, const Ms__Batch__StateRecord *state)
+{
+    const struct ms_batch_spec *spec = occurrence->job->spec;
+    size_t index = 0;
+    for (size_t s = 0; s < spec->step_count; s++) {
+        for (uint32_t k = 0; k < spec->steps[s].count; k++, index++) {
+            struct ms_btask *task = &occurrence->steps[s].tasks[k];
+            if (!record->complete && index >= record->status.len) {
+                return;
+            }
+            if (record->complete || record->status.data[index] == STORED_DONE) {
+                ms_btask_release(engine, task, MS_BTASK_DONE);
+                continue;
+            }
+            if (index < record->n_run && index < record->n_failures) {
+                task->run = record->run[index];
+                task->failures = record->failures[index];
+            }
+            if (index < record->n_checkpoint) {
+                g_strlcpy(task->checkpoint, record->checkpoint[index], sizeof(task->checkpoint));
+            }
+            if (record->status.data[index] == STORED_ACTIVE && index < record->n_server &&
+                record->server[index] > 0 && record->server[index] <= state->n_servers) {
+                restore_active(engine, task, state->servers[record->server[index] - 1]);
+            }
+        }
+    }
+}
+
+void
+ms_engine_restore(struct ms_engine *engine, struct ms_bjob *job, GBytes *bytes)
+{
+    gsize length = 0;
+    const uint8_t *data = g_bytes_get_data(bytes, &length);
+    Ms__Batch__StateRecord *record = ms__batch__state_record__unpack(NULL, length, data);
+    if (record == NULL) {
+        ms_engine_note(engine, "event=state_unreadable id=%s bytes=%zu", job->id, length);
+        return;
+    }
+    for (size_t i = 0; i < record->n_occurrences; i++) {
+        const Ms__Batch__OccurrenceRecord *item = record->occurrences[i];
+        if (item->number < MS_BATCH_OCCURRENCES_MAX) {
+            restore_occurrence(engine, ms_bjob_occurrence(job, item->number), item, record);
+        }
+    }
+    ms__batch__state_record__free_unpacked(record, NULL);
+}
--- /dev/null
+++ b/src/batch/server.c
@@ -0,0 +1,32 @@
+/*
+ * server.c - names and memory of what backend servers say.
+ */
+#include <glib.h>
+
+#include "batch/server.h"
+
+const char *
+ms_run_end_name(enum ms_run_end how)
+{
+    static const char *const names[] = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return names[how];
+}
+
+const char *
+ms_order_result_name(enum ms_order_result result)
+{
+    static const char *const names[] = {"ok",      "no_answer", "fenced",     "old",     "late",
+                                        "no_room", "unhealthy", "other_life", "rejected"};
+    return names[result];
+}
+
+void
+ms_hold_report_free(struct ms_hold_report *report)
+{
+    if (report == NULL) {
+        return;
+    }
+    g_free(report->running);
+    g_free(report->ended);
+    g_free(report);
+}
--- /dev/null
+++ b/src/batch/table.c
@@ -0,0 +1,194 @@
+/*
+ * table.c - what the log says about stored jobs and the placing host.
+ */
+#include <string.h>
+
+#include "batch/table.h"
+#include "wire/batch.pb-c.h"
+
+static void
+free_job(gpointer opaque)
+{
+    struct ms_stored_job *job = opaque;
+    if (job->accepted) {
+        ms_batch_spec_clear(&job->spec);
+    }
+    if (job->state != NULL) {
+        g_bytes_unref(job->state);
+    }
+    g_free(job);
+}
+
+struct ms_table *
+ms_table_new(void)
+{
+    struct ms_table *table = g_new0(struct ms_table, 1);
+    table->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+    return table;
+}
+
+void
+ms_table_free(struct ms_table *table)
+{
+    if (table == NULL) {
+        return;
+    }
+    g_hash_table_destroy(table->jobs);
+    g_free(table);
+}
+
+struct ms_stored_job *
+ms_table_find(const struct ms_table *table, const char *id)
+{
+    return g_hash_table_lookup(table->jobs, id);
+}
+
+static struct ms_stored_job *
+get_job(struct ms_table *table, const char *id)
+{
+    struct ms_stored_job *job = ms_table_find(table, id);
+    if (job == NULL) {
+        job = g_new0(struct ms_stored_job, 1);
+        g_strlcpy(job->id, id, sizeof(job->id));
+        g_hash_table_insert(table->jobs, job->id, job);
+    }
+    return job;
+}
+
+static enum ms_change_kind
+apply_lead(struct ms_table *table, const uint8_t *value, size_t length)
+{
+    Ms__Batch__LeadRecord *record = ms__batch__lead_record__unpack(NULL, length, value);
+    if (record == NULL) {
+        return MS_CHANGED_UNREADABLE;
+    }
+    struct ms_lead *lead = &table->lead;
+    bool counts = false;
+    switch ((enum ms_lead_kind)record->kind) {
+    case MS_LEAD_CLAIM:
+        counts = record->epoch == lead->epoch + 1 || lead->epoch == 0;
+        break;
+    case MS_LEAD_RENEW:
+        /* Only the holder renews, so a renewal settles two claims of one epoch. */
+        counts = record->epoch >= lead->epoch;
+        break;
+    case MS_LEAD_RESIGN:
+        counts = record->epoch >= lead->epoch;
+        break;
+    }
+    if (counts) {
+        g_strlcpy(lead->holder, record->holder, sizeof(lead->holder));
+        lead->epoch = record->epoch;
+        lead->resigned = record->kind == MS_LEAD_RESIGN;
+    }
+    ms__batch__lead_record__free_unpacked(record, NULL);
+    return counts ? MS_CHANGED_LEAD : MS_CHANGED_NOTHING;
+}
+
+static enum ms_change_kind
+apply_accepted(struct ms_table *table, const char *id, const uint8_t *value, size_t length,
+               struct ms_stored_job **out)
+{
+    struct ms_stored_job *job = get_job(table, id);
+    *out = job;
+    if (job->accepted) {
+        return MS_CHANGED_NOTHING;
+    }
+    if (ms_batch_spec_unpack(id, value, length, &job->spec) != MS_OK) {
+        return MS_CHANGED_UNREADABLE;
+    }
+    job->accepted = true;
+    return MS_CHANGED_ACCEPTED;
+}
+
+static enum ms_change_kind
+apply_state(struct ms_table *table, const char *id, const uint8_t *value, size_t length,
+            struct ms_stored_job **out)
+{
+    Ms__Batch__StateRecord *record = ms__batch__state_record__unpack(NULL, length, value);
+    if (record == NULL) {
+        return MS_CHANGED_UNREADABLE;
+    }
+    struct ms_stored_job *job = get_job(table, id);
+    *out = job;
+    job->phase = (enum ms_phase)record->phase;
+    job->begun = record->begun;
+    if (job->state != NULL) {
+        g_bytes_unref(job->state);
+    }
+    job->state = g_bytes_new(value, length);
+    ms__batch__state_record__free_unpacked(record, NULL);
+    return MS_CHANGED_STATE;
+}
+
+enum ms_change_kind
+ms_table_apply(struct ms_table *table, const char *key, const uint8_t *value, size_t length,
+               struct ms_stored_job **job)
+{
+    *job = NULL;
+    if (strcmp(key, MS_KEY_LEAD) == 0) {
+        return apply_lead(table, value, length);
+    }
+    const char *id = key + 2;
+    if (strlen(key) < 3 || strlen(id) >= MS_JOB_ID_MAX) {
+        return MS_CHANGED_UNREADABLE;
+    }
+    bool is_job = g_str_has_prefix(key, MS_KEY_JOB);
+    if (length == 0) {
+        /* All keys of a job are removed together; the first one removes it. */
+        g_hash_table_remove(table->jobs, id);
+        return MS_CHANGED_NOTHING;
+    }
+    if (is_job) {
+        return apply_accepted(table, id, value, length, job);
+    }
+    if (g_str_has_prefix(key, MS_KEY_STATE)) {
+        return apply_state(table, id, value, length, job);
+    }
+    if (!g_str_has_prefix(key, MS_KEY_CANCEL)) {
+        return MS_CHANGED_UNREADABLE;
+    }
+    *job = get_job(table, id);
+    bool was = (*job)->cancelled;
+    (*job)->cancelled = true;
+    return was ? MS_CHANGED_NOTHING : MS_CHANGED_CANCELLED;
+}
+
+enum ms_phase
+ms_stored_phase(const struct ms_stored_job *job)
+{
+    if (job->phase == MS_PHASE_OPEN && job->cancelled) {
+        return MS_PHASE_CANCELLED;
+    }
+    return job->phase;
+}
+
+uint32_t
+ms_table_waiting(const struct ms_table *table, const char *queue)
+{
+    uint32_t waiting = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, table->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_stored_job *job = value;
+        if (job->accepted && !job->begun && ms_stored_phase(job) == MS_PHASE_OPEN &&
+            strcmp(job->spec.queue, queue) == 0) {
+            waiting++;
+        }
+    }
+    return waiting;
+}
+
+uint8_t *
+ms_lead_pack(const char *holder, uint64_t epoch, enum ms_lead_kind kind, size_t *length)
+{
+    Ms__Batch__LeadRecord record = MS__BATCH__LEAD_RECORD__INIT;
+    record.holder = (char *)holder;
+    record.epoch = epoch;
+    record.kind = kind;
+    *length = ms__batch__lead_record__get_packed_size(&record);
+    uint8_t *bytes = g_malloc(*length + 1);
+    ms__batch__lead_record__pack(&record, bytes);
+    return bytes;
+}
--- /dev/null
+++ b/src/entry/edge.c
@@ -0,0 +1,321 @@
+/*
+ * edge.c - the HTTP side of an entry host.
+ *
+ * A connection whose call is with the decision thread is suspended;
+ * ms_entry_call_answer() resumes it.
+ */
+#include <arpa/inet.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <microhttpd.h>
+
+#include "entry/edge.h"
+#include "obs/clock.h"
+#include "obs/log.h"
+#include "ports/edge.h"
+
+#define BODY_MAX (1u << 20) /* bytes of a request body */
+#define CONNECTIONS_MAX 3000u
+#define IDLE_TIMEOUT_S 120u
+#define WAIT_DEFAULT_MS 3000
+#define WAIT_MAX_MS 60000
+#define RETRY_AFTER_S "1"
+#define METRICS_PATH "/metrics"
+
+struct ms_edge {
+    struct MHD_Daemon *callers;
+    struct MHD_Daemon *probes;
+    struct MHD_Daemon *metrics;
+    struct ms_counters *counters;
+    struct ms_ring *ring;
+    atomic_bool ready;
+    atomic_bool quiescing;
+};
+
+/* State of one HTTP exchange between the callbacks of libmicrohttpd. */
+struct exchange {
+    GByteArray *body;
+    bool too_large;
+    bool asked; /* the call was pushed to the decision thread */
+    struct ms_entry_call *call;
+};
+
+void
+ms_entry_call_answer(struct ms_entry_call *call)
+{
+    MHD_resume_connection(call->connection);
+}
+
+static enum MHD_Result
+reply(struct ms_edge *edge, struct MHD_Connection *connection, unsigned int status,
+      const char *type, const char *body)
+{
+    struct MHD_Response *response =
+        MHD_create_response_from_buffer(strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+    if (status == MHD_HTTP_SERVICE_UNAVAILABLE || status == MHD_HTTP_TOO_MANY_REQUESTS) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, RETRY_AFTER_S);
+    }
+    if (atomic_load(&edge->quiescing)) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+    enum MHD_Result result = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static enum MHD_Result
+reply_error(struct ms_edge *edge, struct MHD_Connection *connection, unsigned int status,
+            const char *error)
+{
+    char *text = ms_edge_error(error);
+    enum MHD_Result result = reply(edge, connection, status, "application/json", text);
+    free(text);
+    return result;
+}
+
+static enum ms_entry_method
+method_of(const char *method)
+{
+    if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
+        return MS_METHOD_GET;
+    }
+    if (strcmp(method, MHD_HTTP_METHOD_POST) == 0) {
+        return MS_METHOD_POST;
+    }
+    return strcmp(method, MHD_HTTP_METHOD_DELETE) == 0 ? MS_METHOD_DELETE : MS_METHOD_OTHER;
+}
+
+static int64_t
+wait_of(struct MHD_Connection *connection)
+{
+    const char *text =
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, ms_edge_deadline_header);
+    gint64 wait = text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
+    return wait > 0 ? MIN(wait, WAIT_MAX_MS) : WAIT_DEFAULT_MS;
+}
+
+static struct ms_entry_call *
+read_call(struct MHD_Connection *connection, const char *url, const char *method,
+          const struct exchange *exchange)
+{
+    struct ms_entry_call *call = g_new0(struct ms_entry_call, 1);
+    const char *host =
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
+    call->method = method_of(method);
+    call->host = g_strdup(host != NULL ? host : "");
+    call->path = g_strdup(url);
+    call->key = g_strdup(ms_edge_key(
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, ms_edge_key_header)));
+    call->wait_ms = wait_of(connection);
+    call->connection = connection;
+    if (call->method == MS_METHOD_POST) {
+        ms_edge_decode_job((const char *)exchange->body->data, exchange->body->len, &call->spec,
+                           call->error, sizeof(call->error));
+    }
+    return call;
+}
+
+/* Hands the request to the decision thread; it is resumed with the answer. */
+static enum MHD_Result
+ask(struct ms_edge *edge, struct MHD_Connection *connection, const char *url, const char *method,
+    struct exchange *exchange)
+{
+    exchange->call = read_call(connection, url, method, exchange);
+    exchange->call->arrived_at = ms_clock_boot_ms();
+    exchange->asked = true;
+    struct ms_entry_message *message = ms_entry_message_new(MS_ENTRY_CALL);
+    message->call = exchange->call;
+    MHD_suspend_connection(connection);
+    if (!ms_ring_push(edge->ring, message)) {
+        ms_entry_message_free(message);
+        ms_counter_add(edge->counters, MS_COUNT_BUSY, 1);
+        exchange->call->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+        exchange->call->reason = "busy";
+        MHD_resume_connection(connection);
+    }
+    return MHD_YES;
+}
+
+static enum MHD_Result
+answer(struct ms_edge *edge, struct MHD_Connection *connection, const struct ms_entry_call *call)
+{
+    if (call->body != NULL) {
+        return reply(edge, connection, call->status, "application/json", call->body);
+    }
+    if (call->status >= MHD_HTTP_BAD_REQUEST) {
+        return reply_error(edge, connection, call->status,
+                           call->reason != NULL ? call->reason : "refused");
+    }
+    return reply(edge, connection, call->status, "application/json", "{}");
+}
+
+static enum MHD_Result
+handle(void *opaque, struct MHD_Connection *connection, const char *url, const char *method,
+       const char *version, const char *data, size_t *size, void **state)
+{
+    struct ms_edge *edge = opaque;
+    struct exchange *exchange = *state;
+    (void)version;
+    if (exchange == NULL) {
+        exchange = g_new0(struct exchange, 1);
+        exchange->body = g_byte_array_new();
+        *state = exchange;
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        exchange->too_large |= exchange->body->len + *size > BODY_MAX;
+        if (!exchange->too_large) {
+            g_byte_array_append(exchange->body, (const guint8 *)data, (guint)*size);
+        }
+        *size = 0;
+        return MHD_YES;
+    }
+    if (strcmp(url, ms_edge_ready_path) == 0) {
+        bool ready = atomic_load(&edge->ready);
+        return reply(edge, connection, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+                     "application/json", "{}");
+    }
+    if (exchange->too_large) {
+        return reply_error(edge, connection, MHD_HTTP_CONTENT_TOO_LARGE,
+                           "body: larger than 1 MiB");
+    }
+    if (!exchange->asked) {
+        return ask(edge, connection, url, method, exchange);
+    }
+    return answer(edge, connection, exchange->call);
+}
+
+static enum MHD_Result
+handle_metrics(void *opaque, struct MHD_Connection *connection, const char *url,
+               const char *method, const char *version, const char *data, size_t *size,
+               void **state)
+{
+    struct ms_edge *edge = opaque;
+    (void)method;
+    (void)version;
+    (void)data;
+    (void)state;
+    *size = 0;
+    if (strcmp(url, METRICS_PATH) != 0) {
+        return reply_error(edge, connection, MHD_HTTP_NOT_FOUND, "only " METRICS_PATH " is here");
+    }
+    char *text = ms_counters_text(edge->counters);
+    enum MHD_Result result = reply(edge, connection, MHD_HTTP_OK, "text/plain", text);
+    g_free(text);
+    return result;
+}
+
+static void
+completed(void *opaque, struct MHD_Connection *connection, void **state,
+          enum MHD_RequestTerminationCode code)
+{
+    struct exchange *exchange = *state;
+    (void)opaque;
+    (void)connection;
+    (void)code;
+    if (exchange != NULL) {
+        g_byte_array_unref(exchange->body);
+        ms_entry_call_free(exchange->call);
+        g_free(exchange);
+        *state = NULL;
+    }
+}
+
+static bool
+parse_address(const char *text, struct sockaddr_in *address)
+{
+    char *copy = g_strdup(text);
+    char *colon = strrchr(copy, ':');
+    guint64 port = 0;
+    bool good = colon != NULL && g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL);
+    if (good) {
+        *colon = '\0';
+        memset(address, 0, sizeof(*address));
+        address->sin_family = AF_INET;
+        address->sin_port = htons((uint16_t)port);
+        good = inet_pton(AF_INET, copy, &address->sin_addr) == 1;
+    }
+    g_free(copy);
+    return good;
+}
+
+static struct MHD_Daemon *
+listen_at(struct ms_edge *edge, const char *text, MHD_AccessHandlerCallback handler,
+          unsigned int connections)
+{
+    struct sockaddr_in address;
+    if (!parse_address(text, &address)) {
+        return NULL;
+    }
+    return MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handler, edge,
+        MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_CONNECTION_LIMIT,
+        connections, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
+        completed, NULL, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+        1024u, MHD_OPTION_END);
+}
+
+struct ms_edge *
+ms_edge_start(const struct ms_entry_settings *settings, struct ms_counters *counters,
+              struct ms_ring *ring, char *error, size_t size)
+{
+    struct ms_edge *edge = g_new0(struct ms_edge, 1);
+    const char *what = settings->caller_address;
+    edge->counters = counters;
+    edge->ring = ring;
+    edge->callers = listen_at(edge, what, handle, CONNECTIONS_MAX);
+    if (edge->callers == NULL) {
+        goto fail;
+    }
+    what = settings->ready_address;
+    edge->probes = listen_at(edge, what, handle, 64);
+    if (edge->probes == NULL) {
+        goto fail;
+    }
+    what = settings->metrics_address;
+    edge->metrics = listen_at(edge, what, handle_metrics, 64);
+    if (edge->metrics == NULL) {
+        goto fail;
+    }
+    return edge;
+
+fail:
+    snprintf(error, size, "cannot listen on %s", what);
+    ms_edge_stop(edge);
+    return NULL;
+}
+
+void
+ms_edge_ready(struct ms_edge *edge, bool ready)
+{
+    atomic_store(&edge->ready, ready);
+}
+
+void
+ms_edge_quiesce(struct ms_edge *edge)
+{
+    atomic_store(&edge->ready, false);
+    atomic_store(&edge->quiescing, true);
+}
+
+void
+ms_edge_stop(struct ms_edge *edge)
+{
+    if (edge == NULL) {
+        return;
+    }
+    if (edge->callers != NULL) {
+        MHD_stop_daemon(edge->callers);
+    }
+    if (edge->probes != NULL) {
+        MHD_stop_daemon(edge->probes);
+    }
+    if (edge->metrics != NULL) {
+        MHD_stop_daemon(edge->metrics);
+    }
+    g_free(edge);
+}
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,280 @@
+/*
+ * entry.c - the decision thread of an entry host: takes messages, runs timers,
+ * shuts down.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "entry/private.h"
+#include "obs/clock.h"
+#include "obs/log.h"
+
+#define RING_SLOTS 16384
+#define STEP_MAX_MS 250      /* longest sleep of the thread */
+#define JOBS_WAIT_MS 1000    /* a read of the log waits so long for records */
+#define RULES_WAIT_MS 1500
+#define SERVERS_WAIT_MS 2000
+#define JOBS_GAP_MS 20       /* least time between two reads */
+#define RULES_GAP_MS 0
+#define SERVERS_GAP_MS 300
+#define DRAIN_SHARE 0.6      /* of shutdown_s: longest graceful shutdown */
+#define DRAIN_MIN_MS 2500    /* the balancer needs so long to notice */
+
+static void
+begin_shutdown(struct ms_entry *entry)
+{
+    if (entry->draining) {
+        return;
+    }
+    ms_log(MS_LOG_NOTICE, "event=shutdown_begin calls=%u", entry->calls);
+    entry->draining = true;
+    entry->drain_until =
+        entry->now + (int64_t)((double)entry->settings->shutdown_s * 1000.0 * DRAIN_SHARE);
+    entry->lead_since = entry->now;
+    ms_lead_resign(entry);
+    ms_edge_quiesce(entry->edge);
+}
+
+static void
+check_shutdown(struct ms_entry *entry)
+{
+    if (!entry->draining) {
+        return;
+    }
+    bool late = entry->now >= entry->drain_until;
+    bool idle = entry->calls == 0 && entry->now - entry->lead_since >= DRAIN_MIN_MS;
+    if (late || idle) {
+        ms_log(MS_LOG_NOTICE, "event=shutdown_end late=%d calls=%u", late, entry->calls);
+        atomic_store(&entry->done, true);
+    }
+}
+
+static void
+take_append(struct ms_entry *entry, struct ms_append *append)
+{
+    if (append->kind == MS_APPEND_ACCEPT || append->kind == MS_APPEND_CANCEL) {
+        ms_requests_appended(entry, append);
+    }
+    else {
+        ms_lead_appended(entry, append);
+    }
+}
+
+static void
+take_message(struct ms_entry *entry, struct ms_entry_message *message)
+{
+    switch (message->kind) {
+    case MS_ENTRY_CALL:
+        ms_requests_call(entry, message->call);
+        break;
+    case MS_ENTRY_SNAPSHOT:
+    case MS_ENTRY_RECORDS:
+    case MS_ENTRY_READ_FAILED:
+        ms_streams_message(entry, message);
+        break;
+    case MS_ENTRY_APPENDED:
+        take_append(entry, message->append);
+        break;
+    case MS_ENTRY_ORDER:
+        if (entry->engine != NULL) {
+            ms_engine_order_answer(entry->engine, message->order, message->order_result,
+                                   message->clock_ms, entry->now);
+        }
+        break;
+    case MS_ENTRY_HOLD:
+        if (entry->engine != NULL) {
+            ms_engine_hold_answer(entry->engine, message->order, message->order_result,
+                                  message->report, message->sent_at, entry->now);
+        }
+        break;
+    case MS_ENTRY_SHUTDOWN:
+        begin_shutdown(entry);
+        break;
+    case MS_ENTRY_RELOAD:
+        break;
+    }
+    ms_entry_message_free(message);
+}
+
+static void
+set_gauges(struct ms_entry *entry)
+{
+    if (entry->engine == NULL) {
+        return;
+    }
+    struct ms_engine_stats stats;
+    ms_engine_stats(entry->engine, &stats);
+    ms_counter_set(entry->counters, MS_GAUGE_SERVERS, stats.servers_usable);
+    ms_counter_set(entry->counters, MS_GAUGE_RUNNING, stats.tasks_active);
+    ms_counter_set(entry->counters, MS_GAUGE_WAITING, stats.units_waiting);
+}
+
+static void
+run_timers(struct ms_entry *entry)
+{
+    ms_lead_tick(entry);
+    if (entry->lead_state == MS_PLACING) {
+        ms_engine_tick(entry->engine, entry->now, ms_clock_unix_ms());
+    }
+    ms_place_actions(entry);
+    ms_edge_ready(entry->edge, ms_requests_ready(entry));
+    check_shutdown(entry);
+}
+
+static int64_t
+next_timer(const struct ms_entry *entry)
+{
+    int64_t next = entry->now + STEP_MAX_MS;
+    if (entry->lead_state == MS_PLACING) {
+        next = MIN(next, ms_engine_next_tick(entry->engine));
+        next = MIN(next, entry->renew_at);
+    }
+    return next;
+}
+
+static void *
+entry_thread(void *opaque)
+{
+    struct ms_entry *entry = opaque;
+    int64_t gauges_at = 0;
+    while (!atomic_load(&entry->done)) {
+        struct ms_entry_message *message = NULL;
+        int64_t wait = next_timer(entry) - ms_clock_boot_ms();
+        ms_ring_wait(entry->ring, (int)CLAMP(wait, 0, STEP_MAX_MS));
+        entry->now = ms_clock_boot_ms();
+        while ((message = ms_ring_pop(entry->ring)) != NULL) {
+            entry->now = ms_clock_boot_ms();
+            take_message(entry, message);
+        }
+        run_timers(entry);
+        if (entry->now >= gauges_at) {
+            gauges_at = entry->now + 1000;
+            set_gauges(entry);
+        }
+    }
+    return NULL;
+}
+
+static void
+free_calls(gpointer opaque)
+{
+    g_ptr_array_unref(opaque);
+}
+
+static struct ms_entry *
+entry_new(const struct ms_entry_settings *settings, struct ms_counters *counters)
+{
+    struct ms_entry *entry = g_new0(struct ms_entry, 1);
+    entry->settings = settings;
+    entry->counters = counters;
+    entry->now = ms_clock_boot_ms();
+    entry->lead_heard_at = entry->now;
+    snprintf(entry->holder, sizeof(entry->holder), "%s/%" G_GINT64_FORMAT, settings->name,
+             g_get_real_time());
+    entry->table = ms_table_new();
+    entry->dcs_out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    entry->pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_calls);
+    entry->ring = ms_ring_new(RING_SLOTS);
+    entry->old_leases_until = entry->now + settings->lease_max_ms * 2;
+    return entry;
+}
+
+static bool
+start_threads(struct ms_entry *entry)
+{
+    static const struct {
+        int64_t wait_ms;
+        int64_t gap_ms;
+    } reads[MS_STREAM_COUNT] = {{JOBS_WAIT_MS, JOBS_GAP_MS},
+                                {RULES_WAIT_MS, RULES_GAP_MS},
+                                {SERVERS_WAIT_MS, SERVERS_GAP_MS}};
+    const char *log = entry->settings->log_address;
+    for (int i = 0; i < MS_STREAM_COUNT; i++) {
+        entry->follows[i] = ms_follow_start(log, (enum ms_stream)i, entry->ring, reads[i].wait_ms,
+                                            reads[i].gap_ms);
+        if (entry->follows[i] == NULL) {
+            return false;
+        }
+    }
+    entry->open_appender = ms_appender_start(log, entry->ring, false);
+    entry->fenced_appender = ms_appender_start(log, entry->ring, true);
+    entry->links = ms_links_start(entry->ring);
+    return entry->open_appender != NULL && entry->fenced_appender != NULL && entry->links != NULL;
+}
+
+static void
+entry_free(struct ms_entry *entry)
+{
+    struct ms_entry_message *message = NULL;
+    for (int i = 0; i < MS_STREAM_COUNT; i++) {
+        ms_follow_stop(entry->follows[i]);
+    }
+    ms_appender_stop(entry->open_appender);
+    ms_appender_stop(entry->fenced_appender);
+    ms_links_stop(entry->links);
+    while (entry->ring != NULL && (message = ms_ring_pop(entry->ring)) != NULL) {
+        ms_entry_message_free(message);
+    }
+    ms_engine_free(entry->engine);
+    ms_table_free(entry->table);
+    ms_policy_free(entry->policy);
+    g_hash_table_destroy(entry->dcs_out);
+    g_hash_table_destroy(entry->pending);
+    ms_ring_free(entry->ring);
+    g_free(entry);
+}
+
+struct ms_entry *
+ms_entry_start(const struct ms_entry_settings *settings, struct ms_counters *counters,
+               char *error, size_t size)
+{
+    struct ms_entry *entry = entry_new(settings, counters);
+    if (entry->ring == NULL || !start_threads(entry)) {
+        snprintf(error, size, "a thread or a ring cannot be set up");
+        goto fail;
+    }
+    entry->edge = ms_edge_start(settings, counters, entry->ring, error, size);
+    if (entry->edge == NULL) {
+        goto fail;
+    }
+    if (pthread_create(&entry->thread, NULL, entry_thread, entry) != 0) {
+        snprintf(error, size, "the decision thread cannot be started");
+        ms_edge_stop(entry->edge);
+        goto fail;
+    }
+    ms_follow_switch(entry->follows[MS_STREAM_JOBS], true);
+    ms_follow_switch(entry->follows[MS_STREAM_RULES], true);
+    return entry;
+
+fail:
+    entry_free(entry);
+    return NULL;
+}
+
+void
+ms_entry_shutdown(struct ms_entry *entry)
+{
+    struct ms_entry_message *message = ms_entry_message_new(MS_ENTRY_SHUTDOWN);
+    while (!ms_ring_push(entry->ring, message)) {
+        g_usleep(1000);
+    }
+}
+
+bool
+ms_entry_finished(const struct ms_entry *entry)
+{
+    return atomic_load(&entry->done);
+}
+
+void
+ms_entry_stop(struct ms_entry *entry)
+{
+    if (entry == NULL) {
+        return;
+    }
+    atomic_store(&entry->done, true);
+    ms_ring_wake(entry->ring);
+    pthread_join(entry->thread, NULL);
+    ms_edge_stop(entry->edge);
+    entry_free(entry);
+}
--- /dev/null
+++ b/src/entry/links.c
@@ -0,0 +1,201 @@
+/*
+ * links.c - the thread that carries the engine's orders to backend servers.
+ */
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "entry/links.h"
+#include "obs/clock.h"
+#include "platform/http_loop.h"
+#include "ports/servers.h"
+
+#define RING_SLOTS 8192
+#define CONNECTIONS_MAX 2000 /* kept open over all servers */
+#define PER_SERVER_MAX 3     /* one renews, the others carry orders */
+#define IDLE_HANDLES_MAX 256
+#define WAIT_MAX_MS 1000
+
+struct exchange {
+    struct ms_http *http;
+    struct ms_engine_action *order;
+    uint64_t epoch;
+    int64_t sent_at;
+};
+
+struct command {
+    struct ms_engine_action *order;
+    uint64_t epoch;
+};
+
+struct ms_links {
+    struct ms_ring *commands;
+    struct ms_ring *answers;
+    struct ms_http_loop *loop;
+    GPtrArray *idle;     /* exchange, for reuse */
+    GHashTable *running; /* set of exchange */
+    _Atomic uint64_t epoch;
+    pthread_t thread;
+    atomic_bool stopping;
+};
+
+static void
+free_exchange(struct exchange *exchange)
+{
+    ms_engine_action_free(exchange->order);
+    ms_http_free(exchange->http);
+    g_free(exchange);
+}
+
+static struct exchange *
+get_exchange(struct ms_links *links)
+{
+    if (links->idle->len > 0) {
+        return g_ptr_array_remove_index_fast(links->idle, links->idle->len - 1);
+    }
+    struct exchange *exchange = g_new0(struct exchange, 1);
+    exchange->http = ms_http_new();
+    if (exchange->http == NULL) {
+        g_error("out of memory");
+    }
+    exchange->http->owner = exchange;
+    return exchange;
+}
+
+static void
+put_exchange(struct ms_links *links, struct exchange *exchange)
+{
+    g_hash_table_remove(links->running, exchange);
+    exchange->order = NULL;
+    if (links->idle->len < IDLE_HANDLES_MAX) {
+        g_ptr_array_add(links->idle, exchange);
+    }
+    else {
+        free_exchange(exchange);
+    }
+}
+
+static void
+done(void *opaque, struct ms_http *http, CURLcode code)
+{
+    struct ms_links *links = opaque;
+    struct exchange *exchange = http->owner;
+    bool hold = exchange->order->kind == MS_ENGINE_HOLD;
+    struct ms_entry_message *message = ms_entry_message_new(hold ? MS_ENTRY_HOLD : MS_ENTRY_ORDER);
+    message->order = exchange->order;
+    message->sent_at = exchange->sent_at;
+    message->order_result =
+        ms_server_answer(http, code, exchange->order, &message->clock_ms, &message->report);
+    put_exchange(links, exchange);
+    while (!ms_ring_push(links->answers, message) && !atomic_load(&links->stopping)) {
+        g_usleep(1000);
+    }
+}
+
+static void
+run_commands(struct ms_links *links)
+{
+    struct command *command = NULL;
+    ms_ring_clear(links->commands);
+    while ((command = ms_ring_pop(links->commands)) != NULL) {
+        if (command->epoch < atomic_load(&links->epoch)) {
+            ms_engine_action_free(command->order);
+        }
+        else {
+            struct exchange *exchange = get_exchange(links);
+            exchange->order = command->order;
+            exchange->epoch = command->epoch;
+            exchange->sent_at = ms_clock_boot_ms();
+            ms_server_prepare(exchange->http, command->order, command->epoch);
+            g_hash_table_add(links->running, exchange);
+            ms_http_loop_add(links->loop, exchange->http);
+        }
+        g_free(command);
+    }
+}
+
+static void *
+links_thread(void *opaque)
+{
+    struct ms_links *links = opaque;
+    while (!atomic_load(&links->stopping)) {
+        run_commands(links);
+        ms_http_loop_run(links->loop, WAIT_MAX_MS);
+    }
+    return NULL;
+}
+
+struct ms_links *
+ms_links_start(struct ms_ring *answers)
+{
+    struct ms_links *links = g_new0(struct ms_links, 1);
+    links->answers = answers;
+    links->commands = ms_ring_new(RING_SLOTS);
+    if (links->commands == NULL) {
+        g_free(links);
+        return NULL;
+    }
+    links->idle = g_ptr_array_new();
+    links->running = g_hash_table_new(NULL, NULL);
+    links->loop = ms_http_loop_new(CONNECTIONS_MAX, PER_SERVER_MAX, ms_ring_fd(links->commands),
+                                   done, links);
+    if (links->loop == NULL || pthread_create(&links->thread, NULL, links_thread, links) != 0) {
+        ms_http_loop_free(links->loop);
+        ms_ring_free(links->commands);
+        g_ptr_array_unref(links->idle);
+        g_hash_table_destroy(links->running);
+        g_free(links);
+        return NULL;
+    }
+    return links;
+}
+
+bool
+ms_links_push(struct ms_links *links, struct ms_engine_action *order, uint64_t epoch)
+{
+    struct command *command = g_new0(struct command, 1);
+    command->order = order;
+    command->epoch = epoch;
+    if (!ms_ring_push(links->commands, command)) {
+        g_free(command);
+        return false;
+    }
+    return true;
+}
+
+void
+ms_links_epoch(struct ms_links *links, uint64_t epoch)
+{
+    atomic_store(&links->epoch, epoch);
+}
+
+void
+ms_links_stop(struct ms_links *links)
+{
+    if (links == NULL) {
+        return;
+    }
+    atomic_store(&links->stopping, true);
+    ms_ring_wake(links->commands);
+    pthread_join(links->thread, NULL);
+    struct command *command = NULL;
+    while ((command = ms_ring_pop(links->commands)) != NULL) {
+        ms_engine_action_free(command->order);
+        g_free(command);
+    }
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    g_hash_table_iter_init(&iterator, links->running);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        struct exchange *exchange = key;
+        ms_http_loop_remove(links->loop, exchange->http);
+        free_exchange(exchange);
+    }
+    for (guint i = 0; i < links->idle->len; i++) {
+        free_exchange(g_ptr_array_index(links->idle, i));
+    }
+    ms_http_loop_free(links->loop);
+    ms_ring_free(links->commands);
+    g_ptr_array_unref(links->idle);
+    g_hash_table_destroy(links->running);
+    g_free(links);
+}
--- /dev/null
+++ b/src/entry/message.c
@@ -0,0 +1,76 @@
+/*
+ * message.c - memory of what threads tell one another.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "entry/message.h"
+
+struct ms_entry_message *
+ms_entry_message_new(enum ms_entry_message_kind kind)
+{
+    struct ms_entry_message *message = g_new0(struct ms_entry_message, 1);
+    message->kind = kind;
+    return message;
+}
+
+void
+ms_entry_message_free(struct ms_entry_message *message)
+{
+    ms_log_batch_free(message->batch);
+    ms_append_free(message->append);
+    ms_engine_action_free(message->order);
+    ms_hold_report_free(message->report);
+    g_free(message);
+}
+
+static void
+free_item(gpointer opaque)
+{
+    struct ms_store_item *item = opaque;
+    if (item->value != NULL) {
+        g_bytes_unref(item->value);
+    }
+    g_free(item);
+}
+
+struct ms_append *
+ms_append_new(enum ms_append_kind kind)
+{
+    struct ms_append *append = g_new0(struct ms_append, 1);
+    append->kind = kind;
+    append->items = g_ptr_array_new_with_free_func(free_item);
+    return append;
+}
+
+void
+ms_append_add(struct ms_append *append, const char *prefix, const char *id, GBytes *value)
+{
+    struct ms_store_item *item = g_new0(struct ms_store_item, 1);
+    snprintf(item->key, sizeof(item->key), "%s%s", prefix, id);
+    item->value = value;
+    g_ptr_array_add(append->items, item);
+}
+
+void
+ms_append_free(struct ms_append *append)
+{
+    if (append != NULL) {
+        g_ptr_array_unref(append->items);
+        g_free(append);
+    }
+}
+
+void
+ms_entry_call_free(struct ms_entry_call *call)
+{
+    if (call == NULL) {
+        return;
+    }
+    ms_batch_spec_clear(&call->spec);
+    g_free(call->host);
+    g_free(call->path);
+    g_free(call->key);
+    free(call->body);
+    g_free(call);
+}
--- /dev/null
+++ b/src/entry/place.c
@@ -0,0 +1,89 @@
+/*
+ * place.c - carries out what the engine decides.
+ */
+#include "entry/private.h"
+#include "obs/log.h"
+#include "ports/servers.h"
+
+void
+ms_place_log(void *opaque, const char *text)
+{
+    struct ms_entry *entry = opaque;
+    ms_log(MS_LOG_INFO, "%s epoch=%" G_GUINT64_FORMAT, text, entry->table->lead.epoch);
+}
+
+static void
+store(struct ms_entry *entry, struct ms_engine_action *action)
+{
+    struct ms_append *append = ms_append_new(MS_APPEND_STATE);
+    append->epoch = entry->table->lead.epoch;
+    append->sent_at = entry->now;
+    for (guint i = 0; i < action->items->len; i++) {
+        g_ptr_array_add(append->items, g_ptr_array_index(action->items, i));
+    }
+    g_ptr_array_set_size(action->items, 0);
+    if (!ms_appender_push(entry->fenced_appender, append)) {
+        /* Without it the engine would wait for ever: a successor starts anew. */
+        ms_log(MS_LOG_WARNING, "event=append_queue_full writer=placing");
+        ms_append_free(append);
+        ms_lead_end(entry, "append_queue_full");
+    }
+}
+
+void
+ms_place_actions(struct ms_entry *entry)
+{
+    struct ms_engine_action *action = NULL;
+    while (entry->engine != NULL && (action = ms_engine_take(entry->engine)) != NULL) {
+        switch (action->kind) {
+        case MS_ENGINE_START:
+        case MS_ENGINE_STOP:
+        case MS_ENGINE_HOLD:
+            if (ms_links_push(entry->links, action, entry->table->lead.epoch)) {
+                continue; /* it comes back with its answer */
+            }
+            ms_log(MS_LOG_WARNING, "event=order_queue_full server=%s", action->server);
+            ms_engine_action_free(action);
+            ms_lead_end(entry, "order_queue_full");
+            return;
+        case MS_ENGINE_STORE:
+            store(entry, action);
+            break;
+        case MS_ENGINE_STEP_DOWN:
+            ms_lead_end(entry, "fenced_at_server");
+            break;
+        }
+        ms_engine_action_free(action);
+    }
+}
+
+void
+ms_place_servers(struct ms_entry *entry, const struct ms_log_batch *batch, bool snapshot)
+{
+    if (entry->engine == NULL) {
+        return;
+    }
+    for (guint i = 0; i < batch->records->len; i++) {
+        const struct ms_log_record *record =
+            &g_array_index(batch->records, struct ms_log_record, i);
+        struct ms_directory_entry server;
+        char error[MS_DETAIL_MAX];
+        if (record->value == NULL) {
+            ms_engine_server_gone(entry->engine, record->key, entry->now);
+        }
+        else if (ms_directory_decode(record->key, record->value, &server, error, sizeof(error)) ==
+                 MS_OK) {
+            ms_engine_server(entry->engine, &server, entry->now);
+        }
+        else {
+            ms_log(MS_LOG_WARNING, "event=directory_entry_unusable server=%s error=\"%s\"",
+                   record->key, error);
+        }
+    }
+    if (snapshot) {
+        ms_engine_directory_read(entry->engine, entry->now);
+        if (entry->lead_state == MS_LISTING) {
+            ms_lead_listed(entry);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/private.h
@@ -0,0 +1,93 @@
+/*
+ * private.h - state of the decision thread of an entry host.
+ *
+ * All of it is touched by that thread only.  Times are of ms_clock_boot_ms().
+ */
+#ifndef MS_ENTRY_PRIVATE_H
+#define MS_ENTRY_PRIVATE_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "batch/engine.h"
+#include "entry/append.h"
+#include "entry/edge.h"
+#include "entry/entry.h"
+#include "entry/follow.h"
+#include "entry/links.h"
+
+/* How far this host has got as the placing host. */
+enum ms_lead_state {
+    MS_FOLLOWING = 0, /* another host places, or none */
+    MS_CLAIMING,      /* a claim is on its way */
+    MS_FENCING,       /* the claim holds; earlier writers are being fenced */
+    MS_CATCHING_UP,   /* reads what they wrote before that */
+    MS_LISTING,       /* reads the directory of servers */
+    MS_PLACING,
+};
+
+struct ms_entry {
+    const struct ms_entry_settings *settings;
+    struct ms_counters *counters;
+    char holder[MS_HOLDER_MAX]; /* our name in claims */
+    struct ms_ring *ring;
+    struct ms_edge *edge;
+    struct ms_follow *follows[MS_STREAM_COUNT];
+    struct ms_appender *open_appender;
+    struct ms_appender *fenced_appender;
+    struct ms_links *links;
+    pthread_t thread;
+    atomic_bool done;
+    int64_t now;
+
+    /* What the log says. */
+    struct ms_table *table;
+    uint64_t applied;     /* next offset of the stream of jobs */
+    bool jobs_known;      /* the newest records were read */
+    int64_t jobs_fresh_at;
+    int64_t reading_since; /* jobs have been read without failure since, 0: not now */
+    struct ms_policy *policy;
+    int64_t rules_fresh_at;
+    GHashTable *dcs_out; /* names of data centres out of service */
+    bool reachable[MS_STREAM_COUNT];
+
+    /* Placing. */
+    enum ms_lead_state lead_state;
+    int64_t lead_heard_at; /* the placing host was last heard through the log */
+    int64_t lead_since;    /* of lead_state */
+    int64_t old_leases_until;
+    uint64_t fence_end;    /* CATCHING_UP: offset to reach */
+    struct ms_engine *engine;
+    int64_t renew_at;
+    int64_t renewed_at;    /* sending time of the last renewal that was stored */
+    bool renewing;
+
+    GHashTable *pending; /* id -> GPtrArray of ms_append: acceptances on their way */
+    uint32_t calls;      /* calls that have no answer yet */
+    bool draining;
+    int64_t drain_until;
+};
+
+/* lead.c: which host places. */
+void ms_lead_changed(struct ms_entry *entry);
+void ms_lead_tick(struct ms_entry *entry);
+void ms_lead_appended(struct ms_entry *entry, const struct ms_append *append);
+void ms_lead_listed(struct ms_entry *entry);
+void ms_lead_end(struct ms_entry *entry, const char *reason);
+void ms_lead_resign(struct ms_entry *entry);
+
+/* place.c: carries out what the engine decides. */
+void ms_place_actions(struct ms_entry *entry);
+void ms_place_servers(struct ms_entry *entry, const struct ms_log_batch *batch, bool snapshot);
+void ms_place_log(void *opaque, const char *text);
+
+/* requests.c: what callers ask. */
+void ms_requests_call(struct ms_entry *entry, struct ms_entry_call *call);
+void ms_requests_appended(struct ms_entry *entry, struct ms_append *append);
+void ms_requests_stored(struct ms_entry *entry, const char *id, enum ms_append_kind kind);
+bool ms_requests_ready(const struct ms_entry *entry);
+
+/* streams.c: what the log says. */
+void ms_streams_message(struct ms_entry *entry, const struct ms_entry_message *message);
+
+#endif
--- /dev/null
+++ b/src/entry/settings.c
@@ -0,0 +1,126 @@
+/*
+ * settings.c - settings of mustardspread-entryd.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "config/toml_json.h"
+#include "entry/settings.h"
+
+struct text_key {
+    const char *key;
+    size_t offset;
+    size_t size;
+};
+
+struct number_key {
+    const char *key;
+    size_t offset;
+    int64_t min;
+    int64_t max;
+    const char *unit;
+};
+
+#define TEXT(name)                                                                                 \
+    {                                                                                              \
+#name, offsetof(struct ms_entry_settings, name),                                           \
+            sizeof(((struct ms_entry_settings *)0)->name)                                          \
+    }
+#define NUMBER(name, min, max, unit)                                                               \
+    {                                                                                              \
+#name, offsetof(struct ms_entry_settings, name), min, max, unit                            \
+    }
+
+static const struct text_key texts[] = {
+    TEXT(name),          TEXT(dc),          TEXT(region), TEXT(caller_address), TEXT(ready_address),
+    TEXT(metrics_address), TEXT(log_address),
+};
+
+static const struct number_key numbers[] = {
+    NUMBER(key_age_max_ms, 1000, 600000, "milliseconds"),
+    NUMBER(lease_max_ms, 1000, 600000, "milliseconds"),
+    NUMBER(gang_start_max_ms, 500, 600000, "milliseconds"),
+    NUMBER(stop_grace_ms, 0, 600000, "milliseconds"),
+    NUMBER(unknown_after_ms, 100, 600000, "milliseconds"),
+    NUMBER(state_kept_s, 1, 1000000, "seconds"),
+    NUMBER(shutdown_s, 1, 3600, "seconds"),
+    NUMBER(log_kept_s, 1, 10000000, "seconds"),
+};
+
+static bool
+known_key(const char *key)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        if (strcmp(key, texts[i].key) == 0) {
+            return true;
+        }
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        if (strcmp(key, numbers[i].key) == 0) {
+            return true;
+        }
+    }
+    return strcmp(key, "far_factor") == 0;
+}
+
+static enum ms_result
+read_values(json_t *root, struct ms_entry_settings *settings, char *error, size_t size)
+{
+    const char *key = NULL;
+    json_t *value = NULL;
+    json_object_foreach(root, key, value)
+    {
+        if (!known_key(key)) {
+            snprintf(error, size, "%s: unknown setting", key);
+            return MS_E_INVALID;
+        }
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        const char *text = json_string_value(json_object_get(root, texts[i].key));
+        char *field = (char *)settings + texts[i].offset;
+        if (text == NULL || text[0] == '\0' ||
+            g_strlcpy(field, text, texts[i].size) >= texts[i].size) {
+            snprintf(error, size, "%s: a text of 1 to %zu bytes is required", texts[i].key,
+                     texts[i].size - 1);
+            return MS_E_INVALID;
+        }
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        const struct number_key *number = &numbers[i];
+        double read = json_number_value(json_object_get(root, number->key));
+        if (!json_is_number(json_object_get(root, number->key)) || read < (double)number->min ||
+            read > (double)number->max) {
+            snprintf(error, size, "%s: a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+                                  " %s is required",
+                     number->key, number->min, number->max, number->unit);
+            return MS_E_INVALID;
+        }
+        *(int64_t *)(void *)((char *)settings + number->offset) = (int64_t)read;
+    }
+    settings->far_factor = json_number_value(json_object_get(root, "far_factor"));
+    if (settings->far_factor < 1.0) {
+        snprintf(error, size, "far_factor: a number from 1 is required");
+        return MS_E_INVALID;
+    }
+    return MS_OK;
+}
+
+enum ms_result
+ms_entry_settings_parse(const char *text, struct ms_entry_settings *settings, char *error,
+                        size_t size)
+{
+    memset(settings, 0, sizeof(*settings));
+    char *json = ms_toml_to_json(text, error, size);
+    if (json == NULL) {
+        return MS_E_INVALID;
+    }
+    json_t *root = json_loads(json, 0, NULL);
+    free(json);
+    enum ms_result result = read_values(root, settings, error, size);
+    json_decref(root);
+    return result;
+}
--- /dev/null
+++ b/src/entry/streams.c
@@ -0,0 +1,179 @@
+/*
+ * streams.c - applies what the log says.
+ */
+#include <string.h>
+
+#include "entry/private.h"
+#include "obs/log.h"
+#include "ports/rules.h"
+
+static const char *const stream_names[MS_STREAM_COUNT] = {"jobs", "rules", "servers"};
+
+static void
+set_reachable(struct ms_entry *entry, enum ms_stream stream, bool reachable, const char *why)
+{
+    if (entry->reachable[stream] != reachable) {
+        ms_log(MS_LOG_NOTICE, "event=log_%s stream=%s reason=%s",
+               reachable ? "regained" : "lost", stream_names[stream], why);
+    }
+    entry->reachable[stream] = reachable;
+    if (stream == MS_STREAM_JOBS) {
+        ms_counter_set(entry->counters, MS_GAUGE_LOG_REACHABLE, reachable);
+        if (!reachable) {
+            entry->reading_since = 0;
+        }
+        else if (entry->reading_since == 0) {
+            entry->reading_since = entry->now;
+        }
+    }
+}
+
+/* Tells the engine, if this host places, what a record of jobs has changed. */
+static void
+tell_engine(struct ms_entry *entry, enum ms_change_kind changed, const struct ms_stored_job *job)
+{
+    switch (changed) {
+    case MS_CHANGED_ACCEPTED:
+        ms_requests_stored(entry, job->id, MS_APPEND_ACCEPT);
+        if (entry->engine != NULL) {
+            ms_engine_job(entry->engine, job, entry->now);
+        }
+        break;
+    case MS_CHANGED_CANCELLED:
+        ms_requests_stored(entry, job->id, MS_APPEND_CANCEL);
+        if (entry->engine != NULL) {
+            ms_engine_cancel(entry->engine, job->id, entry->now);
+        }
+        break;
+    case MS_CHANGED_LEAD:
+        ms_lead_changed(entry);
+        break;
+    case MS_CHANGED_STATE:
+    case MS_CHANGED_NOTHING:
+    case MS_CHANGED_UNREADABLE:
+        break;
+    }
+}
+
+static void
+apply_jobs(struct ms_entry *entry, const struct ms_log_batch *batch)
+{
+    for (guint i = 0; i < batch->records->len; i++) {
+        const struct ms_log_record *record =
+            &g_array_index(batch->records, struct ms_log_record, i);
+        struct ms_stored_job *job = NULL;
+        gsize length = 0;
+        const uint8_t *value =
+            record->value != NULL ? g_bytes_get_data(record->value, &length) : NULL;
+        enum ms_change_kind changed =
+            ms_table_apply(entry->table, record->key, value, length, &job);
+        if (changed == MS_CHANGED_UNREADABLE) {
+            ms_log(MS_LOG_WARNING, "event=record_unreadable stream=jobs key=%s bytes=%zu",
+                   record->key, length);
+        }
+        tell_engine(entry, changed, job);
+    }
+    entry->applied = batch->next;
+    ms_counter_set(entry->counters, MS_GAUGE_APPLIED, entry->applied);
+    ms_counter_add(entry->counters, MS_COUNT_RECORDS_READ, batch->records->len);
+}
+
+static void
+apply_policy(struct ms_entry *entry, GBytes *value)
+{
+    char error[MS_DETAIL_MAX];
+    struct ms_policy *policy = ms_rules_decode(value, error, sizeof(error));
+    if (policy == NULL) {
+        ms_log(MS_LOG_WARNING, "event=config_unreadable error=\"%s\" kept_version=%" G_GUINT64_FORMAT,
+               error, entry->policy != NULL ? entry->policy->version : 0);
+        return;
+    }
+    if (entry->policy != NULL && policy->version <= entry->policy->version) {
+        ms_policy_free(policy);
+        return;
+    }
+    ms_log(MS_LOG_NOTICE,
+           "event=config_applied version=%" G_GUINT64_FORMAT " queues=%zu accounts=%zu",
+           policy->version, policy->queue_count, policy->account_count);
+    struct ms_policy *old = entry->policy;
+    entry->policy = policy;
+    if (entry->engine != NULL) {
+        ms_engine_policy(entry->engine, policy);
+    }
+    ms_policy_free(old);
+}
+
+static void
+apply_rules(struct ms_entry *entry, const struct ms_log_batch *batch, bool snapshot)
+{
+    char dc[MS_NAME_MAX];
+    if (snapshot) {
+        g_hash_table_remove_all(entry->dcs_out);
+    }
+    for (guint i = 0; i < batch->records->len; i++) {
+        const struct ms_log_record *record =
+            &g_array_index(batch->records, struct ms_log_record, i);
+        switch (ms_rules_kind(record->key, dc)) {
+        case MS_RULE_POLICY:
+            if (record->value != NULL) {
+                apply_policy(entry, record->value);
+            }
+            break;
+        case MS_RULE_DC_OUT:
+            ms_log(MS_LOG_NOTICE, "event=dc_%s dc=%s", record->value != NULL ? "out" : "in", dc);
+            if (record->value != NULL) {
+                g_hash_table_add(entry->dcs_out, g_strdup(dc));
+            }
+            else {
+                g_hash_table_remove(entry->dcs_out, dc);
+            }
+            break;
+        case MS_RULE_OTHER:
+            break;
+        }
+    }
+    if (entry->engine != NULL) {
+        ms_engine_dcs_out(entry->engine, entry->dcs_out);
+    }
+}
+
+static void
+apply(struct ms_entry *entry, const struct ms_entry_message *message, bool snapshot)
+{
+    set_reachable(entry, message->stream, true, "answer");
+    switch (message->stream) {
+    case MS_STREAM_JOBS:
+        apply_jobs(entry, message->batch);
+        entry->jobs_known = true;
+        entry->jobs_fresh_at = MAX(entry->jobs_fresh_at, message->fresh_at);
+        break;
+    case MS_STREAM_RULES:
+        apply_rules(entry, message->batch, snapshot);
+        entry->rules_fresh_at = MAX(entry->rules_fresh_at, message->fresh_at);
+        break;
+    case MS_STREAM_SERVERS:
+        ms_place_servers(entry, message->batch, snapshot);
+        break;
+    case MS_STREAM_COUNT:
+        break;
+    }
+}
+
+void
+ms_streams_message(struct ms_entry *entry, const struct ms_entry_message *message)
+{
+    switch (message->kind) {
+    case MS_ENTRY_SNAPSHOT:
+        apply(entry, message, true);
+        break;
+    case MS_ENTRY_RECORDS:
+        apply(entry, message, false);
+        break;
+    default:
+        ms_counter_add(entry->counters, MS_COUNT_READS_FAILED, 1);
+        if (message->result != MS_LOG_GONE) {
+            set_reachable(entry, message->stream, false, ms_log_result_name(message->result));
+        }
+        break;
+    }
+}
--- a/src/obs/log.c
+++ b/src/obs/log.c
@@ -79,10 +79,10 @@
 {
     char *line = NULL;
     while ((line = ms_ring_pop(log->lines)) != NULL) {
-        fputs(line, stderr);
+        fputs(line, stdout);
         g_free(line);
     }
-    fflush(stderr);
+    fflush(stdout);
 }
 
 static void *
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -51,6 +51,7 @@
     curl_easy_cleanup(http->easy);
     curl_slist_free_all(http->headers);
     curl_slist_free_all(http->conditional);
+    curl_slist_free_all(http->extra);
     g_byte_array_unref(http->answer);
     free(http->body);
     g_free(http);
@@ -63,6 +64,8 @@
     free(http->body);
     http->body = NULL;
     http->tag[0] = '\0';
+    curl_slist_free_all(http->extra);
+    http->extra = NULL;
     curl_easy_reset(http->easy);
     curl_easy_setopt(http->easy, CURLOPT_URL, url);
     curl_easy_setopt(http->easy, CURLOPT_NOSIGNAL, 1L);
@@ -86,6 +89,45 @@
     curl_easy_setopt(http->easy, CURLOPT_POSTFIELDSIZE, (long)http->body_length);
 }
 
+void
+ms_http_raw_body(struct ms_http *http, const void *body, size_t length)
+{
+    free(http->body);
+    http->body = malloc(length + 1);
+    if (http->body == NULL) {
+        g_error("out of memory");
+    }
+    memcpy(http->body, body, length);
+    http->body_length = length;
+    curl_easy_setopt(http->easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(http->easy, CURLOPT_POSTFIELDS, http->body);
+    curl_easy_setopt(http->easy, CURLOPT_POSTFIELDSIZE, (long)length);
+}
+
+void
+ms_http_header(struct ms_http *http, const char *name, const char *value)
+{
+    char *header = g_strdup_printf("%s: %s", name, value);
+    if (http->extra == NULL) {
+        for (struct curl_slist *item = http->headers; item != NULL; item = item->next) {
+            http->extra = curl_slist_append(http->extra, item->data);
+        }
+    }
+    http->extra = curl_slist_append(http->extra, header);
+    curl_easy_setopt(http->easy, CURLOPT_HTTPHEADER, http->extra);
+    g_free(header);
+}
+
+bool
+ms_http_unsent(const struct ms_http *http, CURLcode code)
+{
+    curl_off_t sent = 0;
+    long request = 0;
+    curl_easy_getinfo(http->easy, CURLINFO_REQUEST_SIZE, &request);
+    curl_easy_getinfo(http->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    return code != CURLE_OK && request == 0 && sent == 0;
+}
+
 void
 ms_http_if_changed(struct ms_http *http, const char *tag)
 {
--- a/src/platform/http.h
+++ b/src/platform/http.h
@@ -21,6 +21,7 @@
     char *body; /* freed with free(): JSON text */
     size_t body_length;
     struct curl_slist *conditional; /* headers of a conditional request */
+    struct curl_slist *extra;       /* headers of this request only, or NULL */
     char tag[64];                   /* ETag of the answer, "" when none */
     void *owner;                    /* for the caller's own use */
 };
@@ -37,6 +38,17 @@
 void ms_http_prepare(struct ms_http *http, const char *url, json_t *body, long timeout_ms,
                      bool fresh);
 
+/* Gives the prepared request the raw BODY, which is copied; it becomes a POST. */
+void ms_http_raw_body(struct ms_http *http, const void *body, size_t length);
+
+/* Adds "NAME: VALUE" to the headers of the prepared request. */
+void ms_http_header(struct ms_http *http, const char *name, const char *value);
+
+/*
+ * Whether a failed exchange certainly reached nobody: no connection was made.
+ */
+bool ms_http_unsent(const struct ms_http *http, CURLcode code);
+
 /*
  * Makes the prepared request conditional: an answer whose ETag is TAG is not
  * sent again.  An empty TAG asks for it in any case.
