Shorten the wait for runs of a lost holder: leases of 8 s, 2.5 s without renewals

The wait is the sum of how long a holder goes on without renewals (6 s) and a lease (9.5 s); both are shorter now.

--- a/src/entry/lead.c
+++ b/src/entry/lead.c
@@ -23,10 +23,11 @@
 #define STAGGER_MS 60       /* between the claims of different hosts */
 #define STAGGER_STEPS 6
 #define CLAIM_TIMEOUT_MS 1500
-#define HOLD_ON_MS 6000     /* a holder without renewals goes on so long */
+#define HOLD_ON_MS 2500     /* a holder without renewals goes on so long */
 #define CLOCK_SLACK 1.03    /* a server's clock may be 2 % slow */
 #define LEASE_MARGIN_MS 500
 #define STEP_TIMEOUT_MS 8000 /* of a take-over; then it begins anew */
+#define LEASE_LONGEST_MS 8000 /* a cut of seconds is borne; a lost server is not waited for long */
 #define LEASE_SPARE_MS 500  /* below the longest lease that servers grant */
 #define GANG_SHARE 0.7      /* of gang_start_max_ms: then a gang is stopped */
 #define KEEP_ENDED_SPARE_S 30
@@ -55,7 +56,7 @@
 static int64_t
 lease_ms(const struct ms_entry *entry)
 {
-    return entry->settings->lease_max_ms - LEASE_SPARE_MS;
+    return MIN(entry->settings->lease_max_ms - LEASE_SPARE_MS, LEASE_LONGEST_MS);
 }
 
 static void
