--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -16,14 +16,21 @@
 
 #include "batch/engine_private.h"
 
-#define RECLAIM_WAIT_MS 2500  /* before a unit below the top priority stops others */
-#define KEEP_WAIT_MS 3000     /* before room is kept for a unit */
-#define KEEPERS_MAX 3         /* units that room is kept for in one pass */
-#define FAR_WAIT_SHARE 1.0    /* of the estimate: wait for a place near the data */
+#define RECLAIM_TOP_WAIT_MS 300    /* before a unit of the top priority stops others */
+#define RECLAIM_WAIT_SHARE 0.4     /* of a lower unit's slack, before it stops others */
+#define RECLAIM_WASTE_TOP 2500     /* core-seconds that a unit of the top priority may waste */
+#define RECLAIM_WASTE 600          /* the same for a lower one */
+#define STOP_OVERHEAD 40           /* core-seconds that each stop counts for besides */
+#define ACCEL_CORES 8              /* cores that an accelerator counts for as work */
+#define KEEP_WAIT_MS 300           /* before room is kept for a unit */
+#define KEEPERS_MAX 6              /* units that room is kept for in one pass */
+#define FAR_WAIT_SHARE 1.0         /* of the estimate: wait for a place near the data */
 #define FAR_WAIT_MAX_MS 6000
+#define FAR_WAIT_TOP_MS 900        /* the same for a unit of the top priority */
 #define SCORE_FAR 1000000
 #define SCORE_SUSPECT 100000
 #define SCORE_COLD 50000
+#define NO_PLAN INT64_MAX
 
 enum level { LEVEL_FREE = 0, LEVEL_SOON, LEVEL_RECLAIM, LEVEL_KEEP };
 
@@ -38,8 +45,17 @@
     struct ms_engine *engine;
     GPtrArray *servers; /* usable ms_bserver */
     GHashTable *racks;  /* rack -> GPtrArray of ms_bserver */
+    GHashTable *accounts; /* account -> struct account_use */
     uint32_t keepers;
     const struct unit *unit; /* the unit being placed */
+    bool entitled;           /* the unit is within its account's guarantee */
+};
+
+/* Accelerators of an account's work of the top priority. */
+struct account_use {
+    int64_t guaranteed;
+    int64_t asked; /* by jobs that have not ended */
+    int64_t used;
 };
 
 static uint32_t
@@ -48,18 +64,27 @@
     return job->queue != NULL ? job->queue->priority : UINT32_MAX;
 }
 
-/* Whether VICTIM may be stopped for work of priority CLAIMANT. */
+/* Whether VICTIM may be stopped for the unit being placed. */
 static bool
-may_stop(const struct ms_btask *victim, uint32_t claimant)
+may_stop(const struct pass *pass, const struct ms_btask *victim)
 {
-    return (victim->state == MS_BTASK_STARTING || victim->state == MS_BTASK_RUNNING) &&
-           !victim->adopted && !victim->step->spec->lasting &&
-           priority_of(ms_btask_job(victim)) > claimant;
+    const struct ms_bjob *owner = ms_btask_job(victim);
+    const struct ms_bjob *claimant = pass->unit->step->occurrence->job;
+    if ((victim->state != MS_BTASK_STARTING && victim->state != MS_BTASK_RUNNING) ||
+        victim->adopted || victim->step->spec->lasting) {
+        return false;
+    }
+    if (priority_of(owner) > priority_of(claimant)) {
+        return true;
+    }
+    const struct account_use *use = g_hash_table_lookup(pass->accounts, owner->spec->account);
+    return pass->entitled && owner != claimant && priority_of(owner) == 0 && use != NULL &&
+           use->used > use->guaranteed;
 }
 
-/* What of SERVER a unit of priority CLAIMANT can have at LEVEL. */
+/* What of SERVER the unit being placed can have at LEVEL. */
 static struct ms_resources
-available(const struct ms_bserver *server, enum level level, uint32_t claimant)
+available(const struct pass *pass, const struct ms_bserver *server, enum level level)
 {
     struct ms_resources room = server->entry.capacity;
     ms_resources_add(&room, &server->reserved, -1);
@@ -71,7 +96,7 @@
     if (level == LEVEL_RECLAIM) {
         MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
             const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
-            if (may_stop(task, claimant)) {
+            if (may_stop(pass, task)) {
                 ms_resources_add(&room, &task->step->spec->each, 1);
             }
         }
@@ -120,8 +145,9 @@
 
 /* How many tasks of STEP SERVER can take at LEVEL, up to MOST. */
 static uint32_t
-fits(const struct ms_bstep *step, const struct ms_bserver *server, enum level level, uint32_t most)
+fits(const struct pass *pass, const struct ms_bserver *server, enum level level, uint32_t most)
 {
+    const struct ms_bstep *step = pass->unit->step;
     if (!allowed(step, server)) {
         return 0;
     }
@@ -130,8 +156,7 @@
         uint32_t limit = step->spec->per_server_max;
         most = MIN(most, there < limit ? limit - there : 0);
     }
-    uint32_t priority = priority_of(step->occurrence->job);
-    struct ms_resources room = available(server, level, priority);
+    struct ms_resources room = available(pass, server, level);
     uint32_t count = 0;
     while (count < most && ms_resources_fit(&room, &step->spec->each)) {
         ms_resources_add(&room, &step->spec->each, -1);
@@ -140,21 +165,90 @@
     return count;
 }
 
-/* Lower is better: near the data, sound, and leaving little room. */
+/* Core-seconds that a stop of TASK's unit would throw away. */
+static int64_t
+waste_of(const struct ms_engine *engine, const struct ms_btask *task)
+{
+    const struct ms_resources *each = &task->step->spec->each;
+    int64_t cores = each->cpu_millis / 1000 + each->accels * ACCEL_CORES;
+    int64_t ran = task->began_at > 0 ? engine->now - task->began_at : 0;
+    int64_t waste = task->step->spec->checkpoints ? 0 : cores * ran / 1000;
+    int64_t count = task->step->spec->gang ? task->step->spec->count : 1;
+    return (waste + STOP_OVERHEAD) * count;
+}
+
+/* The cheapest task on SERVER to stop that is not in EXCEPT, or NULL. */
+static struct ms_btask *
+cheapest_victim(const struct pass *pass, const struct ms_bserver *server, GHashTable *except)
+{
+    struct ms_btask *victim = NULL;
+    MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
+        struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
+        if (may_stop(pass, task) && (except == NULL || !g_hash_table_contains(except, task)) &&
+            (victim == NULL ||
+             waste_of(pass->engine, task) < waste_of(pass->engine, victim))) {
+            victim = task;
+        }
+    }
+    return victim;
+}
+
+/* Core-seconds thrown away to make room for one task of the unit on SERVER. */
+static int64_t
+reclaim_cost(const struct pass *pass, const struct ms_bserver *server)
+{
+    const struct ms_resources *each = &pass->unit->step->spec->each;
+    struct ms_resources room = available(pass, server, LEVEL_SOON);
+    GHashTable *chosen = g_hash_table_new(NULL, NULL);
+    int64_t cost = 0;
+    while (!ms_resources_fit(&room, each)) {
+        struct ms_btask *victim = cheapest_victim(pass, server, chosen);
+        if (victim == NULL) {
+            break;
+        }
+        g_hash_table_add(chosen, victim);
+        ms_resources_add(&room, &victim->step->spec->each, 1);
+        cost += waste_of(pass->engine, victim);
+    }
+    g_hash_table_destroy(chosen);
+    return cost;
+}
+
+/* Milliseconds until the work on SERVER has ended, by its estimates. */
+static int64_t
+busy_ms(const struct ms_bserver *server)
+{
+    int64_t longest = 0;
+    MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
+        const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
+        int64_t rest = task->step->spec->estimate_ms * (100 - MIN(task->percent, 100)) / 100;
+        longest = MAX(longest, rest);
+    }
+    return longest;
+}
+
+/* Lower is better: near the data, sound, and leaving little room or waste. */
 static int64_t
-score(const struct pass *pass, const struct ms_bstep *step, const struct ms_btask *task,
-      const struct ms_bserver *server)
+score(const struct pass *pass, const struct ms_btask *task, const struct ms_bserver *server,
+      enum level level)
 {
     const struct ms_engine *engine = pass->engine;
-    struct ms_resources room = available(server, LEVEL_FREE, 0);
+    const struct ms_step *spec = pass->unit->step->spec;
+    struct ms_resources room = available(pass, server, LEVEL_FREE);
     int64_t result = room.accels * 100 + room.cpu_millis / 10000;
-    if (step->spec->rack[0] != '\0' && strcmp(step->spec->rack, server->entry.rack) != 0) {
+    if (level == LEVEL_RECLAIM) {
+        result = reclaim_cost(pass, server);
+    }
+    else if (level == LEVEL_KEEP) {
+        result = busy_ms(server);
+    }
+    if (spec->rack[0] != '\0' && strcmp(spec->rack, server->entry.rack) != 0) {
         result += SCORE_FAR;
     }
     if (engine->now < server->suspect_until) {
         result += SCORE_SUSPECT;
     }
-    if (task != NULL && avoided(task, server)) {
+    if (avoided(task, server)) {
         result += 2 * SCORE_SUSPECT;
     }
     if (server->entry.cold_ms > 0) {
@@ -163,7 +257,7 @@
     return result;
 }
 
-/* A plan: `planned` of each server; the sum is returned. */
+/* A plan is the field `planned` of each server. */
 static void
 clear_plan(const struct pass *pass)
 {
@@ -187,111 +281,127 @@
     return a->score < b->score ? -1 : a->score > b->score;
 }
 
-/* Plans COUNT tasks of the unit's step on SERVERS at LEVEL; true if all fit. */
-static bool
-plan_on(const struct pass *pass, const GPtrArray *servers, enum level level, uint32_t count)
+/*
+ * Plans the unit on SERVERS at LEVEL.  Returns the sum of the scores of the
+ * tasks' servers, or NO_PLAN when not all tasks fit.
+ */
+static int64_t
+plan_on(const struct pass *pass, const GPtrArray *servers, enum level level)
 {
     const struct unit *unit = pass->unit;
     const struct ms_btask *task = unit->task != NULL ? unit->task : &unit->step->tasks[0];
     struct ranked *ranked = g_new(struct ranked, servers->len + 1);
     guint found = 0;
+    uint32_t room = 0;
     for (guint i = 0; i < servers->len; i++) {
         struct ms_bserver *server = g_ptr_array_index(servers, i);
-        uint32_t fit = fits(unit->step, server, level, count);
+        uint32_t fit = fits(pass, server, level, unit->count);
         if (fit > 0) {
             ranked[found].server = server;
             ranked[found].fit = fit;
-            ranked[found].score = score(pass, unit->step, task, server);
             found++;
+            room += fit;
         }
     }
-    qsort(ranked, found, sizeof(*ranked), by_score);
-    uint32_t left = count;
-    for (guint i = 0; i < found && left > 0; i++) {
-        ranked[i].server->planned = MIN(ranked[i].fit, left);
-        left -= ranked[i].server->planned;
+    uint32_t left = unit->count;
+    int64_t sum = 0;
+    for (guint i = 0; room >= left && i < found; i++) {
+        ranked[i].score = score(pass, task, ranked[i].server, level);
+    }
+    if (room >= left) {
+        qsort(ranked, found, sizeof(*ranked), by_score);
+    }
+    for (guint i = 0; room >= unit->count && i < found && left > 0; i++) {
+        uint32_t planned = MIN(ranked[i].fit, left);
+        ranked[i].server->planned = planned;
+        left -= planned;
+        sum += ranked[i].score * planned;
     }
     g_free(ranked);
-    return left == 0;
+    return left == 0 ? sum : NO_PLAN;
 }
 
 /* Whether the unit may by now run far from its data or over several racks. */
 static bool
-may_be_far(const struct pass *pass, const struct ms_bstep *step)
+may_be_far(const struct pass *pass)
 {
+    const struct ms_bstep *step = pass->unit->step;
     int64_t wait = (int64_t)((double)step->spec->estimate_ms * FAR_WAIT_SHARE);
-    wait = CLAMP(wait, 500, FAR_WAIT_MAX_MS);
+    bool top = priority_of(step->occurrence->job) == 0;
+    wait = MIN(wait, top ? FAR_WAIT_TOP_MS : FAR_WAIT_MAX_MS);
     return pass->engine->now - step->ready_since >= wait;
 }
 
-/* Plans the unit within one rack: the fullest that has room, its data's first. */
-static bool
+/* Free accelerators of SERVERS. */
+static int64_t
+rack_room(const struct pass *pass, const GPtrArray *servers)
+{
+    int64_t room = 0;
+    for (guint i = 0; i < servers->len; i++) {
+        room += available(pass, g_ptr_array_index(servers, i), LEVEL_FREE).accels;
+    }
+    return room;
+}
+
+/* Plans the unit within one rack: at the least cost, else the fullest. */
+static int64_t
 plan_in_rack(const struct pass *pass, enum level level)
 {
-    const struct unit *unit = pass->unit;
-    const struct ms_step *spec = unit->step->spec;
-    GPtrArray *best = NULL;
-    const char *best_key = NULL;
-    uint32_t best_room = UINT32_MAX;
+    const struct ms_step *spec = pass->unit->step->spec;
+    const char *best = NULL;
+    int64_t best_cost = NO_PLAN;
     GHashTableIter iterator;
     gpointer key = NULL;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, pass->racks);
     while (g_hash_table_iter_next(&iterator, &key, &value)) {
-        GPtrArray *servers = value;
-        uint32_t room = 0;
-        for (guint i = 0; i < servers->len; i++) {
-            room += fits(unit->step, g_ptr_array_index(servers, i), level, UINT32_MAX / 1024);
-        }
-        if (room < unit->count) {
+        clear_plan(pass);
+        int64_t cost = plan_on(pass, value, level);
+        if (cost == NO_PLAN) {
             continue;
         }
-        bool data_here = spec->rack[0] != '\0' && strcmp(spec->rack, key) == 0;
-        if (data_here) {
-            room = 0;
+        if (level == LEVEL_FREE || level == LEVEL_SOON) {
+            cost = rack_room(pass, value);
+        }
+        if (spec->rack[0] != '\0' && strcmp(spec->rack, key) == 0) {
+            cost = -1; /* its data is here */
         }
-        bool before = best_key != NULL && strcmp(key, best_key) < 0;
-        if (room < best_room || (room == best_room && before)) {
-            best_key = key;
-            best = servers;
-            best_room = room;
+        if (best == NULL || cost < best_cost || (cost == best_cost && strcmp(key, best) < 0)) {
+            best = key;
+            best_cost = cost;
         }
     }
-    return best != NULL && plan_on(pass, best, level, unit->count);
+    clear_plan(pass);
+    return best != NULL ? plan_on(pass, g_hash_table_lookup(pass->racks, best), level) : NO_PLAN;
 }
 
 /* Plans the unit on servers of the rack of its data. */
-static bool
+static int64_t
 plan_near(const struct pass *pass, enum level level)
 {
     const GPtrArray *servers = g_hash_table_lookup(pass->racks, pass->unit->step->spec->rack);
-    return servers != NULL && plan_on(pass, servers, level, pass->unit->count);
+    return servers != NULL ? plan_on(pass, servers, level) : NO_PLAN;
 }
 
-static bool
+/* Plans the unit; NO_PLAN, or the cost. */
+static int64_t
 plan(const struct pass *pass, enum level level)
 {
     const struct ms_step *spec = pass->unit->step->spec;
+    int64_t cost = NO_PLAN;
     clear_plan(pass);
-    if (spec->same_rack && pass->unit->task == NULL) {
-        if (plan_in_rack(pass, level)) {
-            return true;
-        }
-        clear_plan(pass);
-        if (!may_be_far(pass, pass->unit->step)) {
-            return false;
-        }
+    bool in_rack = spec->same_rack && pass->unit->task == NULL;
+    if (in_rack) {
+        cost = plan_in_rack(pass, level);
     }
     else if (spec->rack[0] != '\0') {
-        if (plan_near(pass, level)) {
-            return true;
-        }
-        clear_plan(pass);
-        if (!may_be_far(pass, pass->unit->step)) {
-            return false;
-        }
+        cost = plan_near(pass, level);
+    }
+    if (cost != NO_PLAN || ((in_rack || spec->rack[0] != '\0') && !may_be_far(pass))) {
+        return cost;
     }
-    return plan_on(pass, pass->servers, level, pass->unit->count);
+    clear_plan(pass);
+    return plan_on(pass, pass->servers, level);
 }
 
 static void
@@ -347,42 +457,20 @@
     }
 }
 
-/* Work that a stop of TASK's unit would throw away, in core-milliseconds. */
-static int64_t
-waste_of(const struct ms_engine *engine, const struct ms_btask *task)
-{
-    int64_t cores = task->step->spec->each.cpu_millis / 1000 + task->step->spec->each.accels * 8;
-    int64_t ran = task->began_at > 0 ? engine->now - task->began_at : 0;
-    int64_t waste = task->step->spec->checkpoints ? 0 : cores * ran;
-    return task->step->spec->gang ? waste * task->step->spec->count : waste;
-}
-
 /* Orders stops on SERVER until the planned tasks fit. */
 static void
 make_room(const struct pass *pass, struct ms_bserver *server)
 {
-    struct ms_engine *engine = pass->engine;
-    uint32_t claimant = priority_of(pass->unit->step->occurrence->job);
     struct ms_resources need = {0, 0, 0};
     ms_resources_add(&need, &pass->unit->step->spec->each, server->planned);
     for (;;) {
-        struct ms_resources room = available(server, LEVEL_SOON, claimant);
-        if (ms_resources_fit(&room, &need)) {
-            return;
-        }
-        struct ms_btask *victim = NULL;
-        MS_LIST_EACH(link, &server->tasks) {
-            struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
-            if (may_stop(task, claimant) &&
-                (victim == NULL || waste_of(engine, task) < waste_of(engine, victim))) {
-                victim = task;
-            }
-        }
-        if (victim == NULL) {
+        struct ms_resources room = available(pass, server, LEVEL_SOON);
+        struct ms_btask *victim = cheapest_victim(pass, server, NULL);
+        if (ms_resources_fit(&room, &need) || victim == NULL) {
             return;
         }
         struct ms_bstep *step = victim->step;
-        ms_btask_stop_unit(engine, victim, "reclaimed");
+        ms_btask_stop_unit(pass->engine, victim, "reclaimed");
         for (uint32_t i = 0; i < step->spec->count; i++) {
             struct ms_btask *task = &step->tasks[i];
             if (task->state == MS_BTASK_STOPPING && (step->spec->gang || task == victim)) {
@@ -403,6 +491,35 @@
     }
 }
 
+/* Time that the unit may wait before its job misses its aim. */
+static int64_t
+slack_ms(const struct ms_bstep *step)
+{
+    const struct ms_queue_rule *queue = step->occurrence->job->queue;
+    double stretch = MAX(queue->stretch - 1.0, 0.0);
+    return queue->target_ms + (int64_t)(stretch * (double)step->spec->estimate_ms);
+}
+
+/* Whether stops that throw away WASTE core-seconds are worth it by now. */
+static bool
+may_reclaim(const struct pass *pass, int64_t waited, int64_t waste)
+{
+    const struct ms_bstep *step = pass->unit->step;
+    if (priority_of(step->occurrence->job) == 0) {
+        return waited >= RECLAIM_TOP_WAIT_MS && (pass->entitled || waste <= RECLAIM_WASTE_TOP);
+    }
+    return (double)waited >= RECLAIM_WAIT_SHARE * (double)slack_ms(step) && waste <= RECLAIM_WASTE;
+}
+
+/* Whether the unit's account asks for no more than it was guaranteed. */
+static bool
+is_entitled(const struct pass *pass, const struct unit *unit)
+{
+    const struct ms_bjob *job = unit->step->occurrence->job;
+    const struct account_use *use = g_hash_table_lookup(pass->accounts, job->spec->account);
+    return priority_of(job) == 0 && use != NULL && use->asked <= use->guaranteed;
+}
+
 /* Tries the unit at all levels; true if it starts. */
 static bool
 place_unit(struct pass *pass, const struct unit *unit)
@@ -411,22 +528,24 @@
     struct ms_bstep *step = unit->step;
     int64_t waited = engine->now - step->ready_since;
     pass->unit = unit;
-    if (plan(pass, LEVEL_FREE)) {
+    pass->entitled = is_entitled(pass, unit);
+    if (plan(pass, LEVEL_FREE) != NO_PLAN) {
         start_unit(pass);
         return true;
     }
     engine->units_waiting++;
-    if (plan(pass, LEVEL_SOON)) {
+    if (plan(pass, LEVEL_SOON) != NO_PLAN) {
         reserve_unit(pass);
         return false;
     }
-    bool top = priority_of(step->occurrence->job) == 0;
-    if ((top || waited >= RECLAIM_WAIT_MS) && plan(pass, LEVEL_RECLAIM)) {
+    int64_t waste = plan(pass, LEVEL_RECLAIM);
+    if (waste != NO_PLAN && may_reclaim(pass, waited, waste % SCORE_COLD)) {
         reclaim_unit(pass);
         reserve_unit(pass);
         return false;
     }
-    if (waited >= KEEP_WAIT_MS && pass->keepers < KEEPERS_MAX && plan(pass, LEVEL_KEEP)) {
+    if (waited >= KEEP_WAIT_MS && pass->keepers < KEEPERS_MAX &&
+        plan(pass, LEVEL_KEEP) != NO_PLAN) {
         pass->keepers++;
         reserve_unit(pass);
     }
@@ -507,6 +626,35 @@
     return strcmp(a->occurrence->job->id, b->occurrence->job->id);
 }
 
+/* What each account has and asks for at the top priority. */
+static void
+collect_accounts(struct pass *pass)
+{
+    struct ms_engine *engine = pass->engine;
+    MS_LIST_EACH(link, &engine->jobs) {
+        const struct ms_bjob *job = MS_CONTAINER(link, struct ms_bjob, link);
+        if (job->phase != MS_PHASE_OPEN || priority_of(job) != 0) {
+            continue;
+        }
+        struct account_use *use = g_hash_table_lookup(pass->accounts, job->spec->account);
+        if (use == NULL) {
+            const struct ms_account_rule *rule =
+                ms_policy_account(engine->policy, job->spec->account);
+            use = g_new0(struct account_use, 1);
+            use->guaranteed = rule != NULL ? rule->guaranteed_accels : 0;
+            g_hash_table_insert(pass->accounts, (gpointer)job->spec->account, use);
+        }
+        for (guint i = 0; i < job->occurrences->len; i++) {
+            const struct ms_occurrence *occurrence = g_ptr_array_index(job->occurrences, i);
+            for (size_t k = 0; occurrence->steps != NULL && k < job->spec->step_count; k++) {
+                const struct ms_bstep *step = &occurrence->steps[k];
+                use->asked += step->spec->each.accels * step->spec->count;
+                use->used += step->spec->each.accels * step->active;
+            }
+        }
+    }
+}
+
 static void
 collect_steps(struct ms_engine *engine, GPtrArray *steps)
 {
@@ -536,7 +684,11 @@
     pass.servers = g_ptr_array_new();
     pass.racks =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+    pass.accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     collect_servers(&pass);
+    if (engine->policy != NULL) {
+        collect_accounts(&pass);
+    }
     collect_steps(engine, steps);
     g_ptr_array_sort(steps, by_priority);
     engine->units_waiting = 0;
@@ -544,6 +696,7 @@
         place_step(&pass, g_ptr_array_index(steps, i));
     }
     g_hash_table_destroy(pass.racks);
+    g_hash_table_destroy(pass.accounts);
     g_ptr_array_unref(pass.servers);
     g_ptr_array_unref(steps);
 }
