--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,9 @@
 $(BUILD)/differential: $(BUILD)/tests/naive/differential.o $(BUILD)/tests/naive/world.o $(BUILD)/tests/naive/world_plan.o $(BUILD)/tests/naive/world_server.o $(BUILD)/tests/naive/naive.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/batch-fuzz: $(BUILD)/tests/batch/fuzz.o $(BUILD)/tests/batch/world.o $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bench-policy: $(BUILD)/bench/policy.o $(BUILD)/tests/naive/world.o $(BUILD)/tests/naive/world_plan.o $(BUILD)/tests/naive/world_server.o $(BUILD)/tests/naive/naive.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -91,7 +94,7 @@
 
 .PHONY: run
 
-tests: all $(BUILD)/unit-tests $(BUILD)/differential $(EXAMPLES)
+tests: all $(BUILD)/unit-tests $(BUILD)/differential $(BUILD)/batch-fuzz $(EXAMPLES)
 
 check: deps
 	@$(MAKE) --no-print-directory tests
--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -9,6 +9,7 @@
 #define PLACE_GAP_MS 20       /* shortest time between two placing passes */
 #define PLACE_AGAIN_MS 300    /* longest time between two placing passes */
 #define TICK_MS 200           /* longest time between two ticks */
+#define FENCE_LIVES 1000u      /* fences of one epoch */
 #define STORE_DELAY_MS 100    /* ends wait this long for others to be stored along */
 
 void
@@ -108,6 +109,7 @@
         g_strlcpy(action->server, server->id, sizeof(action->server));
         g_strlcpy(action->address, server->entry.address, sizeof(action->address));
         action->life = server->life;
+        action->fence = engine->epoch * FENCE_LIVES + MIN(server->life, FENCE_LIVES - 1);
     }
     g_queue_push_tail(engine->actions, action);
     return action;
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -10,6 +10,10 @@
  * the server has answered.  Order of an end: it is stored, then acknowledged
  * to the server.  So a host that takes over finds in the log every run that
  * may exist, and every end that a server has forgotten.
+ *
+ * A server that starts anew under its old id has forgotten its fence, so an order
+ * to its earlier life that arrives late would be carried out.  Orders therefore
+ * carry a fence made of the epoch and of the number of lives seen in it.
  */
 #ifndef MS_BATCH_ENGINE_H
 #define MS_BATCH_ENGINE_H
@@ -48,7 +52,8 @@
     enum ms_engine_action_kind kind;
     char server[MS_NAME_MAX];
     char address[MS_SERVER_ADDRESS_MAX];
-    uint32_t life; /* of the server, as known here; echoed in replies */
+    uint32_t life;  /* of the server, as known here; echoed in replies */
+    uint64_t fence; /* rises with the epoch, and with each life of the server */
     char task[MS_TASK_NAME_MAX];
     uint32_t run;
     char *payload; /* START */
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -157,6 +157,7 @@
 void ms_btask_stop(struct ms_engine *engine, struct ms_btask *task, const char *reason);
 void ms_btask_stop_unit(struct ms_engine *engine, struct ms_btask *task, const char *reason);
 void ms_btask_order(struct ms_engine *engine, struct ms_btask *task);
+void ms_btask_found(struct ms_engine *engine, struct ms_btask *task, struct ms_bserver *server);
 void ms_btask_lost(struct ms_engine *engine, struct ms_btask *task, const char *reason);
 void ms_btask_ended(struct ms_engine *engine, struct ms_btask *task, enum ms_run_end how,
                     const char *checkpoint);
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -25,6 +25,10 @@
 int64_t
 ms_bserver_deadline(struct ms_engine *engine, struct ms_bserver *server)
 {
+    /* Calls to a silent server may arrive: they must not move the end of its lease. */
+    if (server->silent && server->deadline_max > 0 && !ms_list_empty(&server->tasks)) {
+        return server->deadline_max;
+    }
     int64_t clock = server->clock_ms + (engine->now - server->heard_at);
     int64_t deadline = clock + engine->limits.lease_ms;
     server->deadline_max = MAX(server->deadline_max, deadline);
@@ -176,6 +180,28 @@
                    server->entry.draining, !ms_list_empty(&server->tasks));
 }
 
+/*
+ * The task of a row about a run that was given up as lost, if no other run of
+ * it was begun since: the row tells what has become of it.
+ */
+static struct ms_btask *
+match_given_up(const struct ms_engine *engine, const char *name, uint32_t run)
+{
+    struct ms_btask *task = ms_engine_task(engine, name);
+    bool same = task != NULL && task->state == MS_BTASK_WAITING && task->run == run &&
+                ms_btask_job(task)->phase == MS_PHASE_OPEN;
+    if (!same || !task->step->spec->gang) {
+        return same ? task : NULL;
+    }
+    for (uint32_t i = 0; i < task->step->spec->count; i++) {
+        const struct ms_btask *member = &task->step->tasks[i];
+        if (member->state != MS_BTASK_WAITING || member->run != run) {
+            return NULL;
+        }
+    }
+    return task;
+}
+
 /* A run that no record allows is stopped. */
 static void
 stop_foreign(struct ms_engine *engine, struct ms_bserver *server, const struct ms_running_row *row)
@@ -206,6 +232,15 @@
                  const struct ms_running_row *row, GHashTable *seen)
 {
     struct ms_btask *task = match(engine, server, row->task, row->run);
+    if (task == NULL) {
+        task = match_given_up(engine, row->task, row->run);
+        if (task != NULL && !task->step->spec->gang) {
+            ms_btask_found(engine, task, server);
+        }
+        else {
+            task = NULL;
+        }
+    }
     if (task == NULL) {
         stop_foreign(engine, server, row);
         return;
@@ -236,6 +271,12 @@
     }
     server->ends_seen = row->position;
     struct ms_btask *task = match(engine, server, row->task, row->run);
+    if (task == NULL && row->how == MS_END_DONE) {
+        task = match_given_up(engine, row->task, row->run);
+        if (task != NULL) {
+            ms_btask_found(engine, task, server);
+        }
+    }
     if (task != NULL) {
         ms_btask_ended(engine, task, row->how, row->checkpoint);
     }
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -248,6 +248,19 @@
     gang_member_gone(engine, task, "member_lost");
 }
 
+/* A run that was given up turns out to be on SERVER. */
+void
+ms_btask_found(struct ms_engine *engine, struct ms_btask *task, struct ms_bserver *server)
+{
+    char name[MS_TASK_NAME_MAX];
+    ms_engine_note(engine, "event=run_found task=%s run=%u server=%s", ms_btask_name(task, name),
+                   task->run, server->id);
+    ms_btask_assign(engine, task, server);
+    task->state = MS_BTASK_RUNNING;
+    task->began_at = engine->now;
+    ms_engine_dirty(engine, ms_btask_job(task), false);
+}
+
 static void
 avoid_server(struct ms_btask *task, const char *server)
 {
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -18,7 +18,6 @@
 struct exchange {
     struct ms_http *http;
     struct ms_engine_action *order;
-    uint64_t epoch;
     int64_t sent_at;
 };
 
@@ -103,9 +102,8 @@
         else {
             struct exchange *exchange = get_exchange(links);
             exchange->order = command->order;
-            exchange->epoch = command->epoch;
             exchange->sent_at = ms_clock_boot_ms();
-            ms_server_prepare(exchange->http, command->order, command->epoch);
+            ms_server_prepare(exchange->http, command->order);
             g_hash_table_add(links->running, exchange);
             ms_http_loop_add(links->loop, exchange->http);
         }
--- a/src/ports/servers.h
+++ b/src/ports/servers.h
@@ -7,8 +7,8 @@
 #include "batch/engine.h"
 #include "platform/http.h"
 
-/* Prepares HTTP for ORDER (START, STOP or HOLD) under EPOCH. */
-void ms_server_prepare(struct ms_http *http, const struct ms_engine_action *order, uint64_t epoch);
+/* Prepares HTTP for ORDER (START, STOP or HOLD). */
+void ms_server_prepare(struct ms_http *http, const struct ms_engine_action *order);
 
 /*
  * Reads the answer to ORDER.  *CLOCK_MS is the server's clock or 0.  For a
