Cheaper placing passes and log lines

Cause: tasks of a step were planned one by one, at up to four levels each, over all servers. Tasks that are alike are planned together, what may be stopped is counted once for units of one priority, and 24 units a pass go beyond free room. The log thread looks at its ring ten times a second in place of a wake-up a line.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -7,6 +7,7 @@
 #include "batch/engine_private.h"
 
 #define PLACE_GAP_MS 20       /* shortest time between two placing passes */
+#define PLACE_WORK_PER_MS 400  /* servers looked at that lengthen the gap by one ms */
 #define PLACE_AGAIN_MS 300    /* longest time between two placing passes */
 #define TICK_MS 200           /* longest time between two ticks */
 #define FENCE_LIVES 1000u      /* fences of one epoch */
@@ -370,21 +371,38 @@
     }
 }
 
-void
-ms_engine_tick(struct ms_engine *engine, int64_t now, int64_t unix_ms)
+static void
+tick_all(struct ms_engine *engine)
 {
-    engine->now = MAX(engine->now, now);
-    engine->unix_ms = unix_ms + engine->limits.early_ms;
     MS_LIST_EACH(server_link, &engine->servers) {
         ms_bserver_tick(engine, MS_CONTAINER(server_link, struct ms_bserver, link));
     }
     MS_LIST_EACH(link, &engine->jobs) {
         tick_job(engine, MS_CONTAINER(link, struct ms_bjob, link));
     }
+}
+
+/* Least time between two placing passes: longer after a long one. */
+static int64_t
+place_gap(const struct ms_engine *engine)
+{
+    int64_t gap = PLACE_GAP_MS + (int64_t)(engine->place_work / PLACE_WORK_PER_MS);
+    return MIN(gap, PLACE_AGAIN_MS);
+}
+
+void
+ms_engine_tick(struct ms_engine *engine, int64_t now, int64_t unix_ms)
+{
+    engine->now = MAX(engine->now, now);
+    engine->unix_ms = unix_ms + engine->limits.early_ms;
+    if (engine->now > engine->ticked_at) {
+        engine->ticked_at = engine->now;
+        tick_all(engine);
+    }
     if (engine->now - engine->placed_at >= PLACE_AGAIN_MS) {
         engine->place_due = true; /* waits and backoffs may be over */
     }
-    if (engine->place_due && engine->now - engine->placed_at >= PLACE_GAP_MS) {
+    if (engine->place_due && engine->now - engine->placed_at >= place_gap(engine)) {
         engine->place_due = false;
         engine->placed_at = engine->now;
         ms_engine_place(engine);
@@ -400,7 +418,7 @@
 {
     int64_t next = engine->now + TICK_MS;
     if (engine->place_due) {
-        next = MIN(next, engine->placed_at + PLACE_GAP_MS);
+        next = MIN(next, engine->placed_at + place_gap(engine));
     }
     if (!engine->storing && !ms_list_empty(&engine->dirty)) {
         int64_t due = engine->dirty_urgent ? engine->now : engine->dirty_since + STORE_DELAY_MS;
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -1,7 +1,7 @@
 /*
  * engine_place.c - which waiting work starts where.
  *
- * A unit is a gang or a single task.  Units are looked at in order of their
+ * A unit is a gang, or tasks of one step that are alike.  Units are looked at in order of their
  * queue's priority, then of arrival.  Each is tried at rising levels:
  *
  *     free        it fits into what is free: it starts
@@ -24,6 +24,7 @@
 #define ACCEL_CORES 8              /* cores that an accelerator counts for as work */
 #define KEEP_WAIT_MS 300           /* before room is kept for a unit */
 #define KEEPERS_MAX 6              /* units that room is kept for in one pass */
+#define WAITERS_MAX 24             /* units tried beyond free room in one pass */
 #define FAR_WAIT_SHARE 1.0         /* of the estimate: wait for a place near the data */
 #define FAR_WAIT_MAX_MS 6000
 #define FAR_WAIT_TOP_MS 900        /* the same for a unit of the top priority */
@@ -31,13 +32,15 @@
 #define SCORE_SUSPECT 100000
 #define SCORE_COLD 50000
 #define NO_PLAN INT64_MAX
+#define VICTIMS_MAX 128 /* tasks of one server that are looked at */
 
 enum level { LEVEL_FREE = 0, LEVEL_SOON, LEVEL_RECLAIM, LEVEL_KEEP };
 
 struct unit {
     struct ms_bstep *step;
-    struct ms_btask *task; /* NULL for a gang */
+    struct ms_btask **tasks; /* `count` tasks of the step */
     uint32_t count;
+    bool gang; /* all of them, or none */
 };
 
 /* State of one pass. */
@@ -49,6 +52,10 @@
     uint32_t keepers;
     const struct unit *unit; /* the unit being placed */
     bool entitled;           /* the unit is within its account's guarantee */
+    uint32_t waiters;        /* units that were tried beyond free room */
+    bool counted;            /* `reclaimable` of the servers is right for: */
+    uint32_t counted_priority;
+    bool counted_entitled;
 };
 
 /* Accelerators of an account's work of the top priority. */
@@ -84,7 +91,7 @@
 
 /* What of SERVER the unit being placed can have at LEVEL. */
 static struct ms_resources
-available(const struct pass *pass, const struct ms_bserver *server, enum level level)
+available(const struct ms_bserver *server, enum level level)
 {
     struct ms_resources room = server->entry.capacity;
     ms_resources_add(&room, &server->reserved, -1);
@@ -94,12 +101,7 @@
     ms_resources_add(&room, &server->used, -1);
     ms_resources_add(&room, &server->stopping, 1);
     if (level == LEVEL_RECLAIM) {
-        MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
-            const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
-            if (may_stop(pass, task)) {
-                ms_resources_add(&room, &task->step->spec->each, 1);
-            }
-        }
+        ms_resources_add(&room, &server->reclaimable, 1);
         return room;
     }
     if (level == LEVEL_FREE) {
@@ -156,7 +158,7 @@
         uint32_t limit = step->spec->per_server_max;
         most = MIN(most, there < limit ? limit - there : 0);
     }
-    struct ms_resources room = available(pass, server, level);
+    struct ms_resources room = available(server, level);
     uint32_t count = 0;
     while (count < most && ms_resources_fit(&room, &step->spec->each)) {
         ms_resources_add(&room, &step->spec->each, -1);
@@ -177,40 +179,63 @@
     return (waste + STOP_OVERHEAD) * count;
 }
 
-/* The cheapest task on SERVER to stop that is not in EXCEPT, or NULL. */
+/* The cheapest task on SERVER to stop, or NULL; *WASTE is its cost. */
 static struct ms_btask *
-cheapest_victim(const struct pass *pass, const struct ms_bserver *server, GHashTable *except)
+cheapest_victim(const struct pass *pass, const struct ms_bserver *server, int64_t *waste)
 {
     struct ms_btask *victim = NULL;
     MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
         struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
-        if (may_stop(pass, task) && (except == NULL || !g_hash_table_contains(except, task)) &&
-            (victim == NULL ||
-             waste_of(pass->engine, task) < waste_of(pass->engine, victim))) {
+        if (!may_stop(pass, task)) {
+            continue;
+        }
+        int64_t cost = waste_of(pass->engine, task);
+        if (victim == NULL || cost < *waste) {
             victim = task;
+            *waste = cost;
         }
     }
     return victim;
 }
 
+struct victim {
+    const struct ms_btask *task;
+    int64_t waste;
+};
+
+static int
+by_waste(const void *left, const void *right)
+{
+    const struct victim *a = left;
+    const struct victim *b = right;
+    return a->waste < b->waste ? -1 : a->waste > b->waste;
+}
+
 /* Core-seconds thrown away to make room for one task of the unit on SERVER. */
 static int64_t
 reclaim_cost(const struct pass *pass, const struct ms_bserver *server)
 {
     const struct ms_resources *each = &pass->unit->step->spec->each;
-    struct ms_resources room = available(pass, server, LEVEL_SOON);
-    GHashTable *chosen = g_hash_table_new(NULL, NULL);
+    struct ms_resources room = available(server, LEVEL_SOON);
+    struct victim victims[VICTIMS_MAX];
+    size_t count = 0;
     int64_t cost = 0;
-    while (!ms_resources_fit(&room, each)) {
-        struct ms_btask *victim = cheapest_victim(pass, server, chosen);
-        if (victim == NULL) {
-            break;
+    if (ms_resources_fit(&room, each)) {
+        return 0;
+    }
+    MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
+        const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
+        if (count < VICTIMS_MAX && may_stop(pass, task)) {
+            victims[count].task = task;
+            victims[count].waste = waste_of(pass->engine, task);
+            count++;
         }
-        g_hash_table_add(chosen, victim);
-        ms_resources_add(&room, &victim->step->spec->each, 1);
-        cost += waste_of(pass->engine, victim);
     }
-    g_hash_table_destroy(chosen);
+    qsort(victims, count, sizeof(*victims), by_waste);
+    for (size_t i = 0; i < count && !ms_resources_fit(&room, each); i++) {
+        ms_resources_add(&room, &victims[i].task->step->spec->each, 1);
+        cost += victims[i].waste;
+    }
     return cost;
 }
 
@@ -234,7 +259,7 @@
 {
     const struct ms_engine *engine = pass->engine;
     const struct ms_step *spec = pass->unit->step->spec;
-    struct ms_resources room = available(pass, server, LEVEL_FREE);
+    struct ms_resources room = available(server, LEVEL_FREE);
     int64_t result = room.accels * 100 + room.cpu_millis / 10000;
     if (level == LEVEL_RECLAIM) {
         result = reclaim_cost(pass, server);
@@ -283,13 +308,14 @@
 
 /*
  * Plans the unit on SERVERS at LEVEL.  Returns the sum of the scores of the
- * tasks' servers, or NO_PLAN when not all tasks fit.
+ * tasks' servers, or NO_PLAN when not all tasks fit; of tasks that are no gang
+ * some are enough at the level of free room.
  */
 static int64_t
 plan_on(const struct pass *pass, const GPtrArray *servers, enum level level)
 {
     const struct unit *unit = pass->unit;
-    const struct ms_btask *task = unit->task != NULL ? unit->task : &unit->step->tasks[0];
+    const struct ms_btask *task = unit->tasks[0];
     struct ranked *ranked = g_new(struct ranked, servers->len + 1);
     guint found = 0;
     uint32_t room = 0;
@@ -303,22 +329,25 @@
             room += fit;
         }
     }
-    uint32_t left = unit->count;
+    pass->engine->place_work += servers->len;
+    bool part = !unit->gang && level == LEVEL_FREE;
+    uint32_t left = part ? MIN(unit->count, room) : unit->count;
+    bool enough = room >= left && left > 0;
     int64_t sum = 0;
-    for (guint i = 0; room >= left && i < found; i++) {
+    for (guint i = 0; enough && i < found; i++) {
         ranked[i].score = score(pass, task, ranked[i].server, level);
     }
-    if (room >= left) {
+    if (enough) {
         qsort(ranked, found, sizeof(*ranked), by_score);
     }
-    for (guint i = 0; room >= unit->count && i < found && left > 0; i++) {
+    for (guint i = 0; enough && i < found && left > 0; i++) {
         uint32_t planned = MIN(ranked[i].fit, left);
         ranked[i].server->planned = planned;
         left -= planned;
         sum += ranked[i].score * planned;
     }
     g_free(ranked);
-    return left == 0 ? sum : NO_PLAN;
+    return enough && left == 0 ? sum : NO_PLAN;
 }
 
 /* Whether the unit may by now run far from its data or over several racks. */
@@ -334,11 +363,11 @@
 
 /* Free accelerators of SERVERS. */
 static int64_t
-rack_room(const struct pass *pass, const GPtrArray *servers)
+rack_room(const GPtrArray *servers)
 {
     int64_t room = 0;
     for (guint i = 0; i < servers->len; i++) {
-        room += available(pass, g_ptr_array_index(servers, i), LEVEL_FREE).accels;
+        room += available(g_ptr_array_index(servers, i), LEVEL_FREE).accels;
     }
     return room;
 }
@@ -361,7 +390,7 @@
             continue;
         }
         if (level == LEVEL_FREE || level == LEVEL_SOON) {
-            cost = rack_room(pass, value);
+            cost = rack_room(value);
         }
         if (spec->rack[0] != '\0' && strcmp(spec->rack, key) == 0) {
             cost = -1; /* its data is here */
@@ -390,7 +419,7 @@
     const struct ms_step *spec = pass->unit->step->spec;
     int64_t cost = NO_PLAN;
     clear_plan(pass);
-    bool in_rack = spec->same_rack && pass->unit->task == NULL;
+    bool in_rack = spec->same_rack && pass->unit->gang;
     if (in_rack) {
         cost = plan_in_rack(pass, level);
     }
@@ -419,29 +448,28 @@
                    engine->now - task->step->ready_since, engine->now - server->heard_at);
 }
 
-/* Starts the unit where it is planned. */
-static void
+/* Starts the unit's tasks where they are planned; returns how many. */
+static uint32_t
 start_unit(const struct pass *pass)
 {
     struct ms_engine *engine = pass->engine;
     const struct unit *unit = pass->unit;
-    struct ms_bstep *step = unit->step;
-    struct ms_bjob *job = step->occurrence->job;
-    uint32_t run = unit->task != NULL ? unit->task->run : 0;
-    for (uint32_t i = 0; unit->task == NULL && i < step->spec->count; i++) {
-        run = MAX(run, step->tasks[i].run);
+    struct ms_bjob *job = unit->step->occurrence->job;
+    uint32_t gang_run = 0;
+    for (uint32_t i = 0; unit->gang && i < unit->count; i++) {
+        gang_run = MAX(gang_run, unit->tasks[i]->run);
     }
-    run++;
     uint32_t index = 0;
     for (guint i = 0; i < pass->servers->len; i++) {
         struct ms_bserver *server = g_ptr_array_index(pass->servers, i);
         for (uint32_t k = 0; k < server->planned; k++, index++) {
-            struct ms_btask *task = unit->task != NULL ? unit->task : &step->tasks[index];
-            begin_task(engine, task, server, run);
+            struct ms_btask *task = unit->tasks[index];
+            begin_task(engine, task, server, 1 + (unit->gang ? gang_run : task->run));
         }
     }
     job->begun = true;
     ms_engine_dirty(engine, job, true);
+    return index;
 }
 
 /* Keeps the planned room from units that come later in this pass. */
@@ -461,8 +489,9 @@
     struct ms_resources need = {0, 0, 0};
     ms_resources_add(&need, &pass->unit->step->spec->each, server->planned);
     for (;;) {
-        struct ms_resources room = available(pass, server, LEVEL_SOON);
-        struct ms_btask *victim = cheapest_victim(pass, server, NULL);
+        struct ms_resources room = available(server, LEVEL_SOON);
+        int64_t waste = 0;
+        struct ms_btask *victim = cheapest_victim(pass, server, &waste);
         if (ms_resources_fit(&room, &need) || victim == NULL) {
             return;
         }
@@ -510,43 +539,87 @@
 
 /* Whether the unit's account asks for no more than it was guaranteed. */
 static bool
-is_entitled(const struct pass *pass, const struct unit *unit)
+is_entitled(const struct pass *pass, const struct ms_bstep *step)
 {
-    const struct ms_bjob *job = unit->step->occurrence->job;
+    const struct ms_bjob *job = step->occurrence->job;
     const struct account_use *use = g_hash_table_lookup(pass->accounts, job->spec->account);
     return priority_of(job) == 0 && use != NULL && use->asked <= use->guaranteed;
 }
 
-/* Tries the unit at all levels; true if it starts. */
-static bool
-place_unit(struct pass *pass, const struct unit *unit)
+/* Recounts what may be stopped on each server for units like the present one. */
+static void
+count_reclaimable(struct pass *pass)
 {
-    struct ms_engine *engine = pass->engine;
-    struct ms_bstep *step = unit->step;
-    int64_t waited = engine->now - step->ready_since;
-    pass->unit = unit;
-    pass->entitled = is_entitled(pass, unit);
-    if (plan(pass, LEVEL_FREE) != NO_PLAN) {
-        start_unit(pass);
-        return true;
+    uint32_t priority = priority_of(pass->unit->step->occurrence->job);
+    if (pass->counted && pass->counted_priority == priority &&
+        pass->counted_entitled == pass->entitled) {
+        return;
     }
+    pass->counted = true;
+    pass->counted_priority = priority;
+    pass->counted_entitled = pass->entitled;
+    for (guint i = 0; i < pass->servers->len; i++) {
+        struct ms_bserver *server = g_ptr_array_index(pass->servers, i);
+        memset(&server->reclaimable, 0, sizeof(server->reclaimable));
+        MS_LIST_EACH(link, &server->tasks) {
+            const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
+            if (may_stop(pass, task)) {
+                ms_resources_add(&server->reclaimable, &task->step->spec->each, 1);
+            }
+        }
+    }
+}
+
+/* Tries the unit at the levels beyond free room. */
+static void
+wait_unit(struct pass *pass, const struct unit *unit)
+{
+    struct ms_engine *engine = pass->engine;
+    int64_t waited = engine->now - unit->step->ready_since;
     engine->units_waiting++;
+    if (pass->waiters++ >= WAITERS_MAX) {
+        return;
+    }
     if (plan(pass, LEVEL_SOON) != NO_PLAN) {
         reserve_unit(pass);
-        return false;
+        return;
     }
-    int64_t waste = plan(pass, LEVEL_RECLAIM);
-    if (waste != NO_PLAN && may_reclaim(pass, waited, waste % SCORE_COLD)) {
-        reclaim_unit(pass);
-        reserve_unit(pass);
-        return false;
+    if (may_reclaim(pass, waited, 0)) {
+        count_reclaimable(pass);
+        int64_t waste = plan(pass, LEVEL_RECLAIM);
+        if (waste != NO_PLAN && may_reclaim(pass, waited, waste % SCORE_COLD)) {
+            reclaim_unit(pass);
+            reserve_unit(pass);
+            pass->counted = false;
+            return;
+        }
     }
     if (waited >= KEEP_WAIT_MS && pass->keepers < KEEPERS_MAX &&
         plan(pass, LEVEL_KEEP) != NO_PLAN) {
         pass->keepers++;
         reserve_unit(pass);
     }
-    return false;
+}
+
+/* Starts what fits of the unit; the rest waits. */
+static void
+place_unit(struct pass *pass, const struct unit *unit)
+{
+    struct unit rest = *unit;
+    pass->unit = &rest;
+    pass->entitled = is_entitled(pass, unit->step);
+    while (rest.count > 0 && plan(pass, LEVEL_FREE) != NO_PLAN) {
+        uint32_t started = start_unit(pass);
+        rest.tasks += started;
+        rest.count -= started;
+    }
+    if (rest.count == 0) {
+        return;
+    }
+    if (!rest.gang) {
+        rest.count = 1; /* room is made for one after the other */
+    }
+    wait_unit(pass, &rest);
 }
 
 /* Places what is waiting of STEP. */
@@ -554,27 +627,27 @@
 place_step(struct pass *pass, struct ms_bstep *step)
 {
     struct ms_engine *engine = pass->engine;
-    if (step->spec->gang) {
-        for (uint32_t i = 0; i < step->spec->count; i++) {
-            if (step->tasks[i].state != MS_BTASK_WAITING ||
-                engine->now < step->tasks[i].not_before) {
-                return;
-            }
-        }
-        struct unit unit = {.step = step, .task = NULL, .count = step->spec->count};
-        place_unit(pass, &unit);
-        return;
-    }
+    bool gang = step->spec->gang;
+    struct ms_btask **alike = g_new(struct ms_btask *, step->spec->count);
+    uint32_t count = 0;
     for (uint32_t i = 0; i < step->spec->count; i++) {
         struct ms_btask *task = &step->tasks[i];
         if (task->state != MS_BTASK_WAITING || engine->now < task->not_before) {
             continue;
         }
-        struct unit unit = {.step = step, .task = task, .count = 1};
-        if (!place_unit(pass, &unit) && task->avoid_count == 0) {
-            return; /* the others are alike */
+        if (gang || task->avoid_count == 0) {
+            alike[count++] = task;
+            continue;
         }
+        /* A task that has failed somewhere is not like the others. */
+        const struct unit unit = {.step = step, .tasks = &task, .count = 1, .gang = false};
+        place_unit(pass, &unit);
+    }
+    if (count > 0 && (!gang || count == step->spec->count)) {
+        const struct unit unit = {.step = step, .tasks = alike, .count = count, .gang = gang};
+        place_unit(pass, &unit);
     }
+    g_free(alike);
 }
 
 static void
@@ -677,6 +750,7 @@
 ms_engine_place(struct ms_engine *engine)
 {
     struct pass pass = {.engine = engine};
+    engine->place_work = 0;
     GPtrArray *steps = g_ptr_array_new();
     pass.servers = g_ptr_array_new();
     pass.racks =
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -111,6 +111,7 @@
     /* Used within one placing pass. */
     struct ms_resources reserved; /* for units that wait for stops */
     struct ms_resources stopping; /* comes free when stops are done */
+    struct ms_resources reclaimable; /* may be stopped for the unit being placed */
     uint32_t planned;             /* tasks of the unit being placed */
 };
 
@@ -132,6 +133,8 @@
     bool storing;
     bool place_due;      /* something changed that may let a task start */
     int64_t placed_at;
+    uint64_t place_work; /* servers looked at in the last placing pass */
+    int64_t ticked_at;
     uint32_t units_waiting;
     bool stepped_down;
     GQueue *actions;
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -116,6 +116,9 @@
     }
     task->order_pending = true;
     task->order_at = engine->now + ORDER_RETRY_MS;
+    if (start && !task->uncertain) {
+        return; /* the line of its placing tells it */
+    }
     ms_engine_note(engine, "event=%s task=%s run=%u server=%s dc=%s clock_age_ms=%" G_GINT64_FORMAT,
                    start ? "order_start" : "order_stop", action->task, action->run, server->id,
                    server->entry.dc, engine->now - server->heard_at);
@@ -424,7 +427,7 @@
     engine->now = MAX(engine->now, now);
     struct ms_bserver *server = g_hash_table_lookup(engine->servers_by_id, order->server);
     bool start = order->kind == MS_ENGINE_START;
-    if (result != MS_ORDER_OK || start) {
+    if (result != MS_ORDER_OK) {
         ms_engine_note(engine, "event=order_answer order=%s task=%s run=%u server=%s result=%s",
                        start ? "start" : "stop", order->task, order->run, order->server,
                        ms_order_result_name(result));
--- a/src/obs/log.c
+++ b/src/obs/log.c
@@ -5,12 +5,13 @@
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #include "obs/log.h"
 #include "obs/ring.h"
 
 #define LOG_RING_SLOTS 4096
-#define LOG_WAIT_MS 1000
+#define LOG_WAIT_MS 100 /* between two looks at the ring */
 
 struct ms_log {
     char host[64];
@@ -54,20 +55,22 @@
 write_line(GLogLevelFlags level, const GLogField *fields, gsize count, gpointer opaque)
 {
     struct ms_log *log = opaque;
-    GDateTime *now = g_date_time_new_now_utc();
-    char *stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+    struct timespec now;
+    struct tm parts;
+    char stamp[32];
+    clock_gettime(CLOCK_REALTIME, &now);
+    gmtime_r(&now.tv_sec, &parts);
+    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
     char *line = g_strdup_printf("time=%s.%03dZ level=%s host=%s %s\n", stamp,
-                                 g_date_time_get_microsecond(now) / 1000, level_name(level),
-                                 log->host, field_value(fields, count, "MESSAGE"));
-    g_free(stamp);
-    g_date_time_unref(now);
+                                 (int)(now.tv_nsec / 1000000), level_name(level), log->host,
+                                 field_value(fields, count, "MESSAGE"));
     if ((level & (G_LOG_LEVEL_ERROR | G_LOG_FLAG_FATAL)) != 0) {
         fputs(line, stderr);
         fflush(stderr);
         g_free(line);
         return G_LOG_WRITER_HANDLED;
     }
-    if (!ms_ring_push(log->lines, line)) {
+    if (!ms_ring_push_quietly(log->lines, line)) {
         ms_counter_add(log->counters, MS_COUNT_LOG_LINES_LOST, 1);
         g_free(line);
     }
--- a/src/obs/log.h
+++ b/src/obs/log.h
@@ -2,7 +2,7 @@
  * log.h - structured logs: one line of key=value pairs for each event.
  *
  * ms_log() goes through GLib's logging.  A thread of its own writes the lines
- * to standard error; when its ring is full the line is counted as lost.
+ * to standard output, a few times a second; when its ring is full the line is counted as lost.
  */
 #ifndef MS_LOG_H
 #define MS_LOG_H
--- a/src/obs/ring.c
+++ b/src/obs/ring.c
@@ -85,13 +85,22 @@
 }
 
 bool
-ms_ring_push(struct ms_ring *ring, void *item)
+ms_ring_push_quietly(struct ms_ring *ring, void *item)
 {
     ANNOTATE_RELEASE(ring);
     if (!ck_ring_enqueue_mpsc(&ring->ring, ring->slots, item)) {
         ck_pr_inc_64(&ring->refused);
         return false;
     }
+    return true;
+}
+
+bool
+ms_ring_push(struct ms_ring *ring, void *item)
+{
+    if (!ms_ring_push_quietly(ring, item)) {
+        return false;
+    }
     ms_ring_wake(ring);
     return true;
 }
--- a/src/obs/ring.h
+++ b/src/obs/ring.h
@@ -23,6 +23,9 @@
 /* Pushes ITEM (not NULL).  Returns false when the ring is full. */
 bool ms_ring_push(struct ms_ring *ring, void *item);
 
+/* The same, but a waiting thread is not woken: it finds ITEM when it next looks. */
+bool ms_ring_push_quietly(struct ms_ring *ring, void *item);
+
 /* Pops the oldest item, or returns NULL when there is none. */
 void *ms_ring_pop(struct ms_ring *ring);
 
