--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -28,9 +28,10 @@
 #define FAR_WAIT_SHARE 1.0         /* of the estimate: wait for a place near the data */
 #define FAR_WAIT_MAX_MS 6000
 #define FAR_WAIT_TOP_MS 900        /* the same for a unit of the top priority */
-#define SCORE_FAR 1000000
-#define SCORE_SUSPECT 100000
-#define SCORE_COLD 50000
+#define PENALTY_FAR 1000000
+#define PENALTY_SUSPECT 100000
+#define PENALTY_COLD 50000
+#define PENALTY_SLOW 70000
 #define NO_PLAN INT64_MAX
 #define VICTIMS_MAX 128 /* tasks of one server that are looked at */
 
@@ -241,45 +242,57 @@
 
 /* Milliseconds until the work on SERVER has ended, by its estimates. */
 static int64_t
-busy_ms(const struct ms_bserver *server)
+busy_ms(const struct ms_engine *engine, const struct ms_bserver *server)
 {
     int64_t longest = 0;
     MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
         const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
-        int64_t rest = task->step->spec->estimate_ms * (100 - MIN(task->percent, 100)) / 100;
-        longest = MAX(longest, rest);
+        longest = MAX(longest, ms_btask_rest_ms(engine, task));
     }
     return longest;
 }
 
-/* Lower is better: near the data, sound, and leaving little room or waste. */
+/* What the room for one task on SERVER costs at LEVEL; lower is better. */
 static int64_t
-score(const struct pass *pass, const struct ms_btask *task, const struct ms_bserver *server,
-      enum level level)
+cost_of(const struct pass *pass, const struct ms_bserver *server, enum level level)
+{
+    struct ms_resources room;
+    switch (level) {
+    case LEVEL_FREE:
+    case LEVEL_SOON:
+        room = available(server, LEVEL_FREE);
+        return room.accels * 100 + room.cpu_millis / 10000;
+    case LEVEL_RECLAIM:
+        return reclaim_cost(pass, server);
+    case LEVEL_KEEP:
+        return busy_ms(pass->engine, server);
+    }
+    return 0;
+}
+
+/* How much worse than others SERVER is for TASK: far, slow, or not sound. */
+static int64_t
+penalty_of(const struct pass *pass, const struct ms_btask *task, const struct ms_bserver *server)
 {
     const struct ms_engine *engine = pass->engine;
     const struct ms_step *spec = pass->unit->step->spec;
-    struct ms_resources room = available(server, LEVEL_FREE);
-    int64_t result = room.accels * 100 + room.cpu_millis / 10000;
-    if (level == LEVEL_RECLAIM) {
-        result = reclaim_cost(pass, server);
-    }
-    else if (level == LEVEL_KEEP) {
-        result = busy_ms(server);
-    }
+    int64_t penalty = 0;
     if (spec->rack[0] != '\0' && strcmp(spec->rack, server->entry.rack) != 0) {
-        result += SCORE_FAR;
+        penalty += PENALTY_FAR;
+    }
+    if (engine->now < server->slow_until) {
+        penalty += PENALTY_SLOW;
     }
     if (engine->now < server->suspect_until) {
-        result += SCORE_SUSPECT;
+        penalty += PENALTY_SUSPECT;
     }
     if (avoided(task, server)) {
-        result += 2 * SCORE_SUSPECT;
+        penalty += 2 * PENALTY_SUSPECT;
     }
     if (server->entry.cold_ms > 0) {
-        result += SCORE_COLD;
+        penalty += PENALTY_COLD;
     }
-    return result;
+    return penalty;
 }
 
 /* A plan is the field `planned` of each server. */
@@ -295,7 +308,8 @@
 struct ranked {
     struct ms_bserver *server;
     uint32_t fit;
-    int64_t score;
+    int64_t cost;
+    int64_t score; /* cost and penalty */
 };
 
 static int
@@ -331,11 +345,13 @@
     }
     pass->engine->place_work += servers->len;
     bool part = !unit->gang && level == LEVEL_FREE;
+    pass->engine->plan_cost = 0;
     uint32_t left = part ? MIN(unit->count, room) : unit->count;
     bool enough = room >= left && left > 0;
     int64_t sum = 0;
     for (guint i = 0; enough && i < found; i++) {
-        ranked[i].score = score(pass, task, ranked[i].server, level);
+        ranked[i].cost = cost_of(pass, ranked[i].server, level);
+        ranked[i].score = ranked[i].cost + penalty_of(pass, task, ranked[i].server);
     }
     if (enough) {
         qsort(ranked, found, sizeof(*ranked), by_score);
@@ -345,6 +361,7 @@
         ranked[i].server->planned = planned;
         left -= planned;
         sum += ranked[i].score * planned;
+        pass->engine->plan_cost += ranked[i].cost * planned;
     }
     g_free(ranked);
     return enough && left == 0 ? sum : NO_PLAN;
@@ -586,8 +603,8 @@
     }
     if (may_reclaim(pass, waited, 0)) {
         count_reclaimable(pass);
-        int64_t waste = plan(pass, LEVEL_RECLAIM);
-        if (waste != NO_PLAN && may_reclaim(pass, waited, waste % SCORE_COLD)) {
+        if (plan(pass, LEVEL_RECLAIM) != NO_PLAN &&
+            may_reclaim(pass, waited, engine->plan_cost)) {
             reclaim_unit(pass);
             reserve_unit(pass);
             pass->counted = false;
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -37,6 +37,7 @@
     int64_t answered_at; /* when the last order was answered */
     int64_t began_at;    /* RUNNING: since when */
     uint32_t percent;    /* progress as last reported */
+    uint32_t percent_at_start; /* progress that a checkpoint gave */
     int64_t progress_at; /* when it last changed */
     int64_t not_before;  /* WAITING: backoff */
     uint32_t avoid_count;
@@ -106,6 +107,8 @@
     char last_failed_job[MS_JOB_ID_MAX];
     int64_t avoid_until;  /* quarantine */
     int64_t suspect_until; /* chosen last */
+    int64_t slow_until;    /* the same: its runs are far behind their estimates */
+    int64_t leaves_at;     /* DRAINING: it stays at least until then, 0: not told */
     uint32_t quarantines;
     struct ms_link link;
     /* Used within one placing pass. */
@@ -133,6 +136,7 @@
     bool storing;
     bool place_due;      /* something changed that may let a task start */
     int64_t placed_at;
+    int64_t plan_cost;   /* of the last plan, without penalties */
     uint64_t place_work; /* servers looked at in the last placing pass */
     int64_t ticked_at;
     uint32_t units_waiting;
@@ -178,8 +182,14 @@
 bool ms_bserver_usable(const struct ms_engine *engine, const struct ms_bserver *server);
 bool ms_bserver_has_label(const struct ms_bserver *server, const char *label);
 void ms_bserver_tick(struct ms_engine *engine, struct ms_bserver *server);
+
+/* engine_health.c */
 void ms_bserver_failed(struct ms_engine *engine, struct ms_bserver *server,
                        const struct ms_bjob *job);
+void ms_bhealth_report(struct ms_engine *engine, struct ms_bserver *server);
+/* Time until TASK ends where it is, by its progress, else by its estimate. */
+int64_t ms_btask_rest_ms(const struct ms_engine *engine, const struct ms_btask *task);
+void ms_bhealth_tick(struct ms_engine *engine, struct ms_btask *task);
 
 /* engine_place.c */
 void ms_engine_place(struct ms_engine *engine);
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -1,5 +1,5 @@
 /*
- * engine_server.c - backend servers: leases, reports, loss, quarantine.
+ * engine_server.c - backend servers: leases, reports, loss.
  *
  * A lease ends at a time of the server's clock, which may run 2 % slow.  From
  * the last clock value heard follows the latest moment at which a silent
@@ -16,11 +16,6 @@
 #define CLOCK_SLACK 1.03         /* a server's clock may be 2 % slow */
 #define LEASE_MARGIN_MS 100
 #define ENDED_ROWS_FULL 500      /* a report with so many ends may be cut off */
-#define STALL_MIN_MS 3500        /* without progress: the run stands still */
-#define SUSPECT_MS 3000          /* a server with a failure is chosen last */
-#define QUARANTINE_MS 4000       /* first quarantine; doubles */
-#define QUARANTINE_DOUBLINGS 3
-#define STREAK_MAX 2             /* distinct jobs failed in a row: quarantine */
 
 int64_t
 ms_bserver_deadline(struct ms_engine *engine, struct ms_bserver *server)
@@ -65,24 +60,6 @@
            (engine->dcs_out == NULL || !g_hash_table_contains(engine->dcs_out, server->entry.dc));
 }
 
-void
-ms_bserver_failed(struct ms_engine *engine, struct ms_bserver *server, const struct ms_bjob *job)
-{
-    server->suspect_until = engine->now + SUSPECT_MS;
-    if (strcmp(server->last_failed_job, job->id) != 0) {
-        server->fail_streak++;
-        g_strlcpy(server->last_failed_job, job->id, sizeof(server->last_failed_job));
-    }
-    if (server->fail_streak < STREAK_MAX) {
-        return;
-    }
-    int64_t time = (int64_t)QUARANTINE_MS << MIN(server->quarantines, QUARANTINE_DOUBLINGS);
-    server->avoid_until = engine->now + time;
-    server->quarantines++;
-    server->fail_streak = 0;
-    ms_engine_note(engine, "event=quarantine server=%s for_ms=%" G_GINT64_FORMAT, server->id, time);
-}
-
 /*
  * SERVER has started anew under its id.  What ran there is gone, but an order
  * without an answer may still arrive: the first report of the new life tells.
@@ -186,6 +163,9 @@
         ms_bserver_reset(engine, server, true, "reborn");
     }
     bool changed = server->entry.draining != entry->draining;
+    if (entry->draining && (changed || !server->listed)) {
+        server->leaves_at = engine->now + entry->remaining_ms;
+    }
     bool was_listed = server->listed;
     server->entry = *entry;
     server->listed = true;
@@ -293,6 +273,9 @@
         task->adopted = false;
     }
     if (row->percent != task->percent) {
+        if (task->percent == 0 && task->checkpoint[0] != '\0') {
+            task->percent_at_start = row->percent; /* it has resumed */
+        }
         task->percent = row->percent;
         task->progress_at = engine->now;
     }
@@ -455,6 +438,7 @@
     server->clock_ms = report->clock_ms;
     server->ends_acked = MAX(server->ends_acked, order->ack_position);
     take_report(engine, server, report, sent_at);
+    ms_bhealth_report(engine, server);
     schedule_hold(engine, server);
 }
 
@@ -472,18 +456,8 @@
     server->hold_at = INT64_MAX;
 }
 
-/* Whether a running task makes no progress. */
-static bool
-stalled(const struct ms_engine *engine, const struct ms_btask *task)
-{
-    return task->state == MS_BTASK_RUNNING && !task->step->spec->lasting &&
-           !task->step->spec->fills && task->percent < 100 && !task->server->silent &&
-           engine->now - task->progress_at >
-               MAX(STALL_MIN_MS, task->step->spec->estimate_ms / 4);
-}
-
 static void
-tick_task(struct ms_engine *engine, struct ms_bserver *server, struct ms_btask *task)
+tick_task(struct ms_engine *engine, struct ms_btask *task)
 {
     struct ms_bstep *step = task->step;
     if (task->state == MS_BTASK_STARTING && !task->adopted) {
@@ -492,10 +466,8 @@
     else if (task->state == MS_BTASK_STOPPING && !task->stop_confirmed) {
         ms_btask_order(engine, task);
     }
-    else if (stalled(engine, task)) {
-        server->suspect_until = engine->now + SUSPECT_MS;
-        ms_bserver_failed(engine, server, ms_btask_job(task));
-        ms_btask_stop_unit(engine, task, "no_progress");
+    else {
+        ms_bhealth_tick(engine, task);
     }
     if (step->spec->gang && task->state == MS_BTASK_STARTING && step->gang_since > 0 &&
         engine->now - step->gang_since > engine->limits.gang_start_ms) {
@@ -518,7 +490,7 @@
         }
     }
     MS_LIST_EACH(link, &server->tasks) {
-        tick_task(engine, server, MS_CONTAINER(link, struct ms_btask, server_link));
+        tick_task(engine, MS_CONTAINER(link, struct ms_btask, server_link));
     }
     if (!server->hold_pending && engine->now >= server->hold_at &&
         server->entry.address[0] != '\0') {
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -67,6 +67,7 @@
     task->uncertain = false;
     task->answered_at = 0;
     task->began_at = 0;
+    task->percent_at_start = 0;
     task->percent = 0;
     task->progress_at = engine->now;
     ms_list_append(&server->tasks, &task->server_link);
--- a/tests/batch/world.c
+++ b/tests/batch/world.c
@@ -481,6 +481,12 @@
     }
 }
 
+static uint32_t
+percent_of(const struct world *world, const struct run *run)
+{
+    return (uint32_t)((world->now - run->came_at) * 99 / MAX(run->ends_at - run->came_at, 1));
+}
+
 static struct ms_hold_report *
 report_of(const struct world *world, const struct model_server *server)
 {
@@ -493,7 +499,7 @@
         const struct run *run = &g_array_index(server->runs, struct run, i);
         g_strlcpy(report->running[i].task, run->task, sizeof(report->running[i].task));
         report->running[i].run = run->run;
-        report->running[i].percent = (uint32_t)((world->now - run->came_at) / 100);
+        report->running[i].percent = run->ends_at == INT64_MAX ? 0 : percent_of(world, run);
     }
     report->ended_count = server->ended->len;
     report->ended = g_new0(struct ms_ended_row, server->ended->len + 1);
