--- a/src/entry/follow.c
+++ b/src/entry/follow.c
@@ -89,7 +89,9 @@
     *next = batch->next;
     struct ms_entry_message *message = ms_entry_message_new(MS_ENTRY_RECORDS);
     /* An answer without records was given when the wait was over. */
-    message->fresh_at = batch->records->len == 0 ? sent_at + wait_ms : sent_at;
+    if (batch->whole) {
+        message->fresh_at = batch->records->len == 0 ? sent_at + wait_ms : sent_at;
+    }
     message->batch = batch;
     push(follow, message);
     return result;
--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -48,7 +48,7 @@
     enum ms_entry_message_kind kind;
     enum ms_stream stream;
     struct ms_log_batch *batch;
-    int64_t fresh_at; /* the stream is known up to this time */
+    int64_t fresh_at; /* the stream is known up to this time; 0: it has more records */
     enum ms_log_result result;
     struct ms_append *append;
     struct ms_entry_call *call;
--- a/src/ports/keyed_log.h
+++ b/src/ports/keyed_log.h
@@ -41,6 +41,7 @@
 struct ms_log_batch {
     GArray *records; /* struct ms_log_record */
     uint64_t next;
+    bool whole; /* READ: there were no more records when it was answered */
 };
 
 /* A writer whose appends are fenced by epoch and numbered without gaps. */
