--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -12,9 +12,8 @@
 #define RING_SLOTS 16384
 #define STEP_MAX_MS 250      /* longest sleep of the thread */
 #define JOBS_WAIT_MS 1000    /* a read of the log waits so long for records */
-#define RULES_WAIT_MS 1500
+#define RULES_WAIT_MS 1800
 #define SERVERS_WAIT_MS 2000
-#define JOBS_GAP_MS 20       /* least time between two reads */
 #define RULES_GAP_MS 0
 #define SERVERS_GAP_MS 300
 #define DRAIN_SHARE 0.6      /* of shutdown_s: longest graceful shutdown */
@@ -185,7 +184,7 @@
     static const struct {
         int64_t wait_ms;
         int64_t gap_ms;
-    } reads[MS_STREAM_COUNT] = {{JOBS_WAIT_MS, JOBS_GAP_MS},
+    } reads[MS_STREAM_COUNT] = {{JOBS_WAIT_MS, MS_JOBS_GAP_FOLLOWING_MS},
                                 {RULES_WAIT_MS, RULES_GAP_MS},
                                 {SERVERS_WAIT_MS, SERVERS_GAP_MS}};
     const char *log = entry->settings->log_address;
--- a/src/entry/follow.c
+++ b/src/entry/follow.c
@@ -17,7 +17,7 @@
     enum ms_stream stream;
     struct ms_ring *ring;
     int64_t wait_ms;
-    int64_t gap_ms;
+    _Atomic int64_t gap_ms;
     pthread_t thread;
     GMutex lock;
     GCond wake;
@@ -136,8 +136,9 @@
         if (result == MS_LOG_DONE) {
             retry_ms = RETRY_MIN_MS;
             wait_ms = follow->wait_ms;
-            if (follow->gap_ms > 0) {
-                pause_ms(follow, follow->gap_ms);
+            int64_t gap_ms = atomic_load(&follow->gap_ms);
+            if (gap_ms > 0) {
+                pause_ms(follow, gap_ms);
             }
             continue;
         }
@@ -183,6 +184,15 @@
     g_mutex_unlock(&follow->lock);
 }
 
+void
+ms_follow_gap(struct ms_follow *follow, int64_t gap_ms)
+{
+    atomic_store(&follow->gap_ms, gap_ms);
+    g_mutex_lock(&follow->lock);
+    g_cond_signal(&follow->wake);
+    g_mutex_unlock(&follow->lock);
+}
+
 void
 ms_follow_stop(struct ms_follow *follow)
 {
--- a/src/entry/follow.h
+++ b/src/entry/follow.h
@@ -24,6 +24,9 @@
 /* ON: reads from the newest records on.  Off: ends after the present read. */
 void ms_follow_switch(struct ms_follow *follow, bool on);
 
+/* Changes the least time between two reads. */
+void ms_follow_gap(struct ms_follow *follow, int64_t gap_ms);
+
 void ms_follow_stop(struct ms_follow *follow);
 
 #endif
--- a/src/entry/lead.c
+++ b/src/entry/lead.c
@@ -22,6 +22,8 @@
 #define SILENT_MS 1700      /* without a renewal: the holder is taken for gone */
 #define STAGGER_MS 60       /* between the claims of different hosts */
 #define STAGGER_STEPS 6
+#define WEAK_CORES 0.2      /* a host with less of a core is weak */
+#define WEAK_STAGGER_MS 600 /* a weak host claims so much later */
 #define CLAIM_TIMEOUT_MS 1500
 #define HOLD_ON_MS 2500     /* a holder without renewals goes on so long */
 #define CLOCK_SLACK 1.03    /* a server's clock may be 2 % slow */
@@ -48,6 +50,8 @@
            names[state], entry->table->lead.epoch, entry->table->lead.holder,
            entry->now - entry->lead_heard_at);
     entry->lead_state = state;
+    ms_follow_gap(entry->follows[MS_STREAM_JOBS],
+                  state == MS_FOLLOWING ? MS_JOBS_GAP_FOLLOWING_MS : MS_JOBS_GAP_PLACING_MS);
     entry->lead_since = entry->now;
     ms_counter_set(entry->counters, MS_GAUGE_HOLDER, state == MS_PLACING);
     ms_counter_set(entry->counters, MS_GAUGE_EPOCH, entry->table->lead.epoch);
@@ -218,12 +222,16 @@
     }
 }
 
-/* Hosts claim one after the other, in an order that changes with the epoch. */
+/*
+ * Hosts claim one after the other, those with most of a processor first, equal
+ * ones in an order that changes with the epoch.
+ */
 static int64_t
 stagger(const struct ms_entry *entry)
 {
     guint mixed = g_str_hash(entry->holder) * 31u + (guint)entry->table->lead.epoch;
-    return (int64_t)(mixed % STAGGER_STEPS) * STAGGER_MS;
+    int64_t weakness = entry->settings->cpu_share < WEAK_CORES ? WEAK_STAGGER_MS : 0;
+    return (int64_t)(mixed % STAGGER_STEPS) * STAGGER_MS + weakness;
 }
 
 static void
--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -16,6 +16,10 @@
 #include "entry/follow.h"
 #include "entry/links.h"
 
+/* Least time between two reads of the stream of jobs. */
+#define MS_JOBS_GAP_FOLLOWING_MS 100
+#define MS_JOBS_GAP_PLACING_MS 5
+
 /* How far this host has got as the placing host. */
 enum ms_lead_state {
     MS_FOLLOWING = 0, /* another host places, or none */
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -64,7 +64,7 @@
             return true;
         }
     }
-    return strcmp(key, "far_factor") == 0;
+    return strcmp(key, "far_factor") == 0 || strcmp(key, "cpu_share") == 0;
 }
 
 static enum ms_result
@@ -101,6 +101,11 @@
         }
         *(int64_t *)(void *)((char *)settings + number->offset) = (int64_t)read;
     }
+    settings->cpu_share = json_number_value(json_object_get(root, "cpu_share"));
+    if (settings->cpu_share <= 0.0) {
+        snprintf(error, size, "cpu_share: a number of cores above 0 is required");
+        return MS_E_INVALID;
+    }
     settings->far_factor = json_number_value(json_object_get(root, "far_factor"));
     if (settings->far_factor < 1.0) {
         snprintf(error, size, "far_factor: a number from 1 is required");
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -20,6 +20,7 @@
     int64_t gang_start_max_ms; /* a server gives up on a gang after this */
     int64_t stop_grace_ms;     /* longest time that a stop takes */
     int64_t unknown_after_ms;  /* an accepted job is known everywhere after this */
+    double cpu_share;          /* of a core, that this host may use */
     double far_factor;         /* slow-down of work away from its data */
     int64_t state_kept_s;      /* states of ended jobs are asked for so long */
     int64_t shutdown_s;        /* time for a graceful shutdown */
