--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,9 @@
 $(BUILD)/differential: $(BUILD)/tests/naive/differential.o $(BUILD)/tests/naive/world.o $(BUILD)/tests/naive/world_plan.o $(BUILD)/tests/naive/world_server.o $(BUILD)/tests/naive/naive.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/batch-unit: $(BUILD)/tests/batch/unit.o $(BUILD)/tests/batch/world.o $(PLATFORM_OBJECTS) $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
+
 $(BUILD)/batch-fuzz: $(BUILD)/tests/batch/fuzz.o $(BUILD)/tests/batch/world.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -94,7 +97,7 @@
 
 .PHONY: run
 
-tests: all $(BUILD)/unit-tests $(BUILD)/differential $(BUILD)/batch-fuzz $(EXAMPLES)
+tests: all $(BUILD)/unit-tests $(BUILD)/differential $(BUILD)/batch-unit $(BUILD)/batch-fuzz $(EXAMPLES)
 
 check: deps
 	@$(MAKE) --no-print-directory tests
--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -7,10 +7,10 @@
 #include "batch/engine_private.h"
 
 #define PLACE_GAP_MS 20       /* shortest time between two placing passes */
-#define PLACE_WORK_PER_MS 400  /* servers looked at that lengthen the gap by one ms */
+#define PLACE_WORK_PER_MS 400 /* servers looked at that lengthen the gap by one ms */
 #define PLACE_AGAIN_MS 300    /* longest time between two placing passes */
 #define TICK_MS 200           /* longest time between two ticks */
-#define FENCE_LIVES 1000u      /* fences of one epoch */
+#define FENCE_LIVES 1000u     /* fences of one epoch */
 #define STORE_DELAY_MS 100    /* ends wait this long for others to be stored along */
 
 void
@@ -243,7 +243,8 @@
 ms_engine_policy(struct ms_engine *engine, const struct ms_policy *policy)
 {
     engine->policy = policy;
-    MS_LIST_EACH(link, &engine->jobs) {
+    MS_LIST_EACH(link, &engine->jobs)
+    {
         resolve_queue(engine, MS_CONTAINER(link, struct ms_bjob, link));
     }
     engine->place_due = true;
@@ -313,14 +314,16 @@
 {
     engine->now = MAX(engine->now, now);
     engine->storing = false;
-    MS_LIST_EACH(server_link, &engine->servers) {
+    MS_LIST_EACH(server_link, &engine->servers)
+    {
         struct ms_bserver *server = MS_CONTAINER(server_link, struct ms_bserver, link);
         if (server->ends_storing > server->ends_stored) {
             server->ends_stored = server->ends_storing;
             server->hold_at = MIN(server->hold_at, engine->now);
         }
     }
-    MS_LIST_EACH(link, &engine->jobs) {
+    MS_LIST_EACH(link, &engine->jobs)
+    {
         struct ms_bjob *job = MS_CONTAINER(link, struct ms_bjob, link);
         if (!job->storing) {
             continue;
@@ -374,10 +377,12 @@
 static void
 tick_all(struct ms_engine *engine)
 {
-    MS_LIST_EACH(server_link, &engine->servers) {
+    MS_LIST_EACH(server_link, &engine->servers)
+    {
         ms_bserver_tick(engine, MS_CONTAINER(server_link, struct ms_bserver, link));
     }
-    MS_LIST_EACH(link, &engine->jobs) {
+    MS_LIST_EACH(link, &engine->jobs)
+    {
         tick_job(engine, MS_CONTAINER(link, struct ms_bjob, link));
     }
 }
@@ -424,7 +429,8 @@
         int64_t due = engine->dirty_urgent ? engine->now : engine->dirty_since + STORE_DELAY_MS;
         next = MIN(next, due);
     }
-    MS_LIST_EACH(link, &engine->servers) {
+    MS_LIST_EACH(link, &engine->servers)
+    {
         const struct ms_bserver *server = MS_CONTAINER(link, struct ms_bserver, link);
         if (!server->hold_pending) {
             next = MIN(next, server->hold_at);
@@ -437,11 +443,13 @@
 ms_engine_stats(const struct ms_engine *engine, struct ms_engine_stats *stats)
 {
     memset(stats, 0, sizeof(*stats));
-    MS_LIST_EACH(job_link, &engine->jobs) {
+    MS_LIST_EACH(job_link, &engine->jobs)
+    {
         stats->jobs++;
         stats->tasks_active += MS_CONTAINER(job_link, struct ms_bjob, link)->active;
     }
-    MS_LIST_EACH(link, &engine->servers) {
+    MS_LIST_EACH(link, &engine->servers)
+    {
         stats->servers++;
         stats->servers_usable +=
             ms_bserver_usable(engine, MS_CONTAINER(link, struct ms_bserver, link));
--- a/src/batch/engine_health.c
+++ b/src/batch/engine_health.c
@@ -9,9 +9,9 @@
 
 #include "batch/engine_private.h"
 
-#define STALL_MIN_MS 3500   /* without progress: the run stands still */
-#define SUSPECT_MS 3000     /* a server with a failure is chosen last */
-#define QUARANTINE_MS 4000  /* first quarantine; doubles */
+#define STALL_MIN_MS 3500  /* without progress: the run stands still */
+#define SUSPECT_MS 3000    /* a server with a failure is chosen last */
+#define QUARANTINE_MS 4000 /* first quarantine; doubles */
 #define QUARANTINE_DOUBLINGS 3
 #define STREAK_MAX 2        /* distinct jobs failed in a row: quarantine */
 #define SLOW_FACTOR 3       /* siblings go so many times faster: the server is slow */
@@ -97,7 +97,8 @@
 {
     uint32_t slow = 0;
     uint32_t fair = 0;
-    MS_LIST_EACH(link, &server->tasks) {
+    MS_LIST_EACH(link, &server->tasks)
+    {
         const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
         if (!task->step->spec->gang && rate_of(engine, task) > 0 &&
             sibling_rate(engine, task) > 0) {
@@ -124,7 +125,7 @@
         !lags(engine, task)) {
         return false;
     }
-    int64_t anew = 100 * 60000 / sibling_rate(engine, task);
+    int64_t anew = 100 * 60000 / MAX(sibling_rate(engine, task), 1);
     return ms_btask_rest_ms(engine, task) > 2 * anew;
 }
 
@@ -133,8 +134,8 @@
 must_leave(const struct ms_engine *engine, const struct ms_btask *task)
 {
     const struct ms_bserver *server = task->server;
-    if (!server->entry.draining || task->state != MS_BTASK_RUNNING ||
-        task->step->spec->lasting || server->leaves_at == 0) {
+    if (!server->entry.draining || task->state != MS_BTASK_RUNNING || task->step->spec->lasting ||
+        server->leaves_at == 0) {
         return false;
     }
     int64_t left = server->leaves_at - engine->now;
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -16,18 +16,18 @@
 
 #include "batch/engine_private.h"
 
-#define RECLAIM_TOP_WAIT_MS 300    /* before a unit of the top priority stops others */
-#define RECLAIM_WAIT_SHARE 0.4     /* of a lower unit's slack, before it stops others */
-#define RECLAIM_WASTE_TOP 2500     /* core-seconds that a unit of the top priority may waste */
-#define RECLAIM_WASTE 600          /* the same for a lower one */
-#define STOP_OVERHEAD 40           /* core-seconds that each stop counts for besides */
-#define ACCEL_CORES 8              /* cores that an accelerator counts for as work */
-#define KEEP_WAIT_MS 300           /* before room is kept for a unit */
-#define KEEPERS_MAX 6              /* units that room is kept for in one pass */
-#define WAITERS_MAX 24             /* units tried beyond free room in one pass */
-#define FAR_WAIT_SHARE 1.0         /* of the estimate: wait for a place near the data */
+#define RECLAIM_TOP_WAIT_MS 300 /* before a unit of the top priority stops others */
+#define RECLAIM_WAIT_SHARE 0.4  /* of a lower unit's slack, before it stops others */
+#define RECLAIM_WASTE_TOP 2500  /* core-seconds that a unit of the top priority may waste */
+#define RECLAIM_WASTE 600       /* the same for a lower one */
+#define STOP_OVERHEAD 40        /* core-seconds that each stop counts for besides */
+#define ACCEL_CORES 8           /* cores that an accelerator counts for as work */
+#define KEEP_WAIT_MS 300        /* before room is kept for a unit */
+#define KEEPERS_MAX 6           /* units that room is kept for in one pass */
+#define WAITERS_MAX 24          /* units tried beyond free room in one pass */
+#define FAR_WAIT_SHARE 1.0      /* of the estimate: wait for a place near the data */
 #define FAR_WAIT_MAX_MS 6000
-#define FAR_WAIT_TOP_MS 900        /* the same for a unit of the top priority */
+#define FAR_WAIT_TOP_MS 900 /* the same for a unit of the top priority */
 #define PENALTY_FAR 1000000
 #define PENALTY_SUSPECT 100000
 #define PENALTY_COLD 50000
@@ -47,8 +47,8 @@
 /* State of one pass. */
 struct pass {
     struct ms_engine *engine;
-    GPtrArray *servers; /* usable ms_bserver */
-    GHashTable *racks;  /* rack -> GPtrArray of ms_bserver */
+    GPtrArray *servers;   /* usable ms_bserver */
+    GHashTable *racks;    /* rack -> GPtrArray of ms_bserver */
     GHashTable *accounts; /* account -> struct account_use */
     uint32_t keepers;
     const struct unit *unit; /* the unit being placed */
@@ -120,7 +120,8 @@
 tasks_there(const struct ms_bstep *step, const struct ms_bserver *server)
 {
     uint32_t count = 0;
-    MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
+    MS_LIST_EACH(link, (struct ms_link *)&server->tasks)
+    {
         count += MS_CONTAINER(link, struct ms_btask, server_link)->step == step;
     }
     return count;
@@ -185,7 +186,8 @@
 cheapest_victim(const struct pass *pass, const struct ms_bserver *server, int64_t *waste)
 {
     struct ms_btask *victim = NULL;
-    MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
+    MS_LIST_EACH(link, (struct ms_link *)&server->tasks)
+    {
         struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
         if (!may_stop(pass, task)) {
             continue;
@@ -224,7 +226,8 @@
     if (ms_resources_fit(&room, each)) {
         return 0;
     }
-    MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
+    MS_LIST_EACH(link, (struct ms_link *)&server->tasks)
+    {
         const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
         if (count < VICTIMS_MAX && may_stop(pass, task)) {
             victims[count].task = task;
@@ -245,7 +248,8 @@
 busy_ms(const struct ms_engine *engine, const struct ms_bserver *server)
 {
     int64_t longest = 0;
-    MS_LIST_EACH(link, (struct ms_link *)&server->tasks) {
+    MS_LIST_EACH(link, (struct ms_link *)&server->tasks)
+    {
         const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
         longest = MAX(longest, ms_btask_rest_ms(engine, task));
     }
@@ -451,8 +455,7 @@
 }
 
 static void
-begin_task(struct ms_engine *engine, struct ms_btask *task, struct ms_bserver *server,
-           uint32_t run)
+begin_task(struct ms_engine *engine, struct ms_btask *task, struct ms_bserver *server, uint32_t run)
 {
     char name[MS_TASK_NAME_MAX];
     task->run = run;
@@ -460,9 +463,9 @@
     ms_engine_note(engine,
                    "event=place task=%s run=%u server=%s dc=%s rack=%s priority=%u"
                    " waited_ms=%" G_GINT64_FORMAT " heard_age_ms=%" G_GINT64_FORMAT,
-                   ms_btask_name(task, name), run, server->id, server->entry.dc,
-                   server->entry.rack, priority_of(ms_btask_job(task)),
-                   engine->now - task->step->ready_since, engine->now - server->heard_at);
+                   ms_btask_name(task, name), run, server->id, server->entry.dc, server->entry.rack,
+                   priority_of(ms_btask_job(task)), engine->now - task->step->ready_since,
+                   engine->now - server->heard_at);
 }
 
 /* Starts the unit's tasks where they are planned; returns how many. */
@@ -578,7 +581,8 @@
     for (guint i = 0; i < pass->servers->len; i++) {
         struct ms_bserver *server = g_ptr_array_index(pass->servers, i);
         memset(&server->reclaimable, 0, sizeof(server->reclaimable));
-        MS_LIST_EACH(link, &server->tasks) {
+        MS_LIST_EACH(link, &server->tasks)
+        {
             const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
             if (may_stop(pass, task)) {
                 ms_resources_add(&server->reclaimable, &task->step->spec->each, 1);
@@ -603,8 +607,7 @@
     }
     if (may_reclaim(pass, waited, 0)) {
         count_reclaimable(pass);
-        if (plan(pass, LEVEL_RECLAIM) != NO_PLAN &&
-            may_reclaim(pass, waited, engine->plan_cost)) {
+        if (plan(pass, LEVEL_RECLAIM) != NO_PLAN && may_reclaim(pass, waited, engine->plan_cost)) {
             reclaim_unit(pass);
             reserve_unit(pass);
             pass->counted = false;
@@ -631,12 +634,14 @@
         rest.count -= started;
     }
     if (rest.count == 0) {
+        pass->unit = NULL;
         return;
     }
     if (!rest.gang) {
         rest.count = 1; /* room is made for one after the other */
     }
     wait_unit(pass, &rest);
+    pass->unit = NULL;
 }
 
 /* Places what is waiting of STEP. */
@@ -671,7 +676,8 @@
 collect_servers(struct pass *pass)
 {
     struct ms_engine *engine = pass->engine;
-    MS_LIST_EACH(link, &engine->servers) {
+    MS_LIST_EACH(link, &engine->servers)
+    {
         struct ms_bserver *server = MS_CONTAINER(link, struct ms_bserver, link);
         memset(&server->reserved, 0, sizeof(server->reserved));
         memset(&server->stopping, 0, sizeof(server->stopping));
@@ -679,7 +685,8 @@
         if (!ms_bserver_usable(engine, server)) {
             continue;
         }
-        MS_LIST_EACH(task_link, &server->tasks) {
+        MS_LIST_EACH(task_link, &server->tasks)
+        {
             const struct ms_btask *task = MS_CONTAINER(task_link, struct ms_btask, server_link);
             if (task->state == MS_BTASK_STOPPING) {
                 ms_resources_add(&server->stopping, &task->step->spec->each, 1);
@@ -718,7 +725,8 @@
 collect_accounts(struct pass *pass)
 {
     struct ms_engine *engine = pass->engine;
-    MS_LIST_EACH(link, &engine->jobs) {
+    MS_LIST_EACH(link, &engine->jobs)
+    {
         const struct ms_bjob *job = MS_CONTAINER(link, struct ms_bjob, link);
         if (job->phase != MS_PHASE_OPEN || priority_of(job) != 0) {
             continue;
@@ -745,7 +753,8 @@
 static void
 collect_steps(struct ms_engine *engine, GPtrArray *steps)
 {
-    MS_LIST_EACH(link, &engine->jobs) {
+    MS_LIST_EACH(link, &engine->jobs)
+    {
         struct ms_bjob *job = MS_CONTAINER(link, struct ms_bjob, link);
         for (guint i = 0; job->phase == MS_PHASE_OPEN && i < job->occurrences->len; i++) {
             struct ms_occurrence *occurrence = g_ptr_array_index(job->occurrences, i);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -28,18 +28,18 @@
     char checkpoint[MS_CHECKPOINT_MAX];
     struct ms_bserver *server; /* not WAITING and not DONE: where it is */
     struct ms_link server_link;
-    bool adopted;        /* STARTING: found in the log at the take-over */
-    bool recorded;       /* RECORDING: part of the batch that is being stored */
-    bool order_pending;  /* an order has no answer yet */
-    bool uncertain;      /* an order of this run had no answer and may come late */
-    bool stop_confirmed; /* STOPPING: the server has answered the stop */
-    int64_t order_at;    /* when to order again */
-    int64_t answered_at; /* when the last order was answered */
-    int64_t began_at;    /* RUNNING: since when */
-    uint32_t percent;    /* progress as last reported */
+    bool adopted;              /* STARTING: found in the log at the take-over */
+    bool recorded;             /* RECORDING: part of the batch that is being stored */
+    bool order_pending;        /* an order has no answer yet */
+    bool uncertain;            /* an order of this run had no answer and may come late */
+    bool stop_confirmed;       /* STOPPING: the server has answered the stop */
+    int64_t order_at;          /* when to order again */
+    int64_t answered_at;       /* when the last order was answered */
+    int64_t began_at;          /* RUNNING: since when */
+    uint32_t percent;          /* progress as last reported */
     uint32_t percent_at_start; /* progress that a checkpoint gave */
-    int64_t progress_at; /* when it last changed */
-    int64_t not_before;  /* WAITING: backoff */
+    int64_t progress_at;       /* when it last changed */
+    int64_t not_before;        /* WAITING: backoff */
     uint32_t avoid_count;
     char avoid[MS_AVOID_MAX][MS_NAME_MAX];
 };
@@ -53,8 +53,8 @@
     uint32_t waiting;       /* tasks in each state class */
     uint32_t active;
     uint32_t done;
-    int64_t ready_since;   /* since when it could be placed, 0: not yet */
-    int64_t gang_since;    /* gang: first start of the present run, 0: none */
+    int64_t ready_since; /* since when it could be placed, 0: not yet */
+    int64_t gang_since;  /* gang: first start of the present run, 0: none */
 };
 
 struct ms_occurrence {
@@ -79,43 +79,43 @@
     bool forgetting;      /* its removal is being stored */
     uint32_t active;      /* tasks that have a server */
     int64_t ended_at;
-    int64_t accepted_at;  /* on the engine's clock */
+    int64_t accepted_at; /* on the engine's clock */
 };
 
 struct ms_bserver {
     char id[MS_NAME_MAX];
     struct ms_directory_entry entry;
-    bool listed;       /* the directory has it */
-    uint32_t life;     /* rises when it starts anew */
-    bool fenced;       /* has answered under this epoch */
-    bool silent;       /* the last call had no answer */
-    bool left;         /* the directory dropped it while it was draining */
+    bool listed;   /* the directory has it */
+    uint32_t life; /* rises when it starts anew */
+    bool fenced;   /* has answered under this epoch */
+    bool silent;   /* the last call had no answer */
+    bool left;     /* the directory dropped it while it was draining */
     bool hold_pending;
-    int64_t hold_at;   /* when to hold it, INT64_MAX: no need */
+    int64_t hold_at; /* when to hold it, INT64_MAX: no need */
     int64_t heard_at;
-    int64_t clock_ms;  /* its clock at heard_at */
+    int64_t clock_ms;     /* its clock at heard_at */
     int64_t deadline_max; /* latest end of a lease that was sent, its clock */
-    int64_t dead_at;   /* UNFENCED: when runs of earlier holders have lapsed */
+    int64_t dead_at;      /* UNFENCED: when runs of earlier holders have lapsed */
     uint64_t ends_seen;
     uint64_t ends_storing; /* ends that the batch being stored covers */
     uint64_t ends_stored;
     uint64_t ends_acked;
-    uint32_t foreign;  /* runs reported there that no record allows */
+    uint32_t foreign; /* runs reported there that no record allows */
     struct ms_resources used;
     struct ms_link tasks;
     uint32_t fail_streak; /* distinct jobs that failed since the last success */
     char last_failed_job[MS_JOB_ID_MAX];
-    int64_t avoid_until;  /* quarantine */
+    int64_t avoid_until;   /* quarantine */
     int64_t suspect_until; /* chosen last */
     int64_t slow_until;    /* the same: its runs are far behind their estimates */
     int64_t leaves_at;     /* DRAINING: it stays at least until then, 0: not told */
     uint32_t quarantines;
     struct ms_link link;
     /* Used within one placing pass. */
-    struct ms_resources reserved; /* for units that wait for stops */
-    struct ms_resources stopping; /* comes free when stops are done */
+    struct ms_resources reserved;    /* for units that wait for stops */
+    struct ms_resources stopping;    /* comes free when stops are done */
     struct ms_resources reclaimable; /* may be stopped for the unit being placed */
-    uint32_t planned;             /* tasks of the unit being placed */
+    uint32_t planned;                /* tasks of the unit being placed */
 };
 
 struct ms_engine {
@@ -134,7 +134,7 @@
     bool dirty_urgent;
     int64_t dirty_since;
     bool storing;
-    bool place_due;      /* something changed that may let a task start */
+    bool place_due; /* something changed that may let a task start */
     int64_t placed_at;
     int64_t plan_cost;   /* of the last plan, without penalties */
     uint64_t place_work; /* servers looked at in the last placing pass */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -9,13 +9,13 @@
 
 #include "batch/engine_private.h"
 
-#define HOLD_WAIT_MS 1500        /* an idle renewal waits this long for an end */
-#define HOLD_RETRY_MS 300        /* between renewals without an answer */
-#define IDLE_RETRY_MS 1000       /* the same, for a server without work */
-#define STORE_WAIT_MS 300        /* longest wait for ends to be stored */
-#define CLOCK_SLACK 1.03         /* a server's clock may be 2 % slow */
+#define HOLD_WAIT_MS 1500  /* an idle renewal waits this long for an end */
+#define HOLD_RETRY_MS 300  /* between renewals without an answer */
+#define IDLE_RETRY_MS 1000 /* the same, for a server without work */
+#define STORE_WAIT_MS 300  /* longest wait for ends to be stored */
+#define CLOCK_SLACK 1.03   /* a server's clock may be 2 % slow */
 #define LEASE_MARGIN_MS 100
-#define ENDED_ROWS_FULL 500      /* a report with so many ends may be cut off */
+#define ENDED_ROWS_FULL 500 /* a report with so many ends may be cut off */
 
 int64_t
 ms_bserver_deadline(struct ms_engine *engine, struct ms_bserver *server)
@@ -70,7 +70,8 @@
     bool again = true;
     while (again) {
         again = false;
-        MS_LIST_EACH(link, &server->tasks) {
+        MS_LIST_EACH(link, &server->tasks)
+        {
             struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
             bool ordered = task->state == MS_BTASK_STARTING || task->state == MS_BTASK_STOPPING;
             if (task->uncertain || (ordered && task->order_pending)) {
@@ -283,8 +284,7 @@
 }
 
 static void
-take_ended_row(struct ms_engine *engine, struct ms_bserver *server,
-               const struct ms_ended_row *row)
+take_ended_row(struct ms_engine *engine, struct ms_bserver *server, const struct ms_ended_row *row)
 {
     if (row->position <= server->ends_seen) {
         return;
@@ -340,7 +340,8 @@
     bool again = whole;
     while (again) {
         again = false;
-        MS_LIST_EACH(link, &server->tasks) {
+        MS_LIST_EACH(link, &server->tasks)
+        {
             struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
             if (!g_hash_table_contains(seen, task) && proven_absent(task, sent_at)) {
                 ms_btask_lost(engine, task, "absent");
@@ -427,9 +428,9 @@
         return;
     }
     if (!server->fenced || server->silent) {
-        ms_engine_note(engine, "event=server_held server=%s epoch=%" G_GUINT64_FORMAT
-                               " running=%zu ended=%zu",
-                       server->id, engine->epoch, report->running_count, report->ended_count);
+        ms_engine_note(
+            engine, "event=server_held server=%s epoch=%" G_GUINT64_FORMAT " running=%zu ended=%zu",
+            server->id, engine->epoch, report->running_count, report->ended_count);
         engine->place_due = true;
     }
     server->fenced = true;
@@ -481,15 +482,17 @@
     bool lapsed = engine->now >= ms_bserver_dead_at(engine, server);
     if (lapsed && !ms_list_empty(&server->tasks) && (server->silent || !server->fenced)) {
         bool recording_only = true;
-        MS_LIST_EACH(link, &server->tasks) {
-            recording_only &= MS_CONTAINER(link, struct ms_btask, server_link)->state ==
-                              MS_BTASK_RECORDING;
+        MS_LIST_EACH(link, &server->tasks)
+        {
+            recording_only &=
+                MS_CONTAINER(link, struct ms_btask, server_link)->state == MS_BTASK_RECORDING;
         }
         if (!recording_only) {
             lose_tasks(engine, server, "lease_lapsed");
         }
     }
-    MS_LIST_EACH(link, &server->tasks) {
+    MS_LIST_EACH(link, &server->tasks)
+    {
         tick_task(engine, MS_CONTAINER(link, struct ms_btask, server_link));
     }
     if (!server->hold_pending && engine->now >= server->hold_at &&
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -141,7 +141,8 @@
     struct ms_engine_action *action = ms_engine_emit(engine, MS_ENGINE_STORE, NULL);
     size_t bytes = 0;
     action->items = g_ptr_array_new();
-    MS_LIST_EACH(link, &engine->dirty) {
+    MS_LIST_EACH(link, &engine->dirty)
+    {
         struct ms_bjob *job = MS_CONTAINER(link, struct ms_bjob, dirty);
         if (bytes > BATCH_BYTES_MAX) {
             break;
@@ -164,7 +165,8 @@
     if (rest) {
         return; /* ends of the jobs left over are not covered */
     }
-    MS_LIST_EACH(server_link, &engine->servers) {
+    MS_LIST_EACH(server_link, &engine->servers)
+    {
         struct ms_bserver *server = MS_CONTAINER(server_link, struct ms_bserver, link);
         server->ends_storing = server->ends_seen;
     }
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -227,8 +227,7 @@
     if (job->phase != MS_PHASE_OPEN) {
         job->ended_at = engine->now;
         ms_engine_note(engine, "event=job_end id=%s outcome=%s since_seen_ms=%" G_GINT64_FORMAT,
-                       job->id, failed ? "failed" : "succeeded",
-                       engine->now - job->accepted_at);
+                       job->id, failed ? "failed" : "succeeded", engine->now - job->accepted_at);
         ms_engine_dirty(engine, job, true);
     }
 }
--- a/src/batch/server.h
+++ b/src/batch/server.h
@@ -6,7 +6,7 @@
 
 #include "batch/spec.h"
 
-#define MS_LABELS_MAX 16        /* labels of one server */
+#define MS_LABELS_MAX 16         /* labels of one server */
 #define MS_SERVER_ADDRESS_MAX 64 /* bytes of "IP:PORT", with its NUL */
 
 /* One entry of the directory of backend servers. */
--- a/src/batch/spec.h
+++ b/src/batch/spec.h
@@ -14,12 +14,12 @@
 
 #include "mustardspread/mustardspread.h"
 
-#define MS_JOB_ID_MAX 40             /* bytes of a stored job's id, with its NUL */
-#define MS_TASK_NAME_MAX 96          /* bytes of "ID.OCCURRENCE.STEP.INDEX", with its NUL */
-#define MS_CHECKPOINT_MAX 128        /* bytes of a checkpoint, with its NUL */
-#define MS_BATCH_PAYLOAD_MAX 4000    /* bytes of a stored job's payload */
-#define MS_BATCH_STEPS_MAX 64        /* steps of one job */
-#define MS_BATCH_TASKS_MAX 4096      /* tasks of one step */
+#define MS_JOB_ID_MAX 40          /* bytes of a stored job's id, with its NUL */
+#define MS_TASK_NAME_MAX 96       /* bytes of "ID.OCCURRENCE.STEP.INDEX", with its NUL */
+#define MS_CHECKPOINT_MAX 128     /* bytes of a checkpoint, with its NUL */
+#define MS_BATCH_PAYLOAD_MAX 4000 /* bytes of a stored job's payload */
+#define MS_BATCH_STEPS_MAX 64     /* steps of one job */
+#define MS_BATCH_TASKS_MAX 4096   /* tasks of one step */
 #define MS_BATCH_OCCURRENCES_MAX 100000
 
 /* Resources of one task, or of one backend server. */
@@ -32,21 +32,21 @@
 struct ms_step {
     uint32_t count; /* tasks */
     struct ms_resources each;
-    int64_t estimate_ms;      /* rough run time of a task, 0: unknown */
-    uint32_t *after;          /* earlier steps that have to be done first */
+    int64_t estimate_ms; /* rough run time of a task, 0: unknown */
+    uint32_t *after;     /* earlier steps that have to be done first */
     size_t after_count;
-    bool checkpoints;         /* saves progress while it runs and when stopped */
-    bool gang;                /* all tasks run together or not at all */
-    bool same_rack;           /* much slower when spread over racks */
-    bool speculative;         /* copies may run in parallel */
-    bool lasting;             /* runs until cancelled, restarted however it ends */
-    bool fills;               /* uses processor time that others leave */
-    char label[MS_NAME_MAX];  /* label that the server must have, "" for any */
-    char rack[MS_NAME_MAX];   /* rack of its data, "" for none */
+    bool checkpoints;        /* saves progress while it runs and when stopped */
+    bool gang;               /* all tasks run together or not at all */
+    bool same_rack;          /* much slower when spread over racks */
+    bool speculative;        /* copies may run in parallel */
+    bool lasting;            /* runs until cancelled, restarted however it ends */
+    bool fills;              /* uses processor time that others leave */
+    char label[MS_NAME_MAX]; /* label that the server must have, "" for any */
+    char rack[MS_NAME_MAX];  /* rack of its data, "" for none */
     char image[MS_NAME_MAX];
-    uint32_t per_server_max;  /* tasks of the step on one server, 0: any number */
-    uint32_t away_max;        /* LASTING: tasks that may be away at once */
-    int64_t target_ms;        /* LASTING: tail of the response times, 0: none */
+    uint32_t per_server_max; /* tasks of the step on one server, 0: any number */
+    uint32_t away_max;       /* LASTING: tasks that may be away at once */
+    int64_t target_ms;       /* LASTING: tail of the response times, 0: none */
 };
 
 struct ms_batch_spec {
--- a/src/batch/table.h
+++ b/src/batch/table.h
@@ -23,8 +23,8 @@
 #define MS_KEY_JOB "j/"
 #define MS_KEY_CANCEL "c/"
 #define MS_KEY_STATE "s/"
-#define MS_LOG_KEY_MAX 64  /* bytes of a record's key, with its NUL */
-#define MS_HOLDER_MAX 96   /* bytes of a holder's name, with its NUL */
+#define MS_LOG_KEY_MAX 64 /* bytes of a record's key, with its NUL */
+#define MS_HOLDER_MAX 96  /* bytes of a holder's name, with its NUL */
 
 /* Phase of a stored job. */
 enum ms_phase {
--- a/src/daemon/entry_main.c
+++ b/src/daemon/entry_main.c
@@ -52,14 +52,15 @@
         options->settings_path = g_strdup(g_getenv(SETTINGS_VARIABLE));
     }
     if (good && !options->version && options->settings_path == NULL) {
-        fprintf(stderr, "mustardspread-entryd: --settings FILE or " SETTINGS_VARIABLE
-                        " is required\n");
+        fprintf(stderr,
+                "mustardspread-entryd: --settings FILE or " SETTINGS_VARIABLE " is required\n");
         good = false;
     }
     return good;
 }
 
-static bool
+/* Reads and checks the settings file; the text, freed with g_free(), or NULL. */
+static char *
 load_settings(const char *path, struct ms_entry_settings *settings, char *error, size_t size)
 {
     gchar *text = NULL;
@@ -67,31 +68,34 @@
     if (!g_file_get_contents(path, &text, NULL, &failure)) {
         snprintf(error, size, "%s", failure->message);
         g_error_free(failure);
-        return false;
+        return NULL;
     }
-    bool good = ms_entry_settings_parse(text, settings, error, size) == MS_OK;
-    g_free(text);
-    return good;
+    if (ms_entry_settings_parse(text, settings, error, size) != MS_OK) {
+        g_free(text);
+        return NULL;
+    }
+    return text;
 }
 
 /* A changed file is checked; what it sets is fixed for the life of a process. */
 static void
-look_at_settings(const char *path, const struct ms_entry_settings *settings)
+look_at_settings(const char *path, const char *text)
 {
     struct ms_entry_settings changed;
     char error[ERROR_MAX];
-    if (!load_settings(path, &changed, error, sizeof(error))) {
+    char *changed_text = load_settings(path, &changed, error, sizeof(error));
+    if (changed_text == NULL) {
         ms_log(MS_LOG_WARNING, "event=reload outcome=rejected error=\"%s\"", error);
         return;
     }
-    bool same = memcmp(&changed, settings, sizeof(changed)) == 0;
+    bool same = strcmp(changed_text, text) == 0;
     ms_log(MS_LOG_NOTICE, "event=reload outcome=%s", same ? "unchanged" : "needs_restart");
+    g_free(changed_text);
 }
 
 /* Waits for signals until the shutdown is over. */
 static void
-run(struct ms_entry *entry, const sigset_t *signals, const char *path,
-    const struct ms_entry_settings *settings)
+run(struct ms_entry *entry, const sigset_t *signals, const char *path, const char *text)
 {
     bool stopping = false;
     struct timespec poll = {.tv_nsec = FINISH_POLL_NS};
@@ -108,7 +112,7 @@
         }
         ms_log(MS_LOG_NOTICE, "event=signal number=%d", number);
         if (number == SIGHUP) {
-            look_at_settings(path, settings);
+            look_at_settings(path, text);
             continue;
         }
         stopping = true;
@@ -117,7 +121,7 @@
 }
 
 static int
-serve(const char *path, const struct ms_entry_settings *settings)
+serve(const char *path, const char *text, const struct ms_entry_settings *settings)
 {
     static struct ms_counters counters;
     char error[ERROR_MAX];
@@ -138,7 +142,7 @@
     }
     ms_log(MS_LOG_NOTICE, "event=start version=%s dc=%s callers=%s log=%s", MS_VERSION,
            settings->dc, settings->caller_address, settings->log_address);
-    run(entry, &signals, path, settings);
+    run(entry, &signals, path, text);
     ms_entry_stop(entry);
     ms_log(MS_LOG_NOTICE, "event=stop");
     ms_log_stop(log);
@@ -158,13 +162,17 @@
         printf("mustardspread-entryd %s\n", MS_VERSION);
         return EXIT_SUCCESS;
     }
-    if (!load_settings(options.settings_path, &settings, error, sizeof(error))) {
+    char *text = load_settings(options.settings_path, &settings, error, sizeof(error));
+    if (text == NULL) {
         fprintf(stderr, "mustardspread-entryd: %s: %s\n", options.settings_path, error);
         return EXIT_USAGE;
     }
     if (options.check_settings) {
         printf("settings: good\n");
+        g_free(text);
         return EXIT_SUCCESS;
     }
-    return serve(options.settings_path, &settings);
+    int result = serve(options.settings_path, text, &settings);
+    g_free(text);
+    return result;
 }
--- a/src/entry/append.c
+++ b/src/entry/append.c
@@ -9,9 +9,9 @@
 #include "obs/log.h"
 
 #define RING_SLOTS 4096
-#define GROUP_MAX 256          /* requests of one append call */
-#define ATTEMPT_MS 800         /* one call */
-#define RETRY_MS 60            /* between two attempts */
+#define GROUP_MAX 256  /* requests of one append call */
+#define ATTEMPT_MS 800 /* one call */
+#define RETRY_MS 60    /* between two attempts */
 #define IDLE_MS 1000
 #define WRITER_NAME "placing"
 
@@ -125,8 +125,7 @@
     enum ms_log_result result = MS_LOG_FENCED;
     uint64_t end = 0;
     while (!atomic_load(&appender->stopping) && atomic_load(&appender->epoch) == epoch) {
-        result = ms_log_append(appender->client, MS_STREAM_JOBS, items,
-                               &writer, ATTEMPT_MS, &end);
+        result = ms_log_append(appender->client, MS_STREAM_JOBS, items, &writer, ATTEMPT_MS, &end);
         if (result == MS_LOG_SEQUENCE && appender->sequence == 0 && end != writer.sequence) {
             appender->sequence = end; /* the fence has taken a number */
             writer.sequence = end;
--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -15,15 +15,15 @@
     enum ms_entry_method method;
     char *host;
     char *path;
-    char *key; /* NULL when none was given */
-    int64_t wait_ms; /* how long the caller waits */
-    struct ms_batch_spec spec;      /* POST with a readable body */
-    char error[MS_DETAIL_MAX];      /* POST: why the body is not readable, or "" */
+    char *key;                 /* NULL when none was given */
+    int64_t wait_ms;           /* how long the caller waits */
+    struct ms_batch_spec spec; /* POST with a readable body */
+    char error[MS_DETAIL_MAX]; /* POST: why the body is not readable, or "" */
     int64_t arrived_at;
     int64_t answer_by;
     /* The answer. */
     unsigned int status;
-    char *body; /* freed with free(), or NULL */
+    char *body;         /* freed with free(), or NULL */
     const char *reason; /* for the log; static */
     struct MHD_Connection *connection;
 };
--- a/src/entry/edge.c
+++ b/src/entry/edge.c
@@ -108,8 +108,8 @@
     call->method = method_of(method);
     call->host = g_strdup(host != NULL ? host : "");
     call->path = g_strdup(url);
-    call->key = g_strdup(ms_edge_key(
-        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, ms_edge_key_header)));
+    call->key = g_strdup(
+        ms_edge_key(MHD_lookup_connection_value(connection, MHD_HEADER_KIND, ms_edge_key_header)));
     call->wait_ms = wait_of(connection);
     call->connection = connection;
     if (call->method == MS_METHOD_POST) {
@@ -180,8 +180,7 @@
                      "application/json", "{}");
     }
     if (exchange->too_large) {
-        return reply_error(edge, connection, MHD_HTTP_CONTENT_TOO_LARGE,
-                           "body: larger than 1 MiB");
+        return reply_error(edge, connection, MHD_HTTP_CONTENT_TOO_LARGE, "body: larger than 1 MiB");
     }
     if (!exchange->asked) {
         return ask(edge, connection, url, method, exchange);
@@ -190,9 +189,8 @@
 }
 
 static enum MHD_Result
-handle_metrics(void *opaque, struct MHD_Connection *connection, const char *url,
-               const char *method, const char *version, const char *data, size_t *size,
-               void **state)
+handle_metrics(void *opaque, struct MHD_Connection *connection, const char *url, const char *method,
+               const char *version, const char *data, size_t *size, void **state)
 {
     struct ms_edge *edge = opaque;
     (void)method;
@@ -251,12 +249,12 @@
     if (!parse_address(text, &address)) {
         return NULL;
     }
-    return MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handler, edge,
-        MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_CONNECTION_LIMIT,
-        connections, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
-        completed, NULL, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-        1024u, MHD_OPTION_END);
+    return MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+                            handler, edge, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
+                            MHD_OPTION_CONNECTION_LIMIT, connections, MHD_OPTION_CONNECTION_TIMEOUT,
+                            IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+                            MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+                            1024u, MHD_OPTION_END);
 }
 
 struct ms_edge *
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -10,14 +10,14 @@
 #include "obs/log.h"
 
 #define RING_SLOTS 16384
-#define STEP_MAX_MS 250      /* longest sleep of the thread */
-#define JOBS_WAIT_MS 1000    /* a read of the log waits so long for records */
+#define STEP_MAX_MS 250   /* longest sleep of the thread */
+#define JOBS_WAIT_MS 1000 /* a read of the log waits so long for records */
 #define RULES_WAIT_MS 1800
 #define SERVERS_WAIT_MS 2000
 #define RULES_GAP_MS 0
 #define SERVERS_GAP_MS 300
-#define DRAIN_SHARE 0.6      /* of shutdown_s: longest graceful shutdown */
-#define DRAIN_MIN_MS 2500    /* the balancer needs so long to notice */
+#define DRAIN_SHARE 0.6   /* of shutdown_s: longest graceful shutdown */
+#define DRAIN_MIN_MS 2500 /* the balancer needs so long to notice */
 
 static void
 begin_shutdown(struct ms_entry *entry)
@@ -189,8 +189,8 @@
                                 {SERVERS_WAIT_MS, SERVERS_GAP_MS}};
     const char *log = entry->settings->log_address;
     for (int i = 0; i < MS_STREAM_COUNT; i++) {
-        entry->follows[i] = ms_follow_start(log, (enum ms_stream)i, entry->ring, reads[i].wait_ms,
-                                            reads[i].gap_ms);
+        entry->follows[i] =
+            ms_follow_start(log, (enum ms_stream)i, entry->ring, reads[i].wait_ms, reads[i].gap_ms);
         if (entry->follows[i] == NULL) {
             return false;
         }
@@ -224,8 +224,8 @@
 }
 
 struct ms_entry *
-ms_entry_start(const struct ms_entry_settings *settings, struct ms_counters *counters,
-               char *error, size_t size)
+ms_entry_start(const struct ms_entry_settings *settings, struct ms_counters *counters, char *error,
+               size_t size)
 {
     struct ms_entry *entry = entry_new(settings, counters);
     if (entry->ring == NULL || !start_threads(entry)) {
--- a/src/entry/lead.c
+++ b/src/entry/lead.c
@@ -18,20 +18,20 @@
 #include "entry/private.h"
 #include "obs/log.h"
 
-#define RENEW_MS 500        /* between two renewals */
-#define SILENT_MS 1700      /* without a renewal: the holder is taken for gone */
-#define STAGGER_MS 60       /* between the claims of different hosts */
+#define RENEW_MS 500   /* between two renewals */
+#define SILENT_MS 1700 /* without a renewal: the holder is taken for gone */
+#define STAGGER_MS 60  /* between the claims of different hosts */
 #define STAGGER_STEPS 6
 #define WEAK_CORES 0.2      /* a host with less of a core is weak */
 #define WEAK_STAGGER_MS 600 /* a weak host claims so much later */
 #define CLAIM_TIMEOUT_MS 1500
-#define HOLD_ON_MS 2500     /* a holder without renewals goes on so long */
-#define CLOCK_SLACK 1.03    /* a server's clock may be 2 % slow */
+#define HOLD_ON_MS 2500  /* a holder without renewals goes on so long */
+#define CLOCK_SLACK 1.03 /* a server's clock may be 2 % slow */
 #define LEASE_MARGIN_MS 500
-#define STEP_TIMEOUT_MS 8000 /* of a take-over; then it begins anew */
-#define LEASE_LONGEST_MS 8000 /* a cut of seconds is borne; a lost server is not waited for long */
-#define LEASE_SPARE_MS 500  /* below the longest lease that servers grant */
-#define GANG_SHARE 0.7      /* of gang_start_max_ms: then a gang is stopped */
+#define STEP_TIMEOUT_MS 8000  /* of a take-over; then it begins anew */
+#define LEASE_LONGEST_MS 8000 /* bears cuts of seconds; bounds the wait for a lost server */
+#define LEASE_SPARE_MS 500    /* below the longest lease that servers grant */
+#define GANG_SHARE 0.7        /* of gang_start_max_ms: then a gang is stopped */
 #define KEEP_ENDED_SPARE_S 30
 
 static bool
@@ -46,7 +46,8 @@
     static const char *const names[] = {"following",   "claiming", "fencing",
                                         "catching_up", "listing",  "placing"};
     ms_log(MS_LOG_NOTICE,
-           "event=lead state=%s epoch=%" G_GUINT64_FORMAT " holder=%s heard_age_ms=%" G_GINT64_FORMAT,
+           "event=lead state=%s epoch=%" G_GUINT64_FORMAT
+           " holder=%s heard_age_ms=%" G_GINT64_FORMAT,
            names[state], entry->table->lead.epoch, entry->table->lead.holder,
            entry->now - entry->lead_heard_at);
     entry->lead_state = state;
@@ -246,8 +247,8 @@
     int64_t silent = entry->now - MAX(entry->lead_heard_at, entry->reading_since);
     bool vacant = lead->epoch == 0 || lead->resigned;
     int64_t limit = (vacant ? 0 : SILENT_MS) + stagger(entry);
-    bool waiting = entry->lead_state == MS_CLAIMING &&
-                   entry->now - entry->lead_since < CLAIM_TIMEOUT_MS;
+    bool waiting =
+        entry->lead_state == MS_CLAIMING && entry->now - entry->lead_since < CLAIM_TIMEOUT_MS;
     if (silent >= limit && !waiting) {
         claim(entry);
     }
@@ -287,6 +288,10 @@
     case MS_PLACING:
         break;
     }
+    if (entry->lead_state < MS_PLACING && entry->now - entry->lead_since > STEP_TIMEOUT_MS) {
+        ms_lead_resign(entry); /* another host may have a better view */
+        return;
+    }
     renew_tick(entry);
 }
 
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -134,8 +134,8 @@
     }
     links->idle = g_ptr_array_new();
     links->running = g_hash_table_new(NULL, NULL);
-    links->loop = ms_http_loop_new(CONNECTIONS_MAX, PER_SERVER_MAX, ms_ring_fd(links->commands),
-                                   done, links);
+    links->loop =
+        ms_http_loop_new(CONNECTIONS_MAX, PER_SERVER_MAX, ms_ring_fd(links->commands), done, links);
     if (links->loop == NULL || pthread_create(&links->thread, NULL, links_thread, links) != 0) {
         ms_http_loop_free(links->loop);
         ms_ring_free(links->commands);
--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -38,9 +38,9 @@
     struct ms_entry_call *call;
     char id[MS_JOB_ID_MAX]; /* ACCEPT, CANCEL */
     int64_t give_up_at;
-    int64_t sent_at;     /* first time */
+    int64_t sent_at; /* first time */
     enum ms_log_result result;
-    bool may_be_done;    /* some attempt had no answer */
+    bool may_be_done; /* some attempt had no answer */
     uint64_t end;
 };
 
--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -46,8 +46,8 @@
 
     /* What the log says. */
     struct ms_table *table;
-    uint64_t applied;     /* next offset of the stream of jobs */
-    bool jobs_known;      /* the newest records were read */
+    uint64_t applied; /* next offset of the stream of jobs */
+    bool jobs_known;  /* the newest records were read */
     int64_t jobs_fresh_at;
     int64_t reading_since; /* jobs have been read without failure since, 0: not now */
     struct ms_policy *policy;
@@ -60,10 +60,10 @@
     int64_t lead_heard_at; /* the placing host was last heard through the log */
     int64_t lead_since;    /* of lead_state */
     int64_t old_leases_until;
-    uint64_t fence_end;    /* CATCHING_UP: offset to reach */
+    uint64_t fence_end; /* CATCHING_UP: offset to reach */
     struct ms_engine *engine;
     int64_t renew_at;
-    int64_t renewed_at;    /* sending time of the last renewal that was stored */
+    int64_t renewed_at; /* sending time of the last renewal that was stored */
     bool renewing;
 
     GHashTable *pending; /* id -> GPtrArray of ms_append: acceptances on their way */
--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -170,7 +170,8 @@
     if (strlen(id) >= sizeof(spec->id) ||
         ms_batch_spec_check(spec, call->error, sizeof(call->error)) != MS_OK) {
         ms_counter_add(entry->counters, MS_COUNT_BAD_REQUESTS, 1);
-        answer(entry, call, STATUS_BAD, strlen(id) >= sizeof(spec->id) ? "id: too long" : call->error);
+        answer(entry, call, STATUS_BAD,
+               strlen(id) >= sizeof(spec->id) ? "id: too long" : call->error);
         return;
     }
     if (!entry->reachable[MS_STREAM_JOBS]) {
@@ -188,8 +189,8 @@
          const char *account, const char *id)
 {
     struct ms_stored_job *job = ms_table_find(entry->table, id);
-    bool visible = job != NULL && job->accepted &&
-                   (queue->open || strcmp(job->spec.account, account) == 0);
+    bool visible =
+        job != NULL && job->accepted && (queue->open || strcmp(job->spec.account, account) == 0);
     if (visible) {
         return job;
     }
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -36,8 +36,10 @@
     }
 
 static const struct text_key texts[] = {
-    TEXT(name),          TEXT(dc),          TEXT(region), TEXT(caller_address), TEXT(ready_address),
-    TEXT(metrics_address), TEXT(log_address),
+    TEXT(name),          TEXT(dc),
+    TEXT(region),        TEXT(caller_address),
+    TEXT(ready_address), TEXT(metrics_address),
+    TEXT(log_address),
 };
 
 static const struct number_key numbers[] = {
@@ -94,8 +96,9 @@
         double read = json_number_value(json_object_get(root, number->key));
         if (!json_is_number(json_object_get(root, number->key)) || read < (double)number->min ||
             read > (double)number->max) {
-            snprintf(error, size, "%s: a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
-                                  " %s is required",
+            snprintf(error, size,
+                     "%s: a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+                     " %s is required",
                      number->key, number->min, number->max, number->unit);
             return MS_E_INVALID;
         }
--- a/src/entry/streams.c
+++ b/src/entry/streams.c
@@ -13,8 +13,8 @@
 set_reachable(struct ms_entry *entry, enum ms_stream stream, bool reachable, const char *why)
 {
     if (entry->reachable[stream] != reachable) {
-        ms_log(MS_LOG_NOTICE, "event=log_%s stream=%s reason=%s",
-               reachable ? "regained" : "lost", stream_names[stream], why);
+        ms_log(MS_LOG_NOTICE, "event=log_%s stream=%s reason=%s", reachable ? "regained" : "lost",
+               stream_names[stream], why);
     }
     entry->reachable[stream] = reachable;
     if (stream == MS_STREAM_JOBS) {
@@ -84,8 +84,9 @@
     char error[MS_DETAIL_MAX];
     struct ms_policy *policy = ms_rules_decode(value, error, sizeof(error));
     if (policy == NULL) {
-        ms_log(MS_LOG_WARNING, "event=config_unreadable error=\"%s\" kept_version=%" G_GUINT64_FORMAT,
-               error, entry->policy != NULL ? entry->policy->version : 0);
+        ms_log(MS_LOG_WARNING,
+               "event=config_unreadable error=\"%s\" kept_version=%" G_GUINT64_FORMAT, error,
+               entry->policy != NULL ? entry->policy->version : 0);
         return;
     }
     if (entry->policy != NULL && policy->version <= entry->policy->version) {
--- a/src/obs/log.c
+++ b/src/obs/log.c
@@ -61,9 +61,9 @@
     clock_gettime(CLOCK_REALTIME, &now);
     gmtime_r(&now.tv_sec, &parts);
     strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
-    char *line = g_strdup_printf("time=%s.%03dZ level=%s host=%s %s\n", stamp,
-                                 (int)(now.tv_nsec / 1000000), level_name(level), log->host,
-                                 field_value(fields, count, "MESSAGE"));
+    char *line =
+        g_strdup_printf("time=%s.%03dZ level=%s host=%s %s\n", stamp, (int)(now.tv_nsec / 1000000),
+                        level_name(level), log->host, field_value(fields, count, "MESSAGE"));
     if ((level & (G_LOG_LEVEL_ERROR | G_LOG_FLAG_FATAL)) != 0) {
         fputs(line, stderr);
         fflush(stderr);
--- a/src/ports/servers.h
+++ b/src/ports/servers.h
@@ -22,7 +22,7 @@
  * Reads a record of the directory.  MS_E_INVALID, with the field in ERROR,
  * when it names no server to use.
  */
-enum ms_result ms_directory_decode(const char *key, GBytes *value,
-                                   struct ms_directory_entry *entry, char *error, size_t size);
+enum ms_result ms_directory_decode(const char *key, GBytes *value, struct ms_directory_entry *entry,
+                                   char *error, size_t size);
 
 #endif
--- a/tests/batch/fuzz.c
+++ b/tests/batch/fuzz.c
@@ -49,13 +49,13 @@
     world_run(world, CALM_MS);
     bool good = world_broken(world)[0] == '\0';
     if (!good) {
-        printf("seed=%llu broken=\"%s\"\n", (unsigned long long)seed, world_broken(world));
+        printf("seed=%lu broken=\"%s\"\n", (unsigned long)seed, world_broken(world));
     }
     for (uint32_t i = 0; good && i < JOBS; i++) {
         char id[MS_JOB_ID_MAX];
         snprintf(id, sizeof(id), "job%u", i);
         if (world_phase(world, id) == MS_PHASE_OPEN) {
-            printf("seed=%llu broken=\"%s has not ended\"\n", (unsigned long long)seed, id);
+            printf("seed=%lu broken=\"%s has not ended\"\n", (unsigned long)seed, id);
             good = false;
         }
     }
@@ -86,7 +86,7 @@
     }
     printf("starts=%u done=%u failed=%u stopped=%u take_overs=%u\n", totals.starts, totals.done,
            totals.failed, totals.stopped, totals.take_overs);
-    printf("%llu seeds, %llu failed\n", (unsigned long long)(last - first + 1),
-           (unsigned long long)failed);
+    printf("%lu seeds, %lu failed\n", (unsigned long)last - (unsigned long)first + 1,
+           (unsigned long)failed);
     return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- /dev/null
+++ b/tests/batch/unit.c
@@ -0,0 +1,448 @@
+/*
+ * unit.c - tests of stored jobs that need no process: records, table, policy,
+ * the engine's promises one by one, and the adapter's decoding.
+ */
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/policy.h"
+#include "batch/table.h"
+#include "batch/world.h"
+#include "entry/settings.h"
+#include "ports/edge.h"
+#include "ports/rules.h"
+#include "ports/servers.h"
+
+#define TEXT_MAX 256
+
+static const struct world_faults no_faults;
+
+/* A job of one step of COUNT tasks with ACCELS accelerators each. */
+static void
+simple_spec(struct ms_batch_spec *spec, const char *id, const char *queue, uint32_t count,
+            int64_t accels)
+{
+    memset(spec, 0, sizeof(*spec));
+    g_strlcpy(spec->id, id, sizeof(spec->id));
+    g_strlcpy(spec->queue, queue, sizeof(spec->queue));
+    g_strlcpy(spec->account, "account", sizeof(spec->account));
+    spec->payload = g_strdup("payload");
+    spec->step_count = 1;
+    spec->steps = g_new0(struct ms_step, 1);
+    spec->steps[0].count = count;
+    spec->steps[0].each = (struct ms_resources){1000, 1000, accels};
+    spec->steps[0].estimate_ms = 1500;
+}
+
+/* ---- records and table ---- */
+
+START_TEST(spec_round_trip)
+{
+    struct ms_batch_spec spec;
+    struct ms_batch_spec copy;
+    size_t length = 0;
+    simple_spec(&spec, "job", "q0", 3, 2);
+    spec.steps[0].gang = true;
+    g_strlcpy(spec.steps[0].rack, "rack-1", sizeof(spec.steps[0].rack));
+    uint8_t *bytes = ms_batch_spec_pack(&spec, &length);
+    ck_assert_int_eq(ms_batch_spec_unpack("job", bytes, length, &copy), MS_OK);
+    ck_assert_uint_eq(copy.steps[0].count, 3);
+    ck_assert(copy.steps[0].gang);
+    ck_assert_str_eq(copy.steps[0].rack, "rack-1");
+    ck_assert_str_eq(copy.payload, "payload");
+    ck_assert_int_eq(ms_batch_spec_unpack("job", bytes, length - 1, &copy), MS_E_INVALID);
+    g_free(bytes);
+    ms_batch_spec_clear(&spec);
+    ms_batch_spec_clear(&copy);
+}
+END_TEST
+
+START_TEST(spec_errors_name_the_field)
+{
+    struct ms_batch_spec spec;
+    char error[TEXT_MAX];
+    simple_spec(&spec, "a.b", "q0", 1, 1);
+    ck_assert_int_eq(ms_batch_spec_check(&spec, error, sizeof(error)), MS_E_INVALID);
+    ck_assert_ptr_nonnull(strstr(error, "id"));
+    g_strlcpy(spec.id, "ab", sizeof(spec.id));
+    spec.steps[0].count = 0;
+    ck_assert_int_eq(ms_batch_spec_check(&spec, error, sizeof(error)), MS_E_INVALID);
+    ck_assert_ptr_nonnull(strstr(error, "step 0: count"));
+    ms_batch_spec_clear(&spec);
+}
+END_TEST
+
+START_TEST(task_names)
+{
+    char name[MS_TASK_NAME_MAX];
+    char id[MS_JOB_ID_MAX];
+    uint32_t number = 0;
+    uint32_t step = 0;
+    uint32_t index = 0;
+    ms_task_name(name, "abc", 1, 2, 3);
+    ck_assert_int_eq(ms_task_name_parse(name, id, &number, &step, &index), MS_OK);
+    ck_assert_str_eq(id, "abc");
+    ck_assert_uint_eq(number * 100 + step * 10 + index, 123);
+    ck_assert_int_eq(ms_task_name_parse("abc.1.2", id, &number, &step, &index), MS_E_INVALID);
+    ck_assert_int_eq(ms_task_name_parse("abc.1.2.3x", id, &number, &step, &index), MS_E_INVALID);
+    ck_assert_int_eq(ms_task_name_parse(".1.2.3", id, &number, &step, &index), MS_E_INVALID);
+}
+END_TEST
+
+static enum ms_change_kind
+put_lead(struct ms_table *table, const char *holder, uint64_t epoch, enum ms_lead_kind kind)
+{
+    size_t length = 0;
+    struct ms_stored_job *job = NULL;
+    uint8_t *bytes = ms_lead_pack(holder, epoch, kind, &length);
+    enum ms_change_kind changed = ms_table_apply(table, MS_KEY_LEAD, bytes, length, &job);
+    g_free(bytes);
+    return changed;
+}
+
+START_TEST(first_claim_of_an_epoch_counts)
+{
+    struct ms_table *table = ms_table_new();
+    ck_assert_int_eq(put_lead(table, "a", 1, MS_LEAD_CLAIM), MS_CHANGED_LEAD);
+    ck_assert_int_eq(put_lead(table, "b", 1, MS_LEAD_CLAIM), MS_CHANGED_NOTHING);
+    ck_assert_str_eq(table->lead.holder, "a");
+    ck_assert_int_eq(put_lead(table, "c", 2, MS_LEAD_CLAIM), MS_CHANGED_LEAD);
+    ck_assert_int_eq(put_lead(table, "a", 1, MS_LEAD_RENEW), MS_CHANGED_NOTHING);
+    ck_assert_int_eq(put_lead(table, "b", 2, MS_LEAD_CLAIM), MS_CHANGED_NOTHING);
+    ck_assert_str_eq(table->lead.holder, "c");
+    ck_assert_int_eq(put_lead(table, "c", 2, MS_LEAD_RESIGN), MS_CHANGED_LEAD);
+    ck_assert(table->lead.resigned);
+    ms_table_free(table);
+}
+END_TEST
+
+START_TEST(late_copies_change_nothing)
+{
+    struct ms_table *table = ms_table_new();
+    struct ms_stored_job *job = NULL;
+    struct ms_batch_spec spec;
+    static const uint8_t succeeded[] = {0x08, 0x01, 0x10, 0x01};
+    size_t length = 0;
+    simple_spec(&spec, "job", "q0", 1, 1);
+    uint8_t *bytes = ms_batch_spec_pack(&spec, &length);
+    ck_assert_int_eq(ms_table_apply(table, "j/job", bytes, length, &job), MS_CHANGED_ACCEPTED);
+    ck_assert_uint_eq(ms_table_waiting(table, "q0"), 1);
+    ck_assert_int_eq(ms_table_apply(table, "s/job", succeeded, sizeof(succeeded), &job),
+                     MS_CHANGED_STATE);
+    ck_assert_int_eq(ms_table_apply(table, "j/job", bytes, length, &job), MS_CHANGED_NOTHING);
+    ck_assert_int_eq(ms_table_apply(table, "c/job", bytes, 1, &job), MS_CHANGED_CANCELLED);
+    ck_assert_int_eq(ms_stored_phase(job), MS_PHASE_SUCCEEDED);
+    ck_assert_uint_eq(ms_table_waiting(table, "q0"), 0);
+    ck_assert_int_eq(ms_table_apply(table, "j/other", bytes, 3, &job), MS_CHANGED_UNREADABLE);
+    ck_assert_int_eq(ms_table_apply(table, "x/job", bytes, 3, &job), MS_CHANGED_UNREADABLE);
+    g_free(bytes);
+    ms_batch_spec_clear(&spec);
+    ms_table_free(table);
+}
+END_TEST
+
+/* ---- the engine ---- */
+
+static void
+expect_good(struct world *world, const char *id, enum ms_phase phase)
+{
+    ck_assert_str_eq(world_broken(world), "");
+    ck_assert_int_eq(world_phase(world, id), phase);
+}
+
+START_TEST(a_gang_and_its_next_step_run)
+{
+    struct world *world = world_new(1, 8, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "job", "q1", 6, 4);
+    spec.steps = g_renew(struct ms_step, spec.steps, 2);
+    spec.steps[0].gang = true;
+    spec.steps[1] = spec.steps[0];
+    spec.steps[1].after = g_new0(uint32_t, 1);
+    spec.steps[1].after_count = 1;
+    spec.step_count = 2;
+    world_submit(world, &spec);
+    world_run(world, 8000);
+    expect_good(world, "job", MS_PHASE_SUCCEEDED);
+    struct world_counts counts;
+    world_counts(world, &counts);
+    ck_assert_uint_eq(counts.starts, 12);
+    world_free(world);
+}
+END_TEST
+
+START_TEST(top_priority_reclaims_room)
+{
+    struct world *world = world_new(2, 4, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "low", "q2", 32, 1);
+    world_submit(world, &spec);
+    world_run(world, 200);
+    simple_spec(&spec, "top", "q0", 2, 8);
+    spec.steps[0].gang = true;
+    world_submit(world, &spec);
+    world_run(world, 3400);
+    expect_good(world, "top", MS_PHASE_SUCCEEDED);
+    world_run(world, 15000);
+    expect_good(world, "low", MS_PHASE_SUCCEEDED);
+    world_free(world);
+}
+END_TEST
+
+START_TEST(a_take_over_keeps_what_runs)
+{
+    struct world *world = world_new(3, 4, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct world_counts counts;
+    simple_spec(&spec, "job", "q1", 8, 1);
+    world_submit(world, &spec);
+    world_run(world, 300);
+    world_take_over(world, 1500);
+    world_run(world, 8000);
+    expect_good(world, "job", MS_PHASE_SUCCEEDED);
+    world_counts(world, &counts);
+    ck_assert_uint_eq(counts.starts, 8);
+    ck_assert_uint_eq(counts.take_overs, 1);
+    world_free(world);
+}
+END_TEST
+
+START_TEST(a_cut_server_keeps_its_runs)
+{
+    struct world *world = world_new(4, 2, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct world_counts counts;
+    simple_spec(&spec, "job", "q1", 4, 4);
+    world_submit(world, &spec);
+    world_run(world, 300);
+    world_cut(world, 0, 5500);
+    world_run(world, 12000);
+    expect_good(world, "job", MS_PHASE_SUCCEEDED);
+    world_counts(world, &counts);
+    ck_assert_uint_eq(counts.starts, 4);
+    world_free(world);
+}
+END_TEST
+
+START_TEST(a_lost_server_is_not_waited_for_for_ever)
+{
+    struct world *world = world_new(5, 4, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "job", "q1", 4, 8);
+    world_submit(world, &spec);
+    world_run(world, 300);
+    world_cut(world, 0, 1000000);
+    world_run(world, 16000);
+    expect_good(world, "job", MS_PHASE_SUCCEEDED);
+    world_free(world);
+}
+END_TEST
+
+START_TEST(a_cancelled_job_stops)
+{
+    struct world *world = world_new(6, 4, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct world_counts counts;
+    simple_spec(&spec, "job", "q1", 8, 2);
+    world_submit(world, &spec);
+    world_run(world, 300);
+    world_cancel(world, "job");
+    world_run(world, 1000);
+    expect_good(world, "job", MS_PHASE_CANCELLED);
+    world_counts(world, &counts);
+    ck_assert_uint_eq(counts.stopped, 8);
+    ck_assert_uint_eq(counts.done, 0);
+    world_free(world);
+}
+END_TEST
+
+START_TEST(a_job_that_always_fails_ends_after_its_attempts)
+{
+    struct world_faults faults = {.fail = 1000};
+    struct world *world = world_new(7, 6, &faults, NULL);
+    struct ms_batch_spec spec;
+    struct world_counts counts;
+    simple_spec(&spec, "job", "q1", 1, 1);
+    world_submit(world, &spec);
+    world_run(world, 30000);
+    expect_good(world, "job", MS_PHASE_FAILED);
+    world_counts(world, &counts);
+    ck_assert_uint_eq(counts.starts, 3);
+    world_free(world);
+}
+END_TEST
+
+START_TEST(occurrences_start_on_time)
+{
+    struct world *world = world_new(8, 4, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct world_counts counts;
+    simple_spec(&spec, "job", "q1", 1, 1);
+    spec.repeat_count = 3;
+    spec.start_ms = 3000;
+    spec.interval_ms = 2000;
+    world_submit(world, &spec);
+    world_run(world, 1900);
+    world_counts(world, &counts);
+    ck_assert_uint_eq(counts.starts, 0);
+    world_run(world, 3500);
+    world_counts(world, &counts);
+    ck_assert_uint_eq(counts.starts, 2);
+    world_run(world, 7000);
+    expect_good(world, "job", MS_PHASE_SUCCEEDED);
+    world_free(world);
+}
+END_TEST
+
+/* ---- the adapter ---- */
+
+START_TEST(jobs_are_decoded)
+{
+    static const char body[] =
+        "{\"taskSpec\":\"t\",\"steps\":[{\"count\":4,\"cpu\":500,\"memMb\":256,\"gang\":true},"
+        "{\"count\":2,\"gpu\":1,\"after\":[0],\"affinity\":\"r1\",\"antiAffinity\":1}],"
+        "\"repeatCount\":2,\"startTimeMs\":1700000000000,\"intervalMs\":500}";
+    struct ms_batch_spec spec;
+    char error[TEXT_MAX];
+    ck_assert_int_eq(ms_edge_decode_job(body, strlen(body), &spec, error, sizeof(error)), MS_OK);
+    ck_assert_uint_eq(spec.step_count, 2);
+    ck_assert_int_eq(spec.steps[0].each.cpu_millis, 500);
+    ck_assert(spec.steps[0].gang);
+    ck_assert_str_eq(spec.steps[1].rack, "r1");
+    ck_assert_uint_eq(spec.steps[1].per_server_max, 1);
+    ck_assert_uint_eq(spec.steps[1].after[0], 0);
+    ck_assert_int_eq(spec.start_ms, 1700000000000);
+    ms_batch_spec_clear(&spec);
+}
+END_TEST
+
+START_TEST(bad_jobs_are_refused_by_field)
+{
+    static const char *const cases[][2] = {
+        {"{\"steps\":[]}", "taskSpec"},
+        {"{\"taskSpec\":\"t\",\"steps\":3}", "steps"},
+        {"{\"taskSpec\":\"t\",\"steps\":[{\"count\":\"x\"}]}", "count"},
+        {"{\"taskSpec\":\"t\",\"steps\":[{\"count\":1,\"gpu\":-1}]}", "gpu"},
+        {"{\"taskSpec\":\"t\",\"steps\":[{\"count\":1,\"after\":[-1]}]}", "after"},
+        {"[1]", "not an object"},
+        {"{", "line 1"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ms_batch_spec spec;
+        char error[TEXT_MAX];
+        ck_assert_int_eq(
+            ms_edge_decode_job(cases[i][0], strlen(cases[i][0]), &spec, error, sizeof(error)),
+            MS_E_INVALID);
+        ck_assert_msg(strstr(error, cases[i][1]) != NULL, "%s: %s", cases[i][0], error);
+    }
+}
+END_TEST
+
+START_TEST(configuration_is_decoded)
+{
+    static const char text[] =
+        "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\",\"pathPrefix\":"
+        "\"/a/\",\"service\":\"s\",\"priority\":2,\"maxAttempts\":3,\"stretch\":1.5,"
+        "\"targetLatencyMs\":600},{\"name\":\"long\",\"hostname\":\"h.example\",\"pathPrefix\":"
+        "\"/a/b/\",\"service\":\"s\",\"public\":true}],\"tenants\":[{\"name\":\"t\",\"apiKeys\":"
+        "[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":72}}]}";
+    char error[TEXT_MAX];
+    GBytes *bytes = g_bytes_new_static(text, strlen(text));
+    struct ms_policy *policy = ms_rules_decode(bytes, error, sizeof(error));
+    ck_assert_ptr_nonnull(policy);
+    ck_assert_uint_eq(policy->version, 7);
+    ck_assert_str_eq(ms_policy_route(policy, "h.example:80", "/a/b/c")->name, "long");
+    ck_assert_str_eq(ms_policy_route(policy, "H.example", "/a/x")->name, "r");
+    ck_assert_ptr_null(ms_policy_route(policy, "h.example", "/b"));
+    ck_assert_ptr_null(ms_policy_route(policy, "other", "/a/x"));
+    ck_assert_int_eq(ms_policy_key(policy, "k2")->guaranteed_accels, 72);
+    ck_assert_ptr_null(ms_policy_key(policy, "k3"));
+    ms_policy_free(policy);
+    g_bytes_unref(bytes);
+    bytes = g_bytes_new_static("{\"version\":\"x\"}", 15);
+    ck_assert_ptr_null(ms_rules_decode(bytes, error, sizeof(error)));
+    ck_assert_ptr_nonnull(strstr(error, "version"));
+    g_bytes_unref(bytes);
+}
+END_TEST
+
+START_TEST(directory_entries_of_others_name_no_server)
+{
+    static const char good[] =
+        "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":\"draining\","
+        "\"remainingMs\":900,\"capacity\":{\"cpu\":1,\"memMb\":2,\"gpu\":3},"
+        "\"labels\":[\"a\",\"r1-3\"],\"clockMs\":5,\"born\":9}";
+    static const char *const bad[][2] = {
+        {"\xff\xfe", "the record"},
+        {"{\"service\":1}", "service"},
+        {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":\"odd\"}", "state"},
+        {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":\"ready\","
+         "\"capacity\":{\"cpu\":\"x\"}}",
+         "capacity"},
+    };
+    struct ms_directory_entry entry;
+    char error[TEXT_MAX];
+    GBytes *bytes = g_bytes_new_static(good, strlen(good));
+    ck_assert_int_eq(ms_directory_decode("i-1", bytes, &entry, error, sizeof(error)), MS_OK);
+    ck_assert(entry.draining);
+    ck_assert_str_eq(entry.rack, "r1-3");
+    ck_assert_int_eq(entry.born, 9);
+    g_bytes_unref(bytes);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        bytes = g_bytes_new_static(bad[i][0], strlen(bad[i][0]));
+        ck_assert_int_eq(ms_directory_decode("i-1", bytes, &entry, error, sizeof(error)),
+                         MS_E_INVALID);
+        ck_assert_ptr_nonnull(strstr(error, bad[i][1]));
+        g_bytes_unref(bytes);
+    }
+}
+END_TEST
+
+START_TEST(entry_settings_errors_name_the_key)
+{
+    struct ms_entry_settings settings;
+    char error[TEXT_MAX];
+    ck_assert_int_eq(ms_entry_settings_parse("nonsense = 1\n", &settings, error, sizeof(error)),
+                     MS_E_INVALID);
+    ck_assert_ptr_nonnull(strstr(error, "nonsense"));
+    ck_assert_int_eq(ms_entry_settings_parse("name = \n", &settings, error, sizeof(error)),
+                     MS_E_INVALID);
+    ck_assert_ptr_nonnull(strstr(error, "line 1"));
+    ck_assert_int_eq(ms_entry_settings_parse("name = \"a\"\n", &settings, error, sizeof(error)),
+                     MS_E_INVALID);
+    ck_assert_ptr_nonnull(strstr(error, "dc"));
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("stored jobs");
+    TCase *cases = tcase_create("all");
+    tcase_add_test(cases, spec_round_trip);
+    tcase_add_test(cases, spec_errors_name_the_field);
+    tcase_add_test(cases, task_names);
+    tcase_add_test(cases, first_claim_of_an_epoch_counts);
+    tcase_add_test(cases, late_copies_change_nothing);
+    tcase_add_test(cases, a_gang_and_its_next_step_run);
+    tcase_add_test(cases, top_priority_reclaims_room);
+    tcase_add_test(cases, a_take_over_keeps_what_runs);
+    tcase_add_test(cases, a_cut_server_keeps_its_runs);
+    tcase_add_test(cases, a_lost_server_is_not_waited_for_for_ever);
+    tcase_add_test(cases, a_cancelled_job_stops);
+    tcase_add_test(cases, a_job_that_always_fails_ends_after_its_attempts);
+    tcase_add_test(cases, occurrences_start_on_time);
+    tcase_add_test(cases, jobs_are_decoded);
+    tcase_add_test(cases, bad_jobs_are_refused_by_field);
+    tcase_add_test(cases, configuration_is_decoded);
+    tcase_add_test(cases, directory_entries_of_others_name_no_server);
+    tcase_add_test(cases, entry_settings_errors_name_the_key);
+    suite_add_tcase(suite, cases);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/batch/world.c
+++ b/tests/batch/world.c
@@ -172,8 +172,8 @@
       const char *task)
 {
     if (world->line != NULL) {
-        fprintf(world->line, "%8" G_GINT64_FORMAT " model %s %s %s\n", world->now,
-                server->entry.id, what, task);
+        fprintf(world->line, "%8" G_GINT64_FORMAT " model %s %s %s\n", world->now, server->entry.id,
+                what, task);
     }
 }
 
@@ -716,8 +716,8 @@
     }
     for (guint i = 0; i < server->runs->len; i++) {
         struct run run = g_array_index(server->runs, struct run, i);
-        bool alone = run.gang && run.ends_at == INT64_MAX &&
-                     world->now - run.came_at >= GANG_TIMEOUT_MS;
+        bool alone =
+            run.gang && run.ends_at == INT64_MAX && world->now - run.came_at >= GANG_TIMEOUT_MS;
         if (run.ends_at > world->now && !alone) {
             continue;
         }
--- a/tests/check.py
+++ b/tests/check.py
@@ -28,6 +28,9 @@
     yield "differential-faults", [f"{BUILD}/differential", "faults", "1", "3000"], None
     yield "differential-agree", [f"{BUILD}/differential", "agree"], None
     yield "differential-guarantees", [f"{BUILD}/differential", "guarantees"], None
+    yield "batch-unit", [f"{BUILD}/batch-unit"], None
+    yield "batch-fuzz", [f"{BUILD}/batch-fuzz", "1", "3000"], None
+    yield "platform-names", ["/usr/bin/python3", f"{ROOT}/scripts/platform_names.py"], None
     yield "example-step", [f"{BUILD}/example-step"], f"{ROOT}/examples/step.expected"
     for path in sorted(glob.glob(f"{HERE}/replay/*.trace")):
         name = os.path.basename(path)[:-len(".trace")]
