--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,255 @@
+#!/usr/bin/python3
+"""Fault soak of the entry hosts as real processes.
+
+usage: soak.py [--seed N] [--seconds S] [--hosts N] [--servers N] [--keep DIR]
+
+Runs hosts, injects faults from outside them (signals; a proxy between each host
+and the log, and before each server; servers that lose answers, carry orders out
+late or start anew), submits, asks for and cancels jobs, then lets all calm down
+and checks: every accepted job ends, none that was refused only has run, and no
+server has seen a promise broken.  Ends with one line, and exit code 0 when all
+held; --keep saves the hosts' logs.
+"""
+import argparse
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+import aiohttp
+
+from grid import Grid, Proxy
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+BUILD = os.environ.get("MS_BUILD", os.path.join(HERE, "..", "..", "build"))
+SETTLE_S = 45
+WAIT_MS = 3000
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Host:
+    """One entry host, its proxy to the log, and its process."""
+
+    def __init__(self, soak, index):
+        self.soak, self.name, self.process, self.frozen = soak, f"host-{index}", None, False
+        self.ports = [free_port() for _ in range(3)]
+        self.proxy = Proxy(soak.grid.log.port)
+
+    async def start(self):
+        if self.proxy.port is None:
+            await self.proxy.start()
+        path = os.path.join(self.soak.folder, f"{self.name}.toml")
+        caller, ready, metrics = self.ports
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(f'name = "{self.name}"\ndc = "dc-0"\nregion = "here"\n'
+                       f'caller_address = "127.0.0.1:{caller}"\n'
+                       f'ready_address = "127.0.0.1:{ready}"\n'
+                       f'metrics_address = "127.0.0.1:{metrics}"\n'
+                       f'log_address = "127.0.0.1:{self.proxy.port}"\n'
+                       "key_age_max_ms = 5000\nlease_max_ms = 10000\ngang_start_max_ms = 3000\n"
+                       "stop_grace_ms = 900\nunknown_after_ms = 3000\ncpu_share = 1\n"
+                       "far_factor = 3\nstate_kept_s = 120\nshutdown_s = 6\nlog_kept_s = 20\n")
+        with open(os.path.join(self.soak.folder, f"{self.name}.log"), "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                os.path.join(BUILD, "mustardspread-entryd"), "--settings", path, stdout=log,
+                stderr=log)
+        self.frozen = False
+
+    def signal(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self, number):
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        try:
+            await asyncio.wait_for(self.process.wait(), 8)
+        except asyncio.TimeoutError:
+            self.soak.grid.break_promise("a shutdown took over 8 s", self.name)
+            self.process.kill()
+            await self.process.wait()
+
+
+class Soak:
+    def __init__(self, options):
+        self.options, self.grid = options, Grid(options.seed, options.servers)
+        self.random, self.hosts, self.session = self.grid.random, [], None
+        self.folder = options.keep or tempfile.mkdtemp(prefix="soak-")
+        os.makedirs(self.folder, exist_ok=True)
+        self.accepted, self.cancelled, self.submitted = set(), set(), 0
+        self.faulty = True
+
+    async def call(self, method, path, body=None):
+        """Status and body of one call to a random host; 0 without an answer."""
+        host = self.random.choice(self.hosts)
+        url = f"http://127.0.0.1:{host.ports[0]}{path}"
+        headers = {"Host": "soak.example", "Authorization": "Bearer key",
+                   "X-Mustardspread-Deadline-Ms": str(WAIT_MS)}
+        try:
+            async with self.session.request(method, url, json=body, headers=headers,
+                                            timeout=aiohttp.ClientTimeout(WAIT_MS / 1000)) as got:
+                return got.status, await got.json()
+        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError):
+            return 0, {}
+
+    def make_spec(self):
+        steps = []
+        for number in range(self.random.choice([1, 1, 2])):
+            steps.append({"count": self.random.randint(1, 4), "cpu": 4000, "memMb": 1000,
+                          "gpu": self.random.choice([1, 1, 2, 4]), "estimatedMs": 700,
+                          "gang": self.random.random() < 0.5,
+                          "after": [number - 1] if number else []})
+        return {"taskSpec": f"payload {self.submitted}", "steps": steps}
+
+    async def submit(self):
+        job = f"{self.random.getrandbits(64):016x}"
+        path = f"/q{self.random.randrange(3)}/{job}"
+        self.grid.specs[job] = self.make_spec()
+        self.submitted += 1
+        only_refused = True
+        for _ in range(6):
+            status, _ = await self.call("POST", path, self.grid.specs[job])
+            only_refused = only_refused and status in (429, 503)
+            if status == 200:
+                self.accepted.add((job, path))
+                break
+            await asyncio.sleep(0.3)
+        else:
+            if only_refused:
+                self.grid.refused.add(job)
+            return
+        if self.random.random() < 0.15:
+            await asyncio.sleep(self.random.random())
+            self.cancelled.add(job)
+            await self.call("DELETE", path)
+        await asyncio.sleep(3)
+        status, _ = await self.call("GET", path)
+        if status == 410:
+            self.grid.break_promise("an accepted job is not known", job)
+
+    async def load(self):
+        tasks = []
+        end = time.monotonic() + self.options.seconds
+        while time.monotonic() < end:
+            tasks.append(asyncio.create_task(self.submit()))
+            await asyncio.sleep(self.random.expovariate(3.0))
+        await asyncio.gather(*tasks)
+
+    async def fault_host(self, host):
+        kind = self.random.choice(["kill", "term", "freeze", "delay", "silent", "one_way", "reset"])
+        lasts = self.random.uniform(0.3, 4.0)
+        if kind in ("kill", "term"):
+            await host.stop(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+            await host.start()
+        elif kind == "freeze":
+            host.signal(signal.SIGSTOP)
+            await asyncio.sleep(lasts)
+            host.signal(signal.SIGCONT)
+        else:
+            host.proxy.mode = kind
+            await asyncio.sleep(lasts)
+            host.proxy.mode = "pass"
+
+    async def fault_server(self, server):
+        kind = self.random.choice(["silent", "one_way", "reset", "lose", "late", "restart"])
+        lasts = self.random.uniform(0.3, 5.0)
+        if kind == "restart":
+            server.restart()
+            self.grid.list_server(server)
+        elif kind in ("lose", "late"):
+            setattr(server, kind, 0.3)
+            await asyncio.sleep(lasts)
+            setattr(server, kind, 0.0)
+        else:
+            server.proxy.mode = kind
+            await asyncio.sleep(lasts)
+            server.proxy.mode = "pass"
+
+    async def fault_log(self):
+        self.grid.log.mode = self.random.choice(["busy", "lose"])
+        await asyncio.sleep(self.random.uniform(0.3, 3.0))
+        self.grid.log.mode = "ok"
+
+    async def series(self, make, gap):
+        """Faults of one kind in series; several series overlap."""
+        while self.faulty:
+            await asyncio.sleep(self.random.expovariate(1.0 / gap))
+            if self.faulty:
+                await make()
+
+    async def settle(self):
+        """After the faults every accepted job has to end."""
+        open_jobs = set(self.accepted)
+        end = time.monotonic() + SETTLE_S
+        while open_jobs and time.monotonic() < end:
+            for job, path in sorted(open_jobs):
+                status, body = await self.call("GET", path)
+                if status == 200 and body["state"] not in ("pending", "running"):
+                    open_jobs.discard((job, path))
+                    self.check_end(job, body["state"])
+            await asyncio.sleep(0.2)
+        for job, _ in sorted(open_jobs):
+            self.grid.break_promise("an accepted job has not ended", job)
+
+    def check_end(self, job, state):
+        names = [f"{job}.0.{number}.{index}"
+                 for number, step in enumerate(self.grid.specs[job]["steps"])
+                 for index in range(step["count"])]
+        if state == "succeeded" and not all(name in self.grid.done for name in names):
+            self.grid.break_promise("succeeded without all ends", job)
+        if state == "cancelled" and job not in self.cancelled:
+            self.grid.break_promise("cancelled without a request", job)
+
+    async def run(self):
+        await self.grid.start()
+        self.grid.fail = 0.03
+        async with aiohttp.ClientSession() as self.session:
+            self.hosts = [Host(self, index) for index in range(self.options.hosts)]
+            await asyncio.gather(*(host.start() for host in self.hosts))
+            while (await self.call("GET", "/q0/"))[0] != 200:
+                await asyncio.sleep(0.1)
+            faults = []
+            for host in self.hosts:
+                faults.append(self.series(lambda host=host: self.fault_host(host), 6))
+            for server in self.grid.servers:
+                faults.append(self.series(lambda server=server: self.fault_server(server), 10))
+            faults.append(self.series(self.fault_log, 8))
+            running = [asyncio.create_task(fault) for fault in faults]
+            await self.load()
+            self.faulty = False
+            await asyncio.gather(*running)
+            await self.settle()
+            for job in self.grid.refused:
+                if job in self.grid.started:
+                    self.grid.break_promise("a refused job has run", job)
+            await asyncio.gather(*(host.stop(signal.SIGTERM) for host in self.hosts))
+        return self.grid.broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n", maxsplit=1)[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--servers", type=int, default=8)
+    parser.add_argument("--keep", default=None)
+    soak = Soak(parser.parse_args())
+    broken = asyncio.run(soak.run())
+    for line in broken:
+        print(f"seed={soak.options.seed} broken=\"{line}\"")
+    print(f"seed={soak.options.seed} jobs={len(soak.accepted)} starts={soak.grid.starts} "
+          f"broken={len(broken)} logs={soak.folder}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
