--- a/src/batch/engine_health.c
+++ b/src/batch/engine_health.c
@@ -18,6 +18,7 @@
 #define SLOW_MS 4000        /* a slow server is chosen last for so long */
 #define RATE_AFTER_MS 700   /* younger runs say nothing about speed */
 #define MOVE_PERCENT_MAX 50 /* further progress is not given up for speed */
+#define MOVE_COST_MS 500    /* of a stop and another start */
 #define LEAVE_MARGIN_MS 500 /* a stop is ordered this long before it is needed */
 
 void
@@ -85,8 +86,8 @@
 static bool
 lags(const struct ms_engine *engine, const struct ms_btask *task)
 {
-    if (task->step->spec->gang || task->step->spec->lasting || task->step->spec->fills) {
-        return false; /* a gang goes at the speed of its slowest member */
+    if (task->step->spec->lasting || task->step->spec->fills) {
+        return false;
     }
     int64_t rate = rate_of(engine, task);
     return rate > 0 && sibling_rate(engine, task) >= rate * SLOW_FACTOR;
@@ -100,8 +101,7 @@
     MS_LIST_EACH(link, &server->tasks)
     {
         const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
-        if (!task->step->spec->gang && rate_of(engine, task) > 0 &&
-            sibling_rate(engine, task) > 0) {
+        if (rate_of(engine, task) > 0 && sibling_rate(engine, task) > 0) {
             bool behind = lags(engine, task);
             slow += behind;
             fair += !behind;
@@ -126,7 +126,7 @@
         return false;
     }
     int64_t anew = 100 * 60000 / MAX(sibling_rate(engine, task), 1);
-    return ms_btask_rest_ms(engine, task) > 2 * anew;
+    return ms_btask_rest_ms(engine, task) > anew + anew / 2 + MOVE_COST_MS;
 }
 
 /* Whether TASK has to leave a draining server, and by now. */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -9,7 +9,9 @@
 
 #include "batch/engine_private.h"
 
-#define HOLD_WAIT_MS 1500  /* an idle renewal waits this long for an end */
+#define HOLD_WAIT_MS 1500 /* an idle renewal waits this long for an end */
+#define YOUNG_WAIT_MS 800 /* the same while a run is young */
+#define YOUNG_MS 700
 #define HOLD_RETRY_MS 300  /* between renewals without an answer */
 #define IDLE_RETRY_MS 1000 /* the same, for a server without work */
 #define STORE_WAIT_MS 300  /* longest wait for ends to be stored */
@@ -443,6 +445,20 @@
     schedule_hold(engine, server);
 }
 
+/* Young runs are looked at sooner: their first progress tells a slow server. */
+static int64_t
+hold_wait(const struct ms_engine *engine, const struct ms_bserver *server)
+{
+    MS_LIST_EACH(link, (struct ms_link *)&server->tasks)
+    {
+        const struct ms_btask *task = MS_CONTAINER(link, struct ms_btask, server_link);
+        if (task->state == MS_BTASK_RUNNING && engine->now - task->began_at < YOUNG_MS) {
+            return YOUNG_WAIT_MS;
+        }
+    }
+    return HOLD_WAIT_MS;
+}
+
 static void
 emit_hold(struct ms_engine *engine, struct ms_bserver *server)
 {
@@ -452,7 +468,7 @@
     struct ms_engine_action *action = ms_engine_emit(engine, MS_ENGINE_HOLD, server);
     action->deadline_ms = ms_bserver_deadline(engine, server);
     action->ack_position = server->ends_stored;
-    action->wait_ms = may_wait ? HOLD_WAIT_MS : 0;
+    action->wait_ms = may_wait ? hold_wait(engine, server) : 0;
     server->hold_pending = true;
     server->hold_at = INT64_MAX;
 }
