--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -49,7 +49,8 @@
 bool
 ms_requests_ready(const struct ms_entry *entry)
 {
-    return !entry->draining && entry->jobs_known && keys_fresh(entry);
+    return !entry->draining && entry->jobs_known && entry->reachable[MS_STREAM_JOBS] &&
+           keys_fresh(entry);
 }
 
 static void
