--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -2,7 +2,6 @@
  * backend.c - the thread of the links to backend servers.
  */
 #include <string.h>
-#include <sys/epoll.h>
 #include <unistd.h>
 
 #include "backend/private.h"
@@ -12,7 +11,6 @@
 #define COMMAND_RING_SLOTS 16384
 #define STEP_MAX_MS 100  /* longest sleep between looks at the clocks */
 #define IDLE_MAX_MS 1000 /* the same while nothing is claimed */
-#define EPOLL_EVENTS 256
 #define CONNECTIONS_MAX 4096L
 
 void
@@ -187,26 +185,15 @@
 }
 
 static void
-finish_exchanges(struct ms_backend *backend)
+finish_exchange(void *opaque, struct ms_http *http, CURLcode code)
 {
-    CURLMsg *info = NULL;
-    int left = 0;
-    while ((info = curl_multi_info_read(backend->multi, &left)) != NULL) {
-        if (info->msg != CURLMSG_DONE) {
-            continue;
-        }
-        CURL *easy = info->easy_handle;
-        CURLcode code = info->data.result;
-        struct ms_http *http = NULL;
-        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &http);
-        curl_multi_remove_handle(backend->multi, easy);
-        struct ms_link_state *link = http->owner;
-        if (http == link->sync) {
-            ms_sync_done(backend, link, code);
-        }
-        else {
-            ms_ops_done(backend, link, code);
-        }
+    struct ms_backend *backend = opaque;
+    struct ms_link_state *link = http->owner;
+    if (http == link->sync) {
+        ms_sync_done(backend, link, code);
+    }
+    else {
+        ms_ops_done(backend, link, code);
     }
 }
 
@@ -245,71 +232,6 @@
     }
 }
 
-/* libcurl asks for events on one of its sockets, or for no more of them. */
-static int
-watch_socket(CURL *easy, curl_socket_t fd, int what, void *opaque, void *known)
-{
-    struct ms_backend *backend = opaque;
-    struct epoll_event event = {.data.fd = fd};
-    (void)easy;
-    if (what == CURL_POLL_REMOVE) {
-        epoll_ctl(backend->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
-        return 0;
-    }
-    event.events =
-        ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0u) | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0u);
-    int operation = known != NULL ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
-    if (epoll_ctl(backend->epoll_fd, operation, fd, &event) != 0) {
-        epoll_ctl(backend->epoll_fd, EPOLL_CTL_ADD, fd, &event);
-    }
-    curl_multi_assign(backend->multi, fd, backend);
-    return 0;
-}
-
-/* libcurl wants to run after TIMEOUT_MS, or not at all (-1). */
-static int
-set_curl_timer(CURLM *multi, long timeout_ms, void *opaque)
-{
-    struct ms_backend *backend = opaque;
-    (void)multi;
-    backend->curl_timer_at = timeout_ms < 0 ? INT64_MAX : ms_clock_ms() + timeout_ms;
-    return 0;
-}
-
-static void
-run_curl_timer(struct ms_backend *backend)
-{
-    int running = 0;
-    if (backend->curl_timer_at <= ms_clock_ms()) {
-        backend->curl_timer_at = INT64_MAX;
-        curl_multi_socket_action(backend->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-    }
-}
-
-/* Waits for sockets, commands or the next time to act, and lets libcurl work. */
-static void
-wait_and_act(struct ms_backend *backend)
-{
-    struct epoll_event events[EPOLL_EVENTS];
-    int64_t longest = backend->generation != 0 ? STEP_MAX_MS : IDLE_MAX_MS;
-    int64_t wait = MIN(longest, MAX(backend->curl_timer_at - ms_clock_ms(), 0));
-    int running = 0;
-    int count = epoll_wait(backend->epoll_fd, events, EPOLL_EVENTS, (int)wait);
-    for (int i = 0; i < count; i++) {
-        if (events[i].data.fd == ms_ring_fd(backend->commands)) {
-            continue;
-        }
-        int flags = ((events[i].events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
-                    ((events[i].events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
-                    ((events[i].events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
-        curl_multi_socket_action(backend->multi, events[i].data.fd, flags, &running);
-    }
-}
-
-/*
- * libcurl's event interface with epoll: curl_multi_perform() would look at
- * every transfer for each event, and most of them only wait.
- */
 static void *
 backend_thread(void *opaque)
 {
@@ -317,11 +239,8 @@
     while (!atomic_load(&backend->stopping)) {
         run_commands(backend);
         look_at_links(backend);
-        run_curl_timer(backend);
-        finish_exchanges(backend);
         free_removed(backend);
-        look_at_links(backend);
-        wait_and_act(backend);
+        ms_http_loop_run(backend->loop, backend->generation != 0 ? STEP_MAX_MS : IDLE_MAX_MS);
     }
     return NULL;
 }
@@ -337,31 +256,21 @@
     backend->links = g_hash_table_new(g_str_hash, g_str_equal);
     backend->removed = g_ptr_array_new();
     backend->commands = ms_ring_new(COMMAND_RING_SLOTS);
-    backend->multi = curl_multi_init();
-    backend->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-    backend->curl_timer_at = INT64_MAX;
-    if (backend->commands == NULL || backend->multi == NULL || backend->epoll_fd < 0) {
+    if (backend->commands == NULL) {
+        goto fail;
+    }
+    backend->loop = ms_http_loop_new(CONNECTIONS_MAX, 0, ms_ring_fd(backend->commands),
+                                     finish_exchange, backend);
+    if (backend->loop == NULL) {
         goto fail;
     }
-    int command_fd = ms_ring_fd(backend->commands);
-    struct epoll_event event = {.events = EPOLLIN, .data.fd = command_fd};
-    epoll_ctl(backend->epoll_fd, EPOLL_CTL_ADD, command_fd, &event);
-    curl_multi_setopt(backend->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
-    curl_multi_setopt(backend->multi, CURLMOPT_SOCKETDATA, backend);
-    curl_multi_setopt(backend->multi, CURLMOPT_TIMERFUNCTION, set_curl_timer);
-    curl_multi_setopt(backend->multi, CURLMOPT_TIMERDATA, backend);
-    curl_multi_setopt(backend->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
-    curl_multi_setopt(backend->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
     if (pthread_create(&backend->thread, NULL, backend_thread, backend) != 0) {
         goto fail;
     }
     return backend;
 
 fail:
-    curl_multi_cleanup(backend->multi);
-    if (backend->epoll_fd >= 0) {
-        close(backend->epoll_fd);
-    }
+    ms_http_loop_free(backend->loop);
     ms_ring_free(backend->commands);
     g_hash_table_destroy(backend->links);
     g_ptr_array_free(backend->removed, TRUE);
@@ -380,8 +289,8 @@
     }
     for (guint i = 0; i < backend->removed->len; i++) {
         struct ms_link_state *link = g_ptr_array_index(backend->removed, i);
-        curl_multi_remove_handle(backend->multi, link->sync->easy);
-        curl_multi_remove_handle(backend->multi, link->ops->easy);
+        ms_http_loop_remove(backend->loop, link->sync);
+        ms_http_loop_remove(backend->loop, link->ops);
         link_free(link);
     }
     g_hash_table_destroy(backend->links);
@@ -405,8 +314,7 @@
         g_free(command);
     }
     free_links(backend);
-    curl_multi_cleanup(backend->multi);
-    close(backend->epoll_fd);
+    ms_http_loop_free(backend->loop);
     ms_ring_free(backend->commands);
     g_free(backend);
 }
--- a/src/backend/ops.c
+++ b/src/backend/ops.c
@@ -143,7 +143,7 @@
     g_free(url);
     ms_counter_add(backend->counters, MS_COUNT_TASK_OPS, g_queue_get_length(link->sent));
     link->sending = true;
-    curl_multi_add_handle(backend->multi, link->ops->easy);
+    ms_http_loop_add(backend->loop, link->ops);
 }
 
 /* The event that a successful operation stands for; -1 when there is none. */
--- a/src/backend/private.h
+++ b/src/backend/private.h
@@ -10,6 +10,7 @@
 #include "backend/backend.h"
 #include "node/message.h"
 #include "platform/http.h"
+#include "platform/http_loop.h"
 
 enum ms_backend_command_kind {
     MS_BACKEND_CLAIM = 0,
@@ -72,12 +73,10 @@
     struct ms_ring *commands; /* ms_backend_command */
     pthread_t thread;
     atomic_bool stopping;
-    CURLM *multi;
-    int epoll_fd;
-    int64_t curl_timer_at; /* when libcurl wants to run, INT64_MAX: not at all */
-    GHashTable *links;     /* name -> ms_link_state */
-    GPtrArray *removed;    /* links to free */
-    uint64_t generation;   /* 0: nothing is claimed */
+    struct ms_http_loop *loop;
+    GHashTable *links;   /* name -> ms_link_state */
+    GPtrArray *removed;  /* links to free */
+    uint64_t generation; /* 0: nothing is claimed */
     uint64_t epoch;
 };
 
--- a/src/backend/sync.c
+++ b/src/backend/sync.c
@@ -46,7 +46,7 @@
     ms_http_prepare(link->sync, url, body, (long)wait_ms + SYNC_REPLY_SLACK_MS, link->sync_failed);
     g_free(url);
     link->syncing = true;
-    curl_multi_add_handle(backend->multi, link->sync->easy);
+    ms_http_loop_add(backend->loop, link->sync);
 }
 
 /* Copies what identifies a task from a server's report. */
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -60,8 +60,9 @@
     char checkpoint[MS_CHECKPOINT_MAX];
     int64_t deadline_ms; /* START, HOLD: end of the lease on the server's clock */
     uint64_t ack_position;
-    int64_t wait_ms;  /* HOLD: the answer may wait this long for an end */
-    GPtrArray *items; /* STORE: ms_store_item */
+    int64_t waited_ms; /* START: from the task's turn to its placing */
+    int64_t wait_ms;   /* HOLD: the answer may wait this long for an end */
+    GPtrArray *items;  /* STORE: ms_store_item */
 };
 
 struct ms_engine;
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -459,6 +459,7 @@
 {
     char name[MS_TASK_NAME_MAX];
     task->run = run;
+    task->waited_ms = engine->now - task->step->ready_since;
     ms_btask_assign(engine, task, server);
     ms_engine_note(engine,
                    "event=place task=%s run=%u server=%s dc=%s rack=%s priority=%u"
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -40,6 +40,7 @@
     uint32_t percent_at_start; /* progress that a checkpoint gave */
     int64_t progress_at;       /* when it last changed */
     int64_t not_before;        /* WAITING: backoff */
+    int64_t waited_ms;         /* from its step's turn to its last placing */
     uint32_t avoid_count;
     char avoid[MS_AVOID_MAX][MS_NAME_MAX];
 };
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -111,6 +111,7 @@
         task->step->gang_since = engine->now;
     }
     if (start) {
+        action->waited_ms = task->waited_ms;
         action->payload = g_strdup(ms_btask_job(task)->spec->payload);
         g_strlcpy(action->checkpoint, task->checkpoint, sizeof(action->checkpoint));
         action->deadline_ms = ms_bserver_deadline(engine, server);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -51,6 +51,9 @@
 static void
 take_append(struct ms_entry *entry, struct ms_append *append)
 {
+    ms_counter_add(entry->counters,
+                   append->result == MS_LOG_DONE ? MS_COUNT_APPENDS : MS_COUNT_APPENDS_FAILED, 1);
+    ms_histogram_observe(entry->counters, MS_HISTOGRAM_APPEND, entry->now - append->sent_at);
     if (append->kind == MS_APPEND_ACCEPT || append->kind == MS_APPEND_CANCEL) {
         ms_requests_appended(entry, append);
     }
--- a/src/entry/place.c
+++ b/src/entry/place.c
@@ -37,6 +37,8 @@
     while (entry->engine != NULL && (action = ms_engine_take(entry->engine)) != NULL) {
         switch (action->kind) {
         case MS_ENGINE_START:
+            ms_histogram_observe(entry->counters, MS_HISTOGRAM_START_DELAY, action->waited_ms);
+            /* fall through */
         case MS_ENGINE_STOP:
         case MS_ENGINE_HOLD:
             if (ms_links_push(entry->links, action, entry->table->lead.epoch)) {
--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -68,6 +68,7 @@
            entry->now - entry->jobs_fresh_at);
     ms_counter_add(entry->counters,
                    status < STATUS_BAD ? MS_COUNT_OUTCOME_DONE : MS_COUNT_OUTCOME_REFUSED, 1);
+    ms_histogram_observe(entry->counters, MS_HISTOGRAM_ANSWER, entry->now - call->arrived_at);
     entry->calls--;
     ms_entry_call_answer(call);
 }
--- a/src/obs/counters.c
+++ b/src/obs/counters.c
@@ -77,6 +77,50 @@
     return ck_pr_load_64(&counters->values[counter]);
 }
 
+static const struct description histograms[MS_HISTOGRAM_COUNT] = {
+    [MS_HISTOGRAM_ANSWER] = {"answer_milliseconds", "histogram", "Time to answer a request"},
+    [MS_HISTOGRAM_APPEND] = {"append_milliseconds", "histogram", "Time of an append to the log"},
+    [MS_HISTOGRAM_START_DELAY] = {"start_delay_milliseconds", "histogram",
+                                  "Time from a task's turn to its placing"},
+};
+
+void
+ms_histogram_observe(struct ms_counters *counters, enum ms_histogram histogram, int64_t ms)
+{
+    struct ms_histogram_values *values = &counters->histograms[histogram];
+    uint64_t duration = ms > 0 ? (uint64_t)ms : 0;
+    size_t bucket = 0;
+    while (bucket < MS_BUCKET_COUNT && duration > (UINT64_C(1) << bucket)) {
+        bucket++;
+    }
+    ck_pr_add_64(&values->buckets[bucket], 1);
+    ck_pr_add_64(&values->sum, duration);
+}
+
+static void
+write_histogram(GString *text, const struct description *description,
+                const struct ms_histogram_values *values)
+{
+    uint64_t total = 0;
+    g_string_append_printf(text, "# HELP mustardspread_%s %s\n# TYPE mustardspread_%s %s\n",
+                           description->name, description->help, description->name,
+                           description->type);
+    for (size_t i = 0; i <= MS_BUCKET_COUNT; i++) {
+        char bound[32] = "+Inf";
+        if (i < MS_BUCKET_COUNT) {
+            g_snprintf(bound, sizeof(bound), "%" G_GUINT64_FORMAT, (guint64)UINT64_C(1) << i);
+        }
+        total += ck_pr_load_64(&values->buckets[i]);
+        g_string_append_printf(text, "mustardspread_%s_bucket{le=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                               description->name, bound, total);
+    }
+    g_string_append_printf(text,
+                           "mustardspread_%s_sum %" G_GUINT64_FORMAT
+                           "\nmustardspread_%s_count %" G_GUINT64_FORMAT "\n",
+                           description->name, ck_pr_load_64(&values->sum), description->name,
+                           total);
+}
+
 char *
 ms_counters_text(const struct ms_counters *counters)
 {
@@ -90,5 +134,8 @@
                                description->type, description->name,
                                ms_counter_get(counters, (enum ms_counter)i));
     }
+    for (int i = 0; i < MS_HISTOGRAM_COUNT; i++) {
+        write_histogram(text, &histograms[i], &counters->histograms[i]);
+    }
     return g_string_free(text, FALSE);
 }
--- a/src/obs/counters.h
+++ b/src/obs/counters.h
@@ -57,15 +57,34 @@
     MS_COUNTER_COUNT
 };
 
+/* Histograms of durations, in milliseconds. */
+enum ms_histogram {
+    MS_HISTOGRAM_ANSWER = 0,  /* from a request's arrival to its answer */
+    MS_HISTOGRAM_APPEND,      /* from an append's request to its end */
+    MS_HISTOGRAM_START_DELAY, /* from a task's turn to its placing */
+    MS_HISTOGRAM_COUNT
+};
+
+#define MS_BUCKET_COUNT 14 /* upper bounds 1, 2, 4 ... 8192 ms; more goes to +Inf */
+
+struct ms_histogram_values {
+    uint64_t buckets[MS_BUCKET_COUNT + 1];
+    uint64_t sum;
+};
+
 struct ms_counters {
     uint64_t values[MS_COUNTER_COUNT];
+    struct ms_histogram_values histograms[MS_HISTOGRAM_COUNT];
 };
 
+/* Adds a duration to a histogram; negative ones count as 0. */
+void ms_histogram_observe(struct ms_counters *counters, enum ms_histogram histogram, int64_t ms);
+
 void ms_counter_add(struct ms_counters *counters, enum ms_counter counter, uint64_t amount);
 void ms_counter_set(struct ms_counters *counters, enum ms_counter counter, uint64_t value);
 uint64_t ms_counter_get(const struct ms_counters *counters, enum ms_counter counter);
 
-/* The text of all counters; freed with g_free(). */
+/* The text of all counters and histograms; freed with g_free(). */
 char *ms_counters_text(const struct ms_counters *counters);
 
 #endif
--- a/tests/check.py
+++ b/tests/check.py
@@ -35,6 +35,7 @@
     for path in sorted(glob.glob(f"{HERE}/replay/*.trace")):
         name = os.path.basename(path)[:-len(".trace")]
         yield f"replay-{name}", [f"{BUILD}/mustardspread", "replay", path], f"{path[:-6]}.expected"
+    yield "soak-7", ["/usr/bin/python3", f"{HERE}/soak/soak.py", "--seed", "7", "--seconds", "6"], None
     for path in sorted(glob.glob(f"{HERE}/process/*.expected")):
         script = path[:-len(".expected")] + ".py"
         yield f"process-{os.path.basename(script)[:-3]}", ["/usr/bin/python3", script], path
