Count slow and failing servers against the rack that a gang is placed in

Cause: incident inc-ffb6: gang d749ce was stopped on slow servers and placed on the same ones again, as the choice of a rack looked at its free room only.

--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -411,7 +411,8 @@
             continue;
         }
         if (level == LEVEL_FREE || level == LEVEL_SOON) {
-            cost = rack_room(value);
+            /* The fullest rack, but slow and failing servers count against it. */
+            cost += rack_room(value) - pass->engine->plan_cost;
         }
         if (spec->rack[0] != '\0' && strcmp(spec->rack, key) == 0) {
             cost = -1; /* its data is here */
