--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -24,8 +24,11 @@
 #define ACCEL_CORES 8           /* cores that an accelerator counts for as work */
 #define KEEP_WAIT_MS 300        /* before room is kept for a unit */
 #define KEEPERS_MAX 6           /* units that room is kept for in one pass */
-#define WAITERS_MAX 24          /* units tried beyond free room in one pass */
-#define FAR_WAIT_SHARE 1.0      /* of the estimate: wait for a place near the data */
+#define KEEP_IDLE_PERCENT 12    /* of all servers may be kept free for waiting units */
+#define SHARE_WHOLE 1000
+#define NOTE_MS 1000       /* between two lines about the passes */
+#define WAITERS_MAX 24     /* units tried beyond free room in one pass */
+#define FAR_WAIT_SHARE 1.0 /* of the estimate: wait for a place near the data */
 #define FAR_WAIT_MAX_MS 6000
 #define FAR_WAIT_TOP_MS 900 /* the same for a unit of the top priority */
 #define PENALTY_FAR 1000000
@@ -53,6 +56,7 @@
     uint32_t keepers;
     const struct unit *unit; /* the unit being placed */
     bool entitled;           /* the unit is within its account's guarantee */
+    int64_t kept_idle;       /* free room that is kept, in thousandths of a server */
     uint32_t waiters;        /* units that were tried beyond free room */
     bool counted;            /* `reclaimable` of the servers is right for: */
     uint32_t counted_priority;
@@ -593,6 +597,43 @@
     }
 }
 
+/* Share, in thousandths, of SERVER that the plan would keep although it is free. */
+static int64_t
+idle_share(const struct pass *pass, const struct ms_bserver *server)
+{
+    struct ms_resources free = available(server, LEVEL_FREE);
+    struct ms_resources planned = {0, 0, 0};
+    const struct ms_resources *whole = &server->entry.capacity;
+    ms_resources_add(&planned, &pass->unit->step->spec->each, server->planned);
+    int64_t cpu =
+        MIN(planned.cpu_millis, free.cpu_millis) * SHARE_WHOLE / MAX(whole->cpu_millis, 1);
+    int64_t memory =
+        MIN(planned.memory_mb, free.memory_mb) * SHARE_WHOLE / MAX(whole->memory_mb, 1);
+    int64_t accels = MIN(planned.accels, free.accels) * SHARE_WHOLE / MAX(whole->accels, 1);
+    return MAX(MAX(cpu, memory), MAX(accels, 0));
+}
+
+/*
+ * Whether the planned room may be kept: not so much of it may lie idle for units
+ * that wait that the others starve.
+ */
+static bool
+may_keep(struct pass *pass)
+{
+    int64_t idle = 0;
+    int64_t total = 0;
+    for (guint i = 0; i < pass->servers->len; i++) {
+        const struct ms_bserver *server = g_ptr_array_index(pass->servers, i);
+        idle += idle_share(pass, server);
+        total += SHARE_WHOLE;
+    }
+    if ((pass->kept_idle + idle) * 100 > total * KEEP_IDLE_PERCENT) {
+        return false;
+    }
+    pass->kept_idle += idle;
+    return true;
+}
+
 /* Tries the unit at the levels beyond free room. */
 static void
 wait_unit(struct pass *pass, const struct unit *unit)
@@ -617,7 +658,7 @@
         }
     }
     if (waited >= KEEP_WAIT_MS && pass->keepers < KEEPERS_MAX &&
-        plan(pass, LEVEL_KEEP) != NO_PLAN) {
+        plan(pass, LEVEL_KEEP) != NO_PLAN && may_keep(pass)) {
         pass->keepers++;
         reserve_unit(pass);
     }
@@ -774,6 +815,27 @@
     }
 }
 
+/* A line a second about what waits, and how much room is free or kept for it. */
+static void
+note_pass(const struct pass *pass)
+{
+    struct ms_engine *engine = pass->engine;
+    int64_t free = 0;
+    if (engine->units_waiting == 0 || engine->now - engine->noted_at < NOTE_MS) {
+        return;
+    }
+    engine->noted_at = engine->now;
+    for (guint i = 0; i < pass->servers->len; i++) {
+        const struct ms_bserver *server = g_ptr_array_index(pass->servers, i);
+        free += server->entry.capacity.accels - server->used.accels;
+    }
+    ms_engine_note(engine,
+                   "event=placing waiting=%u servers=%u accels_free=%" G_GINT64_FORMAT
+                   " keepers=%u kept_servers=%" G_GINT64_FORMAT,
+                   engine->units_waiting, pass->servers->len, free, pass->keepers,
+                   pass->kept_idle / SHARE_WHOLE);
+}
+
 void
 ms_engine_place(struct ms_engine *engine)
 {
@@ -794,6 +856,7 @@
     for (guint i = 0; i < steps->len; i++) {
         place_step(&pass, g_ptr_array_index(steps, i));
     }
+    note_pass(&pass);
     g_hash_table_destroy(pass.racks);
     g_hash_table_destroy(pass.accounts);
     g_ptr_array_unref(pass.servers);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -140,6 +140,7 @@
     int64_t plan_cost;   /* of the last plan, without penalties */
     uint64_t place_work; /* servers looked at in the last placing pass */
     int64_t ticked_at;
+    int64_t noted_at;
     uint32_t units_waiting;
     bool stepped_down;
     GQueue *actions;
