--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -19,7 +19,6 @@
     limits->lease_ms = 9000;
     limits->gang_start_ms = 2200;
     limits->stop_grace_ms = 900;
-    limits->far_factor = 3.0;
     limits->early_ms = 0;
     limits->keep_ended_ms = 150000;
 }
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -29,7 +29,6 @@
     int64_t lease_ms;      /* lease of a server, on the server's clock */
     int64_t gang_start_ms; /* longest time until all members of a gang run */
     int64_t stop_grace_ms; /* longest time that a stop takes */
-    double far_factor;     /* slow-down away from the data or over racks */
     int64_t early_ms;      /* occurrences may start this much before their time */
     int64_t keep_ended_ms; /* states of ended jobs are kept this long */
 };
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -29,7 +29,7 @@
     entry->draining = true;
     entry->drain_until =
         entry->now + (int64_t)((double)entry->settings->shutdown_s * 1000.0 * DRAIN_SHARE);
-    entry->lead_since = entry->now;
+    entry->drain_from = entry->now;
     ms_lead_resign(entry);
     ms_edge_quiesce(entry->edge);
 }
@@ -41,7 +41,7 @@
         return;
     }
     bool late = entry->now >= entry->drain_until;
-    bool idle = entry->calls == 0 && entry->now - entry->lead_since >= DRAIN_MIN_MS;
+    bool idle = entry->calls == 0 && entry->now - entry->drain_from >= DRAIN_MIN_MS;
     if (late || idle) {
         ms_log(MS_LOG_NOTICE, "event=shutdown_end late=%d calls=%u", late, entry->calls);
         atomic_store(&entry->done, true);
@@ -92,8 +92,6 @@
     case MS_ENTRY_SHUTDOWN:
         begin_shutdown(entry);
         break;
-    case MS_ENTRY_RELOAD:
-        break;
     }
     ms_entry_message_free(message);
 }
--- a/src/entry/lead.c
+++ b/src/entry/lead.c
@@ -160,7 +160,6 @@
     limits.lease_ms = lease_ms(entry);
     limits.gang_start_ms = (int64_t)((double)entry->settings->gang_start_max_ms * GANG_SHARE);
     limits.stop_grace_ms = entry->settings->stop_grace_ms;
-    limits.far_factor = entry->settings->far_factor;
     limits.keep_ended_ms = (entry->settings->state_kept_s + KEEP_ENDED_SPARE_S) * 1000;
     int64_t earlier = entry->table->lead.epoch > 1 ? entry->old_leases_until : 0;
     entry->engine = ms_engine_new(&limits, entry->table->lead.epoch, earlier, entry->now);
--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -17,7 +17,6 @@
     MS_ENTRY_ORDER,       /* order, order_result, clock_ms */
     MS_ENTRY_HOLD,        /* order, order_result, report, sent_at */
     MS_ENTRY_SHUTDOWN,
-    MS_ENTRY_RELOAD,
 };
 
 enum ms_append_kind {
--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -69,6 +69,7 @@
     GHashTable *pending; /* id -> GPtrArray of ms_append: acceptances on their way */
     uint32_t calls;      /* calls that have no answer yet */
     bool draining;
+    int64_t drain_from;
     int64_t drain_until;
 };
 
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -50,7 +50,6 @@
     NUMBER(unknown_after_ms, 100, 600000, "milliseconds"),
     NUMBER(state_kept_s, 1, 1000000, "seconds"),
     NUMBER(shutdown_s, 1, 3600, "seconds"),
-    NUMBER(log_kept_s, 1, 10000000, "seconds"),
 };
 
 static bool
@@ -66,7 +65,7 @@
             return true;
         }
     }
-    return strcmp(key, "far_factor") == 0 || strcmp(key, "cpu_share") == 0;
+    return strcmp(key, "cpu_share") == 0;
 }
 
 static enum ms_result
@@ -109,11 +108,6 @@
         snprintf(error, size, "cpu_share: a number of cores above 0 is required");
         return MS_E_INVALID;
     }
-    settings->far_factor = json_number_value(json_object_get(root, "far_factor"));
-    if (settings->far_factor < 1.0) {
-        snprintf(error, size, "far_factor: a number from 1 is required");
-        return MS_E_INVALID;
-    }
     return MS_OK;
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -21,10 +21,8 @@
     int64_t stop_grace_ms;     /* longest time that a stop takes */
     int64_t unknown_after_ms;  /* an accepted job is known everywhere after this */
     double cpu_share;          /* of a core, that this host may use */
-    double far_factor;         /* slow-down of work away from its data */
     int64_t state_kept_s;      /* states of ended jobs are asked for so long */
     int64_t shutdown_s;        /* time for a graceful shutdown */
-    int64_t log_kept_s;        /* the log keeps records so long */
 };
 
 /* Reads TEXT; on MS_E_INVALID ERROR names the line or the key and its unit. */
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,7 +56,7 @@
                        f'log_address = "127.0.0.1:{self.proxy.port}"\n'
                        "key_age_max_ms = 5000\nlease_max_ms = 10000\ngang_start_max_ms = 3000\n"
                        "stop_grace_ms = 900\nunknown_after_ms = 3000\ncpu_share = 1\n"
-                       "far_factor = 3\nstate_kept_s = 120\nshutdown_s = 6\nlog_kept_s = 20\n")
+                       "state_kept_s = 120\nshutdown_s = 6\n")
         with open(os.path.join(self.soak.folder, f"{self.name}.log"), "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 os.path.join(BUILD, "mustardspread-entryd"), "--settings", path, stdout=log,
