Logs and metrics tell why tasks wait

Three hypotheses (servers out of use, a starved gang, a gang bound to a lost server) could not be told apart from the logs: event=placing did not count the excluded servers, no line named the unit that waits, and no metric counted either.

Change: - enum ms_server_exclusion names why a server gets no tasks; ms_batch_server_usable(), the line event=placing and the gauges servers_* share it. - event=waiting: the unit that has waited longest, if over 2 s, and up to three others in turn, once a second, with what each placement level said. event=gang_blocked: at most four gangs a second that an active member keeps waiting. Both in the new src/batch/engine_explain.c. - gauge longest_wait_milliseconds. No decision changes: place_waiting_unit() only records its outcomes. batch-fuzz 1 500 has the same totals before and after: starts=35402 done=30555 failed=1134 stopped=933 take_overs=974.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -486,8 +486,12 @@
     MS_LIST_FOREACH(link, &engine->servers)
     {
         stats->servers++;
-        stats->servers_usable += ms_batch_server_usable(
-            engine, MS_CONTAINER_OF(link, struct ms_batch_server, servers_link));
+        stats->servers_by_exclusion[ms_batch_server_exclusion(
+            engine, MS_CONTAINER_OF(link, struct ms_batch_server, servers_link))]++;
     }
+    stats->servers_usable = stats->servers_by_exclusion[MS_SERVER_USABLE];
     stats->units_waiting = engine->units_waiting;
+    if (engine->oldest_unplaced_since > 0) {
+        stats->longest_wait_ms = engine->now - engine->oldest_unplaced_since;
+    }
 }
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -155,8 +155,11 @@
     uint32_t tasks_active; /* tasks assigned to a server */
     uint32_t servers;
     uint32_t servers_usable; /* servers that may be given tasks */
+    /* Known servers by ms_server_exclusion; the unlisted ones include those gone for good. */
+    uint32_t servers_by_exclusion[MS_SERVER_EXCLUSION_COUNT];
     /* Gangs, and groups of single tasks of one step, that the last pass did not place in full. */
     uint32_t units_waiting;
+    int64_t longest_wait_ms; /* longest time for which a step with waiting tasks got none placed */
 };
 
 void ms_engine_stats(const struct ms_engine *engine, struct ms_engine_stats *stats);
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -19,7 +19,6 @@
 #define RESERVE_WAIT_MS 300          /* wait of a unit before it is tried at the reserve level */
 #define RESERVATIONS_MAX 6           /* units that get a reservation at that level in one pass */
 #define RESERVED_IDLE_PERCENT_MAX 12 /* of all servers that these reservations may leave idle */
-#define LOG_INTERVAL_MS 1000         /* between two log lines about the passes */
 #define WAITING_UNITS_MAX 24         /* units not within a guarantee tried beyond the free level */
 
 static void
@@ -81,6 +80,7 @@
         }
     }
     job->started = true;
+    unit->step->unplaced_since = 0;
     ms_engine_mark_dirty(engine, job, true);
     return index;
 }
@@ -145,17 +145,26 @@
     return queue->target_ms + (int64_t)(stretch * (double)step->spec->estimate_ms);
 }
 
+/* The highest cost in core-seconds at which the current unit may preempt tasks. */
+static int64_t
+preempt_cost_max(const struct ms_placement_pass *pass)
+{
+    if (ms_batch_job_priority(pass->unit->step->occurrence->job) != 0) {
+        return PREEMPT_COST_MAX;
+    }
+    return pass->within_guarantee ? INT64_MAX : PREEMPT_TOP_COST_MAX;
+}
+
 /* Whether a unit that has waited for WAITED_MS may preempt tasks at a cost of COST core-seconds. */
 static bool
 may_preempt(const struct ms_placement_pass *pass, int64_t waited_ms, int64_t cost)
 {
     const struct ms_batch_step *step = pass->unit->step;
     if (ms_batch_job_priority(step->occurrence->job) == 0) {
-        return waited_ms >= PREEMPT_TOP_WAIT_MS &&
-               (pass->within_guarantee || cost <= PREEMPT_TOP_COST_MAX);
+        return waited_ms >= PREEMPT_TOP_WAIT_MS && cost <= preempt_cost_max(pass);
     }
     return (double)waited_ms >= PREEMPT_SLACK_FRACTION * (double)slack_ms(step) &&
-           cost <= PREEMPT_COST_MAX;
+           cost <= preempt_cost_max(pass);
 }
 
 /* Whether the step has the top priority and its account requests no more than its guarantee. */
@@ -182,6 +191,8 @@
         idle += ms_capacity_reserved_idle(pass, server);
         total += MS_WHOLE_SERVER;
     }
+    pass->outcomes.reserved_idle = pass->reserved_idle + idle;
+    pass->outcomes.reserved_idle_max = total * RESERVED_IDLE_PERCENT_MAX / 100;
     if ((pass->reserved_idle + idle) * 100 > total * RESERVED_IDLE_PERCENT_MAX) {
         return false;
     }
@@ -189,35 +200,68 @@
     return true;
 }
 
+/* Why the current unit has no plan at a level. */
+static enum ms_level_outcome
+no_plan_outcome(const struct ms_placement_pass *pass)
+{
+    return ms_plan_is_bound_to_rack(pass) ? MS_OUTCOME_OFF_RACK_WAIT : MS_OUTCOME_NO_CAPACITY;
+}
+
+/* Reserves capacity for the current unit at the reserve level, if it may have some. */
+static enum ms_level_outcome
+try_reserve(struct ms_placement_pass *pass, int64_t waited_ms)
+{
+    if (waited_ms < RESERVE_WAIT_MS) {
+        return MS_OUTCOME_NOT_YET;
+    }
+    if (pass->reservation_count >= RESERVATIONS_MAX) {
+        return MS_OUTCOME_TOO_MANY;
+    }
+    if (ms_plan_unit(pass, MS_LEVEL_RESERVE) == MS_NO_PLAN) {
+        return no_plan_outcome(pass);
+    }
+    if (!may_reserve(pass)) {
+        return MS_OUTCOME_TOO_MUCH_IDLE;
+    }
+    pass->reservation_count++;
+    reserve_unit(pass);
+    return MS_OUTCOME_GRANTED;
+}
+
 /* Tries the unit, which does not fit into free capacity, at the other levels. */
 static void
 place_waiting_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
 {
     struct ms_engine *engine = pass->engine;
+    struct ms_level_outcomes *outcomes = &pass->outcomes;
     int64_t waited_ms = engine->now - unit->step->ready_since;
     engine->units_waiting++;
     if (!pass->within_guarantee && pass->waiting_unit_count++ >= WAITING_UNITS_MAX) {
         return;
     }
     if (ms_plan_unit(pass, MS_LEVEL_RELEASING) != MS_NO_PLAN) {
+        outcomes->by_level[MS_LEVEL_RELEASING] = MS_OUTCOME_GRANTED;
         reserve_unit(pass);
         return;
     }
+    outcomes->by_level[MS_LEVEL_RELEASING] = no_plan_outcome(pass);
+    outcomes->by_level[MS_LEVEL_PREEMPT] = MS_OUTCOME_NOT_YET;
     if (may_preempt(pass, waited_ms, 0)) {
         ms_capacity_update_preemptible(pass);
-        if (ms_plan_unit(pass, MS_LEVEL_PREEMPT) != MS_NO_PLAN &&
-            may_preempt(pass, waited_ms, engine->plan_cost)) {
+        bool planned = ms_plan_unit(pass, MS_LEVEL_PREEMPT) != MS_NO_PLAN;
+        outcomes->preempt_cost = engine->plan_cost;
+        outcomes->preempt_cost_max = preempt_cost_max(pass);
+        if (planned && may_preempt(pass, waited_ms, engine->plan_cost)) {
+            outcomes->by_level[MS_LEVEL_PREEMPT] = MS_OUTCOME_GRANTED;
             preempt_for_unit(pass);
             reserve_unit(pass);
             pass->preemptible_valid = false;
             return;
         }
+        outcomes->by_level[MS_LEVEL_PREEMPT] =
+            planned ? MS_OUTCOME_TOO_COSTLY : no_plan_outcome(pass);
     }
-    if (waited_ms >= RESERVE_WAIT_MS && pass->reservation_count < RESERVATIONS_MAX &&
-        ms_plan_unit(pass, MS_LEVEL_RESERVE) != MS_NO_PLAN && may_reserve(pass)) {
-        pass->reservation_count++;
-        reserve_unit(pass);
-    }
+    outcomes->by_level[MS_LEVEL_RESERVE] = try_reserve(pass, waited_ms);
 }
 
 /* Starts the tasks of the unit that fit into free capacity; the others wait. */
@@ -241,7 +285,9 @@
     if (!remaining.gang) {
         remaining.count = 1; /* capacity is freed for one task at a time */
     }
+    ms_explain_begin_unit(pass, no_plan_outcome(pass));
     place_waiting_unit(pass, &remaining);
+    ms_explain_unit(pass);
     pass->unit = NULL;
 }
 
@@ -270,6 +316,9 @@
         const struct ms_unit unit = {.step = step, .tasks = group, .count = count, .gang = gang};
         place_unit(pass, &unit);
     }
+    else {
+        ms_explain_backoff(pass, step);
+    }
     g_free(group);
 }
 
@@ -360,8 +409,9 @@
 
 /* Collects the steps that have tasks ready to be placed. */
 static void
-collect_steps(struct ms_engine *engine, GPtrArray *steps)
+collect_steps(struct ms_placement_pass *pass, GPtrArray *steps)
 {
+    struct ms_engine *engine = pass->engine;
     MS_LIST_FOREACH(link, &engine->jobs)
     {
         struct ms_batch_job *job = MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link);
@@ -369,7 +419,9 @@
             struct ms_batch_occurrence *occurrence = g_ptr_array_index(job->occurrences, i);
             for (size_t s = 0; occurrence->steps != NULL && s < job->spec->step_count; s++) {
                 struct ms_batch_step *step = &occurrence->steps[s];
-                if (!ms_batch_step_ready(engine, step)) {
+                bool ready = ms_batch_step_ready(engine, step);
+                ms_explain_note_wait(pass, step, ready);
+                if (!ready) {
                     continue;
                 }
                 if (step->ready_since == 0) {
@@ -381,27 +433,6 @@
     }
 }
 
-/* Logs, at most once a second, the number of waiting units, and the free and reserved capacity. */
-static void
-log_pass(const struct ms_placement_pass *pass)
-{
-    struct ms_engine *engine = pass->engine;
-    int64_t free = 0;
-    if (engine->units_waiting == 0 || engine->now - engine->placement_logged_at < LOG_INTERVAL_MS) {
-        return;
-    }
-    engine->placement_logged_at = engine->now;
-    for (guint i = 0; i < pass->servers->len; i++) {
-        const struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
-        free += server->entry.capacity.accels - server->allocated.accels;
-    }
-    ms_engine_log_event(engine,
-                        "event=placing waiting=%u servers=%u accels_free=%" G_GINT64_FORMAT
-                        " keepers=%u kept_servers=%" G_GINT64_FORMAT,
-                        engine->units_waiting, pass->servers->len, free, pass->reservation_count,
-                        pass->reserved_idle / MS_WHOLE_SERVER);
-}
-
 void
 ms_engine_run_placement(struct ms_engine *engine)
 {
@@ -409,6 +440,7 @@
     engine->servers_examined = 0;
     GPtrArray *steps = g_ptr_array_new();
     pass.servers = g_ptr_array_new();
+    pass.blocked_gangs = g_ptr_array_new();
     pass.racks =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
     pass.accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -416,20 +448,22 @@
     if (engine->policy != NULL) {
         collect_accounts(&pass);
     }
-    collect_steps(engine, steps);
+    collect_steps(&pass, steps);
     for (guint i = 0; i < steps->len; i++) {
         struct ms_batch_step *step = g_ptr_array_index(steps, i);
         step->within_guarantee = is_within_guarantee(&pass, step);
     }
     g_ptr_array_sort(steps, compare_steps);
     engine->units_waiting = 0;
+    ms_explain_begin_pass(&pass, steps);
     for (guint i = 0; i < steps->len; i++) {
         place_step(&pass, g_ptr_array_index(steps, i));
         ms_advice_request(engine, g_ptr_array_index(steps, i));
     }
-    log_pass(&pass);
+    ms_explain_end_pass(&pass, steps);
     g_hash_table_destroy(pass.racks);
     g_hash_table_destroy(pass.accounts);
     g_ptr_array_unref(pass.servers);
+    g_ptr_array_unref(pass.blocked_gangs);
     g_ptr_array_unref(steps);
 }
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -1,6 +1,6 @@
 /*
  * engine_placement.h - state and functions of one placement pass, shared by
- * engine_capacity.c, engine_plan.c and engine_place.c.
+ * engine_capacity.c, engine_plan.c, engine_place.c and engine_explain.c.
  *
  * A pass places units: a gang, or the waiting tasks of one step that are
  * interchangeable.  Units are tried in order of their queue's priority, then of
@@ -18,6 +18,7 @@
 #ifndef MS_BATCH_ENGINE_PLACEMENT_H
 #define MS_BATCH_ENGINE_PLACEMENT_H
 
+#include "batch/engine_explain.h"
 #include "batch/engine_private.h"
 
 #define MS_NO_PLAN INT64_MAX /* ms_plan_unit(): the unit does not fit */
@@ -53,6 +54,9 @@
     bool preemptible_valid;
     uint32_t preemptible_priority;
     bool preemptible_top;
+    struct ms_level_outcomes outcomes; /* of the current unit, for its log line */
+    struct ms_explained_steps explained;
+    GPtrArray *blocked_gangs; /* struct ms_batch_step whose active members keep it waiting */
 };
 
 /* Accelerators of an account's jobs of the top priority. */
@@ -116,4 +120,7 @@
  */
 int64_t ms_plan_unit(const struct ms_placement_pass *pass, enum ms_placement_level level);
 
+/* Whether the current unit still has to wait for capacity in one rack. */
+bool ms_plan_is_bound_to_rack(const struct ms_placement_pass *pass);
+
 #endif
--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -202,6 +202,14 @@
     return servers != NULL ? plan_on(pass, servers, level) : MS_NO_PLAN;
 }
 
+bool
+ms_plan_is_bound_to_rack(const struct ms_placement_pass *pass)
+{
+    const struct ms_step *spec = pass->unit->step->spec;
+    bool prefers_rack = (spec->same_rack && pass->unit->gang) || spec->rack[0] != '\0';
+    return prefers_rack && !may_leave_rack(pass);
+}
+
 int64_t
 ms_plan_unit(const struct ms_placement_pass *pass, enum ms_placement_level level)
 {
@@ -215,7 +223,7 @@
     else if (spec->rack[0] != '\0') {
         score = plan_in_data_rack(pass, level);
     }
-    if (score != MS_NO_PLAN || ((in_one_rack || spec->rack[0] != '\0') && !may_leave_rack(pass))) {
+    if (score != MS_NO_PLAN || ms_plan_is_bound_to_rack(pass)) {
         return score;
     }
     clear_plan(pass);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -63,6 +63,7 @@
     uint32_t active;             /* tasks assigned to a server: RECORDING to STOPPING */
     uint32_t done;               /* tasks that are DONE */
     int64_t ready_since;         /* when it first became ready to be placed, 0: not yet */
+    int64_t unplaced_since;      /* since when tasks wait and none was placed, 0: none waits */
     int64_t gang_started_at;     /* gang: first start order of its current run, 0: none */
     GHashTable *advice;          /* advised queue: server id -> struct ms_advice_entry, or NULL */
     bool advice_pending;         /* the advice service was asked and has not answered */
@@ -164,6 +165,8 @@
     uint64_t servers_examined;      /* servers examined in the last placement pass */
     int64_t last_scan_at;           /* time of the last scan of all servers and jobs */
     int64_t placement_logged_at;    /* time of the last summary line about a pass */
+    uint32_t explain_cursor;        /* rotates the long waits that are logged */
+    int64_t oldest_unplaced_since;  /* lowest `unplaced_since` after the last pass, 0: none */
     uint32_t units_waiting;         /* units that the last pass could not place */
     uint32_t advice_pending_count;  /* requests to the advice service without an answer */
     uint32_t snapshot_number;       /* number of the latest directory snapshot */
@@ -251,6 +254,9 @@
 /* When all runs on SERVER have certainly ended if it stays unresponsive. */
 int64_t ms_batch_server_lease_end(const struct ms_engine *engine,
                                   const struct ms_batch_server *server);
+/* Why SERVER may not be given tasks, or MS_SERVER_USABLE. */
+enum ms_server_exclusion ms_batch_server_exclusion(const struct ms_engine *engine,
+                                                   const struct ms_batch_server *server);
 /* Whether SERVER may be given tasks. */
 bool ms_batch_server_usable(const struct ms_engine *engine, const struct ms_batch_server *server);
 /* Whether SERVER has LABEL; "" matches any server. */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -68,13 +68,37 @@
     return false;
 }
 
+enum ms_server_exclusion
+ms_batch_server_exclusion(const struct ms_engine *engine, const struct ms_batch_server *server)
+{
+    if (!server->listed) {
+        return MS_SERVER_UNLISTED;
+    }
+    if (!server->fence_confirmed) {
+        return MS_SERVER_UNFENCED;
+    }
+    if (server->unresponsive) {
+        return MS_SERVER_UNRESPONSIVE;
+    }
+    if (server->entry.draining) {
+        return MS_SERVER_DRAINING;
+    }
+    if (server->unknown_run_count > 0) {
+        return MS_SERVER_UNKNOWN_RUNS;
+    }
+    if (engine->now < server->quarantined_until) {
+        return MS_SERVER_QUARANTINED;
+    }
+    if (engine->dcs_out != NULL && g_hash_table_contains(engine->dcs_out, server->entry.dc)) {
+        return MS_SERVER_DC_OUT;
+    }
+    return MS_SERVER_USABLE;
+}
+
 bool
 ms_batch_server_usable(const struct ms_engine *engine, const struct ms_batch_server *server)
 {
-    return server->listed && server->fence_confirmed && !server->unresponsive &&
-           !server->entry.draining && server->unknown_run_count == 0 &&
-           engine->now >= server->quarantined_until &&
-           (engine->dcs_out == NULL || !g_hash_table_contains(engine->dcs_out, server->entry.dc));
+    return ms_batch_server_exclusion(engine, server) == MS_SERVER_USABLE;
 }
 
 /*
--- a/src/batch/server_types.c
+++ b/src/batch/server_types.c
@@ -33,3 +33,12 @@
     g_free(report->ended);
     g_free(report);
 }
+
+const char *
+ms_server_exclusion_name(enum ms_server_exclusion exclusion)
+{
+    static const char *const names[MS_SERVER_EXCLUSION_COUNT] = {
+        "usable",   "unlisted",     "unfenced",    "unresponsive",
+        "draining", "unknown_runs", "quarantined", "dc_out"};
+    return names[exclusion];
+}
--- a/src/batch/server_types.h
+++ b/src/batch/server_types.h
@@ -77,6 +77,22 @@
 /* The name of RESULT in log lines. */
 const char *ms_order_result_name(enum ms_order_result result);
 
+/* Why a server may not be given tasks; the first reason that applies. */
+enum ms_server_exclusion {
+    MS_SERVER_USABLE = 0,   /* it may be given tasks */
+    MS_SERVER_UNLISTED,     /* the directory does not contain it */
+    MS_SERVER_UNFENCED,     /* it has not yet confirmed the fence of this leader */
+    MS_SERVER_UNRESPONSIVE, /* its last call had no answer */
+    MS_SERVER_DRAINING,     /* it will shut down */
+    MS_SERVER_UNKNOWN_RUNS, /* it has runs that no record allows */
+    MS_SERVER_QUARANTINED,  /* too many jobs have failed on it */
+    MS_SERVER_DC_OUT,       /* its data centre is out of service */
+    MS_SERVER_EXCLUSION_COUNT
+};
+
+/* The name of EXCLUSION in log lines. */
+const char *ms_server_exclusion_name(enum ms_server_exclusion exclusion);
+
 #define MS_TICKET_MAX 128 /* bytes of a ticket, with its NUL */
 
 /* A server that may run the tasks of a step according to the advice service. */
--- a/src/cli/logs.c
+++ b/src/cli/logs.c
@@ -32,6 +32,11 @@
     uint32_t refusals;
     int64_t longest_first_wait_ms; /* longest wait of a task for its first start */
     uint32_t starts;               /* of all tasks and runs */
+    int64_t longest_unplaced_ms;   /* longest time without a start while tasks waited */
+    int64_t fewest_servers;        /* usable while it waited that long; -1: no such line */
+    int64_t most_excluded;         /* servers that were not usable then */
+    int64_t most_free_tasks;       /* tasks of it that would have fitted at once then */
+    GHashTable *waits;             /* why its tasks waited, such as "preempt=too_costly" -> lines */
     GHashTable *causes; /* why runs ended early, such as "stopped: slow_server" -> count */
 };
 
@@ -105,6 +110,18 @@
            (slash != NULL && strcmp(slash + 1, id) == 0);
 }
 
+/* Prints those of the COUNT keys KEYS that LINE has. */
+static void
+print_keys(const struct log_line *line, const char *const *keys, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        const char *value = log_line_text(line, keys[i]);
+        if (value[0] != '\0') {
+            printf(" %s=%s", keys[i], value);
+        }
+    }
+}
+
 /*
  * Prints LINE: the time since BEGAN_AT, host, event and known keys.  SIMILAR_COUNT
  * similar lines that follow it are not printed.
@@ -116,30 +133,26 @@
         "method", "status",   "reason",        "took_ms",   "task",   "run",     "server",
         "how",    "after_ms", "waited_ms",     "percent",   "core_s", "order",   "result",
         "peer",   "outcome",  "config_age_ms", "later_run", "dc",     "failures"};
+    static const char *const wait_keys[] = {
+        "count",   "unplaced_ms",  "servers",          "excluded",     "free_tasks",    "free",
+        "preempt", "preempt_cost", "preempt_cost_max", "reserve",      "reserved_idle", "releasing",
+        "backoff", "waiting",      "stopping",         "server_state", "lease_left_ms"};
     printf("%+8" PRId64 " ms  %-24s %s", line->time_ms - began_at, log_line_text(line, "host"),
            log_line_text(line, "event"));
-    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
-        const char *value = log_line_text(line, keys[i]);
-        if (value[0] != '\0') {
-            printf(" %s=%s", keys[i], value);
-        }
-    }
+    print_keys(line, keys, G_N_ELEMENTS(keys));
+    print_keys(line, wait_keys, G_N_ELEMENTS(wait_keys));
     if (similar_count > 0) {
         printf(" (and %u similar)", similar_count);
     }
     printf("\n");
 }
 
-/* Whether A and the later B report the same event for different tasks. */
+/* Whether A and B have the same values for the COUNT keys KEYS. */
 static bool
-are_similar(const struct log_line *a, const struct log_line *b)
+have_equal_values(const struct log_line *a, const struct log_line *b, const char *const *keys,
+                  size_t count)
 {
-    static const char *const keys[] = {"event", "host",   "reason", "how",
-                                       "run",   "result", "method", "status"};
-    if (b->time_ms - a->time_ms > SIMILAR_LINES_MS) {
-        return false;
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+    for (size_t i = 0; i < count; i++) {
         if (strcmp(log_line_text(a, keys[i]), log_line_text(b, keys[i])) != 0) {
             return false;
         }
@@ -147,6 +160,31 @@
     return true;
 }
 
+/* Whether LINE, which is repeated every second or so, tells why tasks still wait. */
+static bool
+is_wait(const struct log_line *line)
+{
+    return log_line_is_event(line, "waiting") || log_line_is_event(line, "gang_blocked");
+}
+
+/*
+ * Whether A and the later B report the same event for different tasks, or the same reason
+ * to wait.
+ */
+static bool
+are_similar(const struct log_line *a, const struct log_line *b)
+{
+    static const char *const wait_keys[] = {"event",   "free",    "releasing",
+                                            "preempt", "reserve", "server"};
+    static const char *const keys[] = {"event", "host",   "reason", "how",
+                                       "run",   "result", "method", "status"};
+    if (is_wait(a) && is_wait(b)) {
+        return have_equal_values(a, b, wait_keys, G_N_ELEMENTS(wait_keys));
+    }
+    return b->time_ms - a->time_ms <= SIMILAR_LINES_MS &&
+           have_equal_values(a, b, keys, G_N_ELEMENTS(keys));
+}
+
 /* Records the HTTP answer to a submission; answers to other requests are ignored. */
 static void
 record_answer(struct job_history *history, const struct log_line *line)
@@ -162,6 +200,41 @@
     history->refusals++;
 }
 
+/* Records what the placement levels said of tasks that wait. */
+static void
+record_waiting(struct job_history *history, const struct log_line *line)
+{
+    int64_t servers = log_line_number(line, "servers");
+    history->longest_unplaced_ms =
+        MAX(history->longest_unplaced_ms, log_line_number(line, "unplaced_ms"));
+    history->fewest_servers =
+        history->fewest_servers < 0 ? servers : MIN(history->fewest_servers, servers);
+    history->most_excluded = MAX(history->most_excluded, log_line_number(line, "excluded"));
+    history->most_free_tasks = MAX(history->most_free_tasks, log_line_number(line, "free_tasks"));
+    if (strcmp(log_line_text(line, "free"), "backoff") == 0) {
+        increment(history->waits, "waiting:", "backoff after a failed run or a refusal");
+        return;
+    }
+    char *outcomes =
+        g_strdup_printf("free=%s releasing=%s preempt=%s reserve=%s", log_line_text(line, "free"),
+                        log_line_text(line, "releasing"), log_line_text(line, "preempt"),
+                        log_line_text(line, "reserve"));
+    increment(history->waits, "waiting:", outcomes);
+    g_free(outcomes);
+}
+
+/* Records which member kept the gang from being placed. */
+static void
+record_gang_blocked(struct job_history *history, const struct log_line *line)
+{
+    history->longest_unplaced_ms =
+        MAX(history->longest_unplaced_ms, log_line_number(line, "unplaced_ms"));
+    char *member = g_strdup_printf("a member on %s, which is %s", log_line_text(line, "server"),
+                                   log_line_text(line, "server_state"));
+    increment(history->waits, "gang blocked by", member);
+    g_free(member);
+}
+
 /* Updates HISTORY by a line about its job. */
 static void
 record_line(struct job_history *history, const struct log_line *line)
@@ -176,6 +249,12 @@
                 MAX(history->longest_first_wait_ms, log_line_number(line, "waited_ms"));
         }
     }
+    else if (log_line_is_event(line, "waiting")) {
+        record_waiting(history, line);
+    }
+    else if (log_line_is_event(line, "gang_blocked")) {
+        record_gang_blocked(history, line);
+    }
     else if (log_line_is_event(line, "stop")) {
         increment(history->causes, "stopped:", log_line_text(line, "reason"));
     }
@@ -193,6 +272,23 @@
     }
 }
 
+/* Prints why the job waited, if any line tells. */
+static void
+print_waits(const struct job_history *history)
+{
+    if (g_hash_table_size(history->waits) == 0) {
+        return;
+    }
+    printf("waited up to %" PRId64 " ms without a start", history->longest_unplaced_ms);
+    if (history->fewest_servers >= 0) {
+        printf("; at least %" PRId64 " servers usable, at most %" PRId64
+               " excluded, at most %" PRId64 " of its tasks would have fitted",
+               history->fewest_servers, history->most_excluded, history->most_free_tasks);
+    }
+    printf("; lines by reason:\n");
+    print_counts(history->waits, "  ");
+}
+
 /* Prints whether the job was accepted, how it ended and what delayed it. */
 static void
 print_verdict(const struct job_history *history)
@@ -230,11 +326,20 @@
     return log_line_is_event(line, "order_stop") || log_line_is_event(line, "order_start");
 }
 
+/* Frees what HISTORY owns. */
+static void
+free_history(struct job_history *history)
+{
+    g_hash_table_destroy(history->waits);
+    g_hash_table_destroy(history->causes);
+}
+
 /* Prints the history of the job ID; returns an exit code. */
 static int
 explain(const char *id, GPtrArray *lines)
 {
-    struct job_history history = {.id = id, .causes = new_counts()};
+    struct job_history history = {
+        .id = id, .fewest_servers = -1, .waits = new_counts(), .causes = new_counts()};
     const struct log_line *pending = NULL; /* read, not printed yet */
     uint32_t similar_count = 0;            /* lines since `pending` that are similar to it */
     for (guint i = 0; i < lines->len; i++) {
@@ -256,12 +361,13 @@
     }
     if (pending == NULL) {
         fprintf(stderr, "mustardspread: no line in these files is about %s\n", id);
-        g_hash_table_destroy(history.causes);
+        free_history(&history);
         return MS_EXIT_FAILED;
     }
     print_line(pending, history.began_at, similar_count);
     print_verdict(&history);
-    g_hash_table_destroy(history.causes);
+    print_waits(&history);
+    free_history(&history);
     return MS_EXIT_OK;
 }
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -121,17 +121,30 @@
     ms_entry_message_free(message);
 }
 
+/* Sets the gauges about servers and waiting work; they are 0 unless this host is the leader. */
 static void
 set_gauges(struct ms_entry *entry)
 {
-    if (entry->engine == NULL) {
-        return;
+    static const enum ms_counter exclusion_gauges[MS_SERVER_EXCLUSION_COUNT] = {
+        [MS_SERVER_USABLE] = MS_GAUGE_SERVERS,
+        [MS_SERVER_UNLISTED] = MS_GAUGE_SERVERS_UNLISTED,
+        [MS_SERVER_UNFENCED] = MS_GAUGE_SERVERS_UNFENCED,
+        [MS_SERVER_UNRESPONSIVE] = MS_GAUGE_SERVERS_UNRESPONSIVE,
+        [MS_SERVER_DRAINING] = MS_GAUGE_SERVERS_DRAINING,
+        [MS_SERVER_UNKNOWN_RUNS] = MS_GAUGE_SERVERS_UNKNOWN_RUNS,
+        [MS_SERVER_QUARANTINED] = MS_GAUGE_SERVERS_QUARANTINED,
+        [MS_SERVER_DC_OUT] = MS_GAUGE_SERVERS_DC_OUT,
+    };
+    struct ms_engine_stats stats = {0};
+    if (entry->engine != NULL) {
+        ms_engine_stats(entry->engine, &stats);
+    }
+    for (size_t i = 0; i < MS_SERVER_EXCLUSION_COUNT; i++) {
+        ms_counter_set(entry->counters, exclusion_gauges[i], stats.servers_by_exclusion[i]);
     }
-    struct ms_engine_stats stats;
-    ms_engine_stats(entry->engine, &stats);
-    ms_counter_set(entry->counters, MS_GAUGE_SERVERS, stats.servers_usable);
     ms_counter_set(entry->counters, MS_GAUGE_TASKS_RUNNING, stats.tasks_active);
     ms_counter_set(entry->counters, MS_GAUGE_JOBS_WAITING, stats.units_waiting);
+    ms_counter_set(entry->counters, MS_GAUGE_LONGEST_WAIT_MS, (uint64_t)stats.longest_wait_ms);
 }
 
 static void
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -18,5 +18,6 @@
 TCase *engine_cases(void);
 TCase *retention_cases(void);
 TCase *advice_cases(void);
+TCase *log_cases(void);
 
 #endif
