Engine: let preempting work use the servers that it empties

A gang of a lower priority could not use the servers that it had emptied itself, so the next pass preempted tasks on others, which were closed to it in turn. Servers stood empty, preempted tasks were placed on the rest and preempted again.

Change: the restriction remembers the priority of the preempting work and keeps out lower ones only.

--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -7,7 +7,7 @@
 #include "batch/engine_placement.h"
 
 #define STOP_OVERHEAD_CORE_S 40   /* core-seconds added to the preemption cost of each task */
-#define TOP_PRIORITY_ONLY_MS 1500 /* after a preemption a server takes only the top priority */
+#define RESTRICTION_MS 1500       /* how long a preemption restricts its server */
 #define PREEMPTIBLE_TASKS_MAX 128 /* tasks of one server that are considered for preemption */
 
 uint32_t
@@ -92,23 +92,27 @@
 
 /* Called when a task on SERVER is preempted, and again when it has ended. */
 void
-ms_batch_server_restrict_to_top_priority(const struct ms_engine *engine,
-                                         struct ms_batch_server *server)
+ms_batch_server_restrict(const struct ms_engine *engine, struct ms_batch_server *server,
+                         uint32_t priority)
 {
-    server->top_priority_only_until = engine->now + TOP_PRIORITY_ONLY_MS;
+    bool restricted = engine->now < server->restricted_until;
+    server->restricted_priority =
+        restricted ? MIN(server->restricted_priority, priority) : priority;
+    server->restricted_until = engine->now + RESTRICTION_MS;
 }
 
 /*
  * Whether tasks of STEP may run on SERVER at all, whatever capacity it has.  Best-effort
  * tasks would lengthen the response times of tasks with a latency target.  After a
- * preemption on the server, tasks of lower priority would only be preempted again.
+ * preemption on the server, tasks of a lower priority than that of the preempting work
+ * would only be preempted again.
  */
 static bool
 is_eligible(const struct ms_engine *engine, const struct ms_batch_step *step,
             const struct ms_batch_server *server)
 {
-    if (engine->now < server->top_priority_only_until &&
-        ms_batch_job_priority(step->occurrence->job) > 0) {
+    if (engine->now < server->restricted_until &&
+        ms_batch_job_priority(step->occurrence->job) > server->restricted_priority) {
         return false;
     }
     const struct ms_queue_rule *queue = step->occurrence->job->queue;
--- a/src/batch/engine_explain.c
+++ b/src/batch/engine_explain.c
@@ -334,19 +334,19 @@
 {
     struct ms_engine *engine = pass->engine;
     int64_t free = 0;
-    uint32_t top_priority_only = 0;
+    uint32_t restricted = 0;
     struct ms_engine_stats stats;
     for (guint i = 0; i < pass->servers->len; i++) {
         const struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
         free += server->entry.capacity.accels - server->allocated.accels;
-        top_priority_only += engine->now < server->top_priority_only_until;
+        restricted += engine->now < server->restricted_until;
     }
     GString *line = g_string_new("event=placing");
     g_string_append_printf(line,
                            " waiting=%u servers=%u accels_free=%" G_GINT64_FORMAT
-                           " keepers=%u kept_servers=%" G_GINT64_FORMAT " top_only=%u",
+                           " keepers=%u kept_servers=%" G_GINT64_FORMAT " restricted=%u",
                            engine->units_waiting, pass->servers->len, free, pass->reservation_count,
-                           pass->reserved_idle / MS_WHOLE_SERVER, top_priority_only);
+                           pass->reserved_idle / MS_WHOLE_SERVER, restricted);
     ms_engine_stats(engine, &stats);
     for (int i = MS_SERVER_USABLE + 1; i < MS_SERVER_EXCLUSION_COUNT; i++) {
         g_string_append_printf(line, " %s=%u",
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -100,6 +100,7 @@
 static void
 preempt_on_server(const struct ms_placement_pass *pass, struct ms_batch_server *server)
 {
+    uint32_t priority = ms_batch_job_priority(pass->unit->step->occurrence->job);
     struct ms_resources need = {0, 0, 0};
     ms_resources_add(&need, &pass->unit->step->spec->task_resources, server->planned_task_count);
     for (;;) {
@@ -110,12 +111,13 @@
             return;
         }
         struct ms_batch_step *step = cheapest->step;
-        ms_batch_server_restrict_to_top_priority(pass->engine, server);
+        ms_batch_server_restrict(pass->engine, server, priority);
         ms_batch_task_stop_unit(pass->engine, cheapest, "reclaimed");
         for (uint32_t i = 0; i < step->spec->task_count; i++) {
             struct ms_batch_task *task = &step->tasks[i];
             if (task->state == MS_BATCH_TASK_STOPPING && (step->spec->gang || task == cheapest)) {
                 task->preempted = true;
+                task->preemptor_priority = priority;
                 ms_resources_add(&task->server->releasing, &step->spec->task_resources, 1);
             }
         }
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -41,7 +41,8 @@
     bool order_unanswered; /* a start order went unanswered and may still arrive */
     bool stop_confirmed;   /* STOPPING: the server has confirmed the stop order */
     bool preempted;        /* STOPPING: preempted by more urgent work */
-    int64_t next_order_at; /* no order is sent before then */
+    uint32_t preemptor_priority; /* PREEMPTED: priority of that work */
+    int64_t next_order_at;       /* no order is sent before then */
     int64_t last_answer_at;    /* when the start call ended or the stop was confirmed, 0: not yet */
     int64_t running_since;     /* when the run was seen to have started, 0: not yet */
     uint32_t progress_percent; /* last reported progress */
@@ -128,12 +129,13 @@
     struct ms_list_link tasks;        /* struct ms_batch_task, linked by server_link */
     uint32_t consecutive_failed_jobs; /* since the last success; repeats of one job count once */
     char last_failed_job[MS_JOB_ID_MAX];
-    int64_t quarantined_until; /* quarantined until then */
-    int64_t suspect_until;     /* chosen last until then: a run failed or was refused here */
-    int64_t slow_until;        /* chosen last until then: its runs are much slower than others */
-    int64_t top_priority_only_until;  /* takes only top-priority work: tasks were preempted here */
-    int64_t available_until;          /* DRAINING: earliest time of its shutdown, 0: none seen */
-    uint32_t quarantine_count;        /* since the last success */
+    int64_t quarantined_until;    /* quarantined until then */
+    int64_t suspect_until;        /* chosen last until then: a run failed or was refused here */
+    int64_t slow_until;           /* chosen last until then: its runs are much slower than others */
+    int64_t restricted_until;     /* tasks were preempted here, see ms_batch_server_restrict() */
+    uint32_t restricted_priority; /* until then: lowest priority that it takes */
+    int64_t available_until;      /* DRAINING: earliest time of its shutdown, 0: none seen */
+    uint32_t quarantine_count;    /* since the last success */
     struct ms_list_link servers_link; /* in engine->servers */
     /* Valid within one placement pass only. */
     struct ms_resources reserved;    /* for units that wait */
@@ -294,9 +296,9 @@
 void ms_batch_task_check_health(struct ms_engine *engine, struct ms_batch_task *task);
 
 /* engine_capacity.c */
-/* Tasks on SERVER were preempted: for a while it takes only top-priority work. */
-void ms_batch_server_restrict_to_top_priority(const struct ms_engine *engine,
-                                              struct ms_batch_server *server);
+/* Work of PRIORITY preempts tasks on SERVER: for a while it takes no work of a lower priority. */
+void ms_batch_server_restrict(const struct ms_engine *engine, struct ms_batch_server *server,
+                              uint32_t priority);
 
 /* engine_place.c */
 /* Runs one placement pass over all waiting tasks. */
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -350,7 +350,7 @@
         task->running_since > 0 ? engine->now - task->running_since : -1, task->failures);
     ms_batch_task_set_checkpoint(task, checkpoint);
     if (task->preempted) {
-        ms_batch_server_restrict_to_top_priority(engine, server);
+        ms_batch_server_restrict(engine, server, task->preemptor_priority);
     }
     switch (how) {
     case MS_RUN_END_DONE:
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -19,5 +19,6 @@
 TCase *retention_cases(void);
 TCase *advice_cases(void);
 TCase *log_cases(void);
+TCase *placement_cases(void);
 
 #endif
