Engine: let the limit on the cost of preemption grow with the wait

Callers saw wide gangs wait for as long as small tasks of a lower priority stood on each server, although most of the room was free.

Cause: a gang may preempt at a cost of 600 core-seconds at most, and each preempted task counts at least 40.

The regression test failed before: unit_placement.c:74: Assertion 'simulator_job_phase(simulator, "gang") == MS_PHASE_SUCCEEDED' failed. batch-fuzz 1 1000: 0 failed.

--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -7,8 +7,9 @@
 #include "batch/engine_placement.h"
 
 /*
- * When a unit may preempt, and at what cost in core-seconds.  A unit of the top priority
- * that is within its account's guarantee has no limit on the cost.
+ * When a unit may preempt, and at what cost in core-seconds.  The limit on the cost grows with
+ * the wait once a unit has waited for PREEMPT_SLACK_FRACTION of its slack.  A unit of the top
+ * priority that is within its account's guarantee has no limit.
  */
 #define PREEMPT_TOP_WAIT_MS 0      /* wait of a unit of the top priority */
 #define PREEMPT_EQUAL_WAIT_MS 1000 /* its wait before it preempts others of the top priority */
@@ -147,26 +148,33 @@
     return queue->target_ms + (int64_t)(stretch * (double)step->spec->estimate_ms);
 }
 
-/* The highest cost in core-seconds at which the current unit may preempt tasks. */
+/* How long the current unit waits before it preempts tasks of a lower priority. */
 static int64_t
-preempt_cost_max(const struct ms_placement_pass *pass)
+preempt_wait_ms(const struct ms_placement_pass *pass)
 {
-    if (ms_batch_job_priority(pass->unit->step->occurrence->job) != 0) {
-        return PREEMPT_COST_MAX;
+    return MAX((int64_t)(PREEMPT_SLACK_FRACTION * (double)slack_ms(pass->unit->step)), 1);
+}
+
+/* The highest cost in core-seconds at which the current unit, after WAITED_MS, may preempt. */
+static int64_t
+preempt_cost_max(const struct ms_placement_pass *pass, int64_t waited_ms)
+{
+    bool top_priority = ms_batch_job_priority(pass->unit->step->occurrence->job) == 0;
+    if (top_priority && pass->within_guarantee) {
+        return INT64_MAX;
     }
-    return pass->within_guarantee ? INT64_MAX : PREEMPT_TOP_COST_MAX;
+    int64_t cost_max = top_priority ? PREEMPT_TOP_COST_MAX : PREEMPT_COST_MAX;
+    int64_t wait_ms = preempt_wait_ms(pass);
+    return cost_max * MAX(waited_ms, wait_ms) / wait_ms;
 }
 
 /* Whether a unit that has waited for WAITED_MS may preempt tasks at a cost of COST core-seconds. */
 static bool
 may_preempt(const struct ms_placement_pass *pass, int64_t waited_ms, int64_t cost)
 {
-    const struct ms_batch_step *step = pass->unit->step;
-    if (ms_batch_job_priority(step->occurrence->job) == 0) {
-        return waited_ms >= PREEMPT_TOP_WAIT_MS && cost <= preempt_cost_max(pass);
-    }
-    return (double)waited_ms >= PREEMPT_SLACK_FRACTION * (double)slack_ms(step) &&
-           cost <= preempt_cost_max(pass);
+    bool top_priority = ms_batch_job_priority(pass->unit->step->occurrence->job) == 0;
+    int64_t wait_ms = top_priority ? PREEMPT_TOP_WAIT_MS : preempt_wait_ms(pass);
+    return waited_ms >= wait_ms && cost <= preempt_cost_max(pass, waited_ms);
 }
 
 /* Whether the step has the top priority and its account requests no more than its guarantee. */
@@ -252,7 +260,7 @@
         ms_capacity_update_preemptible(pass);
         bool planned = ms_plan_unit(pass, MS_LEVEL_PREEMPT) != MS_NO_PLAN;
         outcomes->preempt_cost = engine->plan_cost;
-        outcomes->preempt_cost_max = preempt_cost_max(pass);
+        outcomes->preempt_cost_max = preempt_cost_max(pass, waited_ms);
         if (planned && may_preempt(pass, waited_ms, engine->plan_cost)) {
             outcomes->by_level[MS_LEVEL_PREEMPT] = MS_OUTCOME_GRANTED;
             preempt_for_unit(pass);
