Engine: exempt the first waiting unit from the limit on idle reservations

Cause: reservations may leave 12 % of the servers idle in all. A reservation for eight whole servers counts the more idle the closer the gang gets to fitting, so it was refused just then, and the next small job took the server that had become free.

Change: the first unit in order that asks for a reservation gets one beyond that limit once it has waited for 0.4 of its slack.

--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -8,19 +8,23 @@
 
 /*
  * When a unit may preempt, and at what cost in core-seconds.  The limit on the cost grows with
- * the wait once a unit has waited for PREEMPT_SLACK_FRACTION of its slack.  A unit of the top
+ * the wait once a unit has waited for PATIENCE_SLACK_FRACTION of its slack.  A unit of the top
  * priority that is within its account's guarantee has no limit.
  */
-#define PREEMPT_TOP_WAIT_MS 0      /* wait of a unit of the top priority */
-#define PREEMPT_EQUAL_WAIT_MS 1000 /* its wait before it preempts others of the top priority */
-#define PREEMPT_SLACK_FRACTION 0.4 /* wait of a unit of a lower priority, as part of its slack */
-#define PREEMPT_TOP_COST_MAX 2500  /* for a unit of the top priority */
-#define PREEMPT_COST_MAX 600       /* for a unit of a lower priority */
+#define PREEMPT_TOP_WAIT_MS 0       /* wait of a unit of the top priority */
+#define PREEMPT_EQUAL_WAIT_MS 1000  /* its wait before it preempts others of the top priority */
+#define PATIENCE_SLACK_FRACTION 0.4 /* wait of a unit of a lower priority, as part of its slack */
+#define PREEMPT_TOP_COST_MAX 2500   /* for a unit of the top priority */
+#define PREEMPT_COST_MAX 600        /* for a unit of a lower priority */
 
-#define RESERVE_WAIT_MS 300          /* wait of a unit before it is tried at the reserve level */
-#define RESERVATIONS_MAX 6           /* units that get a reservation at that level in one pass */
-#define RESERVED_IDLE_PERCENT_MAX 12 /* of all servers that these reservations may leave idle */
-#define WAITING_UNITS_MAX 24         /* units not within a guarantee tried beyond the free level */
+#define RESERVE_WAIT_MS 300 /* wait of a unit before it is tried at the reserve level */
+#define RESERVATIONS_MAX 6  /* units that get a reservation at that level in one pass */
+/*
+ * Of all servers that reservations may leave idle.  The first unit in order is exempt once it
+ * has run out of patience: it could otherwise wait for as long as other work arrives.
+ */
+#define RESERVED_IDLE_PERCENT_MAX 12
+#define WAITING_UNITS_MAX 24 /* units not within a guarantee tried beyond the free level */
 
 static void
 start_task(struct ms_engine *engine, struct ms_batch_task *task, struct ms_batch_server *server,
@@ -148,11 +152,11 @@
     return queue->target_ms + (int64_t)(stretch * (double)step->spec->estimate_ms);
 }
 
-/* How long the current unit waits before it preempts tasks of a lower priority. */
+/* How long the current unit waits before it preempts others or may leave many servers idle. */
 static int64_t
-preempt_wait_ms(const struct ms_placement_pass *pass)
+patience_ms(const struct ms_placement_pass *pass)
 {
-    return MAX((int64_t)(PREEMPT_SLACK_FRACTION * (double)slack_ms(pass->unit->step)), 1);
+    return MAX((int64_t)(PATIENCE_SLACK_FRACTION * (double)slack_ms(pass->unit->step)), 1);
 }
 
 /* The highest cost in core-seconds at which the current unit, after WAITED_MS, may preempt. */
@@ -164,8 +168,8 @@
         return INT64_MAX;
     }
     int64_t cost_max = top_priority ? PREEMPT_TOP_COST_MAX : PREEMPT_COST_MAX;
-    int64_t wait_ms = preempt_wait_ms(pass);
-    return cost_max * MAX(waited_ms, wait_ms) / wait_ms;
+    int64_t patience = patience_ms(pass);
+    return cost_max * MAX(waited_ms, patience) / patience;
 }
 
 /* Whether a unit that has waited for WAITED_MS may preempt tasks at a cost of COST core-seconds. */
@@ -173,7 +177,7 @@
 may_preempt(const struct ms_placement_pass *pass, int64_t waited_ms, int64_t cost)
 {
     bool top_priority = ms_batch_job_priority(pass->unit->step->occurrence->job) == 0;
-    int64_t wait_ms = top_priority ? PREEMPT_TOP_WAIT_MS : preempt_wait_ms(pass);
+    int64_t wait_ms = top_priority ? PREEMPT_TOP_WAIT_MS : patience_ms(pass);
     return waited_ms >= wait_ms && cost <= preempt_cost_max(pass, waited_ms);
 }
 
@@ -192,21 +196,23 @@
  * is limited, so that they do not starve the units that could use it now.
  */
 static bool
-may_reserve(struct ms_placement_pass *pass)
+may_reserve(struct ms_placement_pass *pass, int64_t waited_ms)
 {
-    int64_t idle = 0;
-    int64_t total = 0;
+    int64_t idle = pass->reserved_idle;
+    int64_t idle_max = 0;
+    bool exempt = pass->reservation_count == 0 && waited_ms >= patience_ms(pass);
     for (guint i = 0; i < pass->servers->len; i++) {
         const struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
         idle += ms_capacity_reserved_idle(pass, server);
-        total += MS_WHOLE_SERVER;
+        idle_max += MS_WHOLE_SERVER * RESERVED_IDLE_PERCENT_MAX;
     }
-    pass->outcomes.reserved_idle = pass->reserved_idle + idle;
-    pass->outcomes.reserved_idle_max = total * RESERVED_IDLE_PERCENT_MAX / 100;
-    if ((pass->reserved_idle + idle) * 100 > total * RESERVED_IDLE_PERCENT_MAX) {
+    idle_max /= 100;
+    pass->outcomes.reserved_idle = idle;
+    pass->outcomes.reserved_idle_max = idle_max;
+    if (idle > idle_max && !exempt) {
         return false;
     }
-    pass->reserved_idle += idle;
+    pass->reserved_idle = idle;
     return true;
 }
 
@@ -230,7 +236,7 @@
     if (ms_plan_unit(pass, MS_LEVEL_RESERVE) == MS_NO_PLAN) {
         return no_plan_outcome(pass);
     }
-    if (!may_reserve(pass)) {
+    if (!may_reserve(pass, waited_ms)) {
         return MS_OUTCOME_TOO_MUCH_IDLE;
     }
     pass->reservation_count++;
--- a/tests/batch/unit_placement.c
+++ b/tests/batch/unit_placement.c
@@ -9,6 +9,21 @@
 
 static const struct simulator_faults no_faults;
 
+/* Submits COUNT jobs PREFIX0, PREFIX1, ... to QUEUE, each of one task that needs RESOURCES. */
+static void
+submit_single_jobs(struct simulator *simulator, const char *prefix, const char *queue, int count,
+                   struct ms_resources resources)
+{
+    for (int i = 0; i < count; i++) {
+        struct ms_batch_spec spec;
+        char id[MS_JOB_ID_MAX];
+        snprintf(id, sizeof(id), "%s%d", prefix, i);
+        simple_spec(&spec, id, queue, 1, 0);
+        spec.steps[0].task_resources = resources;
+        simulator_submit_job(simulator, &spec);
+    }
+}
+
 /*
  * A gang that preempts tasks must be able to use the servers that it has emptied.  When these
  * were left to the top priority, a gang of a lower one preempted tasks on server after server.
@@ -40,20 +55,6 @@
 }
 END_TEST
 
-/* Submits COUNT jobs of the lowest priority, each of one task with 100,000 MB. */
-static void
-submit_small_jobs(struct simulator *simulator, int count)
-{
-    for (int i = 0; i < count; i++) {
-        struct ms_batch_spec spec;
-        char id[MS_JOB_ID_MAX];
-        snprintf(id, sizeof(id), "small%d", i);
-        simple_spec(&spec, id, "q2", 1, 1);
-        spec.steps[0].task_resources = (struct ms_resources){5600, 100000, 1};
-        simulator_submit_job(simulator, &spec);
-    }
-}
-
 /*
  * A wide gang must not wait for good because small tasks of a lower priority leave too little
  * room on each server.  To preempt one on each server exceeded the limit on the cost, however
@@ -63,7 +64,7 @@
 {
     struct simulator *simulator = simulator_new(22, 20, &no_faults, NULL);
     struct ms_batch_spec spec;
-    submit_small_jobs(simulator, 400);
+    submit_single_jobs(simulator, "small", "q2", 400, (struct ms_resources){5600, 100000, 1});
     simulator_run(simulator, 1500);
     simple_spec(&spec, "gang", "q1", 20, 1);
     spec.steps[0].task_resources = (struct ms_resources){26000, 140000, 1};
@@ -76,10 +77,34 @@
 }
 END_TEST
 
+/*
+ * A gang that needs many whole servers must not wait for good while later jobs of its own
+ * priority take each server that becomes free.  Its reservation would have left more servers
+ * idle than reservations may in all, so it never had one.
+ */
+START_TEST(wide_gang_is_not_starved_by_later_jobs_of_its_priority)
+{
+    struct simulator *simulator = simulator_new(23, 16, &no_faults, NULL);
+    submit_single_jobs(simulator, "early", "q1", 16, (struct ms_resources){1000, 1000, 8});
+    simulator_run(simulator, 100);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "gang", "q1", 8, 8);
+    spec.steps[0].gang = true;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 100);
+    submit_single_jobs(simulator, "late", "q1", 200, (struct ms_resources){1000, 1000, 8});
+    simulator_run(simulator, 8000);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    ck_assert_int_eq(simulator_job_phase(simulator, "gang"), MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 placement_cases(void)
 {
     TCase *cases = tcase_create("placement");
+    tcase_add_test(cases, wide_gang_is_not_starved_by_later_jobs_of_its_priority);
     tcase_add_test(cases, wide_gang_is_not_starved_by_small_tasks);
     tcase_add_test(cases, preempting_gang_of_lower_priority_gets_the_servers);
     return cases;
