Engine: count the late end of a gang while its other members are stopped

What callers could see: a gang that had succeeded runs a second time.

Cause: a member's server is unreachable for longer than its lease, so the run is declared lost and the other members are ordered to stop. If the server then reports that the run had ended as done, the end was not counted, as other members were still assigned, and not withheld either, as no later run existed yet. So it was acknowledged and forgotten, and the gang was started again.

The regression test failed before: unit_engine.c:326: Assertion 'starts == 0' failed: starts == 2, 0 == 0

Why it works: the members of a gang end as done together, so the end of the run that they are stopped for decides; it is left out only if a member has another run.

--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -12,6 +12,24 @@
 
 #define ENDED_ROWS_MAX 500 /* a report with this many ends may be truncated */
 
+/* Whether TASK is done or has an active run, other than RUN, that may have been ordered. */
+static bool
+has_other_run(const struct ms_batch_task *task, uint32_t run)
+{
+    switch (task->state) {
+    case MS_BATCH_TASK_WAITING:
+    case MS_BATCH_TASK_RECORDING:
+        return false;
+    case MS_BATCH_TASK_STARTING:
+    case MS_BATCH_TASK_RUNNING:
+    case MS_BATCH_TASK_STOPPING:
+        return task->run != run;
+    case MS_BATCH_TASK_DONE:
+        return true;
+    }
+    return true;
+}
+
 /*
  * The task of the end in ROW, whose run was declared lost, if the end still counts;
  * else NULL.  It does not count if a later run of the task, or of its gang, is active and
@@ -23,7 +41,8 @@
 find_task_of_late_end(struct ms_engine *engine, const struct ms_reported_end *row)
 {
     struct ms_batch_task *task = ms_engine_find_task(engine, row->task);
-    if (task == NULL || task->run < row->run || ms_batch_task_job(task)->phase != MS_PHASE_OPEN) {
+    if (task == NULL || task->run < row->run || ms_batch_task_job(task)->phase != MS_PHASE_OPEN ||
+        (task->state != MS_BATCH_TASK_WAITING && task->state != MS_BATCH_TASK_RECORDING)) {
         return NULL;
     }
     bool counts = row->end == MS_RUN_END_DONE ||
@@ -35,8 +54,7 @@
     uint32_t first = step->spec->gang ? 0 : task->index;
     uint32_t last = step->spec->gang ? step->spec->task_count - 1 : task->index;
     for (uint32_t i = first; i <= last; i++) {
-        enum ms_batch_task_state state = step->tasks[i].state;
-        if (state != MS_BATCH_TASK_WAITING && state != MS_BATCH_TASK_RECORDING) {
+        if (has_other_run(&step->tasks[i], row->run)) {
             return NULL;
         }
     }
--- a/tests/batch/unit_engine.c
+++ b/tests/batch/unit_engine.c
@@ -256,6 +256,78 @@
 }
 END_TEST
 
+/* Pops all actions; stores succeed, orders are answered with ORDERS.  Counts starts of RUN. */
+static uint32_t
+answer_all_but_renewals(struct ms_engine *engine, enum ms_order_result orders, uint32_t run,
+                        int64_t now)
+{
+    uint32_t starts = 0;
+    struct ms_engine_action *action = NULL;
+    ms_engine_tick(engine, now, now);
+    while ((action = ms_engine_pop_action(engine)) != NULL) {
+        if (action->kind == MS_ENGINE_STORE) {
+            ms_engine_on_stored(engine, now);
+        }
+        else if (action->kind != MS_ENGINE_RENEW_LEASE) {
+            starts += action->kind == MS_ENGINE_START && action->run == run;
+            ms_engine_on_order_answer(engine, action, orders, now, now);
+        }
+        ms_engine_action_free(action);
+    }
+    return starts;
+}
+
+/* Reports to ENGINE the answer to the renewal of server ID that is pending at NOW. */
+static void
+answer_renewal(struct ms_engine *engine, const char *id, const struct ms_server_report *report,
+               int64_t now)
+{
+    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE};
+    g_strlcpy(renewal.server, id, sizeof(renewal.server));
+    ms_engine_on_renewal_answer(engine, &renewal, report != NULL ? MS_ORDER_OK : MS_ORDER_NO_ANSWER,
+                                report, now, now);
+}
+
+/*
+ * A gang that has ended as done must not run again because its server was unreachable for
+ * longer than a lease: the end was acknowledged but not counted if the other members of the
+ * gang were still being stopped.
+ */
+START_TEST(late_end_of_gang_counts_while_other_members_are_stopped)
+{
+    struct ms_server_report idle = {.start_unix_ms = 7, .clock_ms = 1};
+    struct ms_reported_end end = {.position = 1, .run = 1, .end = MS_RUN_END_DONE};
+    struct ms_stored_job job = {.id = "job", .accepted = true};
+    struct ms_directory_entry two = directory_entry("two");
+    uint32_t starts = 0;
+    simple_spec(&job.spec, "job", "q0", 2, 8);
+    job.spec.steps[0].gang = true;
+    struct ms_engine *engine = new_engine_with_server(&job, &idle);
+    ms_engine_update_server(engine, &two, 60);
+    answer_all_but_renewals(engine, MS_ORDER_OK, 1, 70);
+    answer_renewal(engine, "two", &idle, 80);
+    for (int64_t now = 100; now < 500; now += 10) {
+        starts += answer_all_but_renewals(engine, MS_ORDER_OK, 1, now);
+    }
+    ck_assert_uint_eq(starts, 2);
+    answer_renewal(engine, "one", NULL, 20000); /* unresponsive, and its lease has expired */
+    answer_all_but_renewals(engine, MS_ORDER_NO_ANSWER, 2, 20010);
+    const char *name = "job.0.0.0";
+    g_strlcpy(end.task, name, sizeof(end.task));
+    struct ms_server_report ended = {
+        .start_unix_ms = 7, .clock_ms = 20000, .ended = &end, .ended_count = 1};
+    answer_renewal(engine, "one", &ended, 20020);
+    starts = 0;
+    for (int64_t now = 20030; now < 23000; now += 10) {
+        starts += answer_all_but_renewals(engine, MS_ORDER_OK, 2, now);
+        answer_renewal(engine, "two", &idle, now);
+    }
+    ck_assert_uint_eq(starts, 0);
+    ms_engine_free(engine);
+    ms_batch_spec_clear(&job.spec);
+}
+END_TEST
+
 /* The end of a backoff must trigger a placement pass, not wait for the next change. */
 START_TEST(failed_task_is_placed_again_after_backoff)
 {
@@ -473,6 +545,7 @@
     tcase_add_test(cases, unresponsive_server_gets_only_renewals);
     tcase_add_test(cases, failed_task_is_placed_again_after_backoff);
     tcase_add_test(cases, run_reported_by_new_incarnation_is_kept);
+    tcase_add_test(cases, late_end_of_gang_counts_while_other_members_are_stopped);
     tcase_add_test(cases, runs_survive_leader_change);
     tcase_add_test(cases, runs_survive_disconnect_within_lease);
     tcase_add_test(cases, runs_survive_unlisting_of_draining_server);
