Engine: hold no unit back for more than 1.5 s while capacity is ample

What callers see: a gang that prefers one rack waits for up to 6 s although all servers are idle, when no rack has enough of them; the users' rules allow 3 s while it fits twice over and less than half of the capacity is in use. Reservations and the restriction after a preemption may hold a unit back in the same way.

Cause: these waits pay where capacity is scarce, but did not look at how much is idle.

Change: a unit that has waited for 1.5 s while capacity was ample for it (less than half of each resource of its servers in use, and room for it twice over) starts on idle capacity, reserved or not, in its rack or not.

--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -43,6 +43,10 @@
 ms_capacity_available(const struct ms_batch_server *server, enum ms_placement_level level)
 {
     struct ms_resources available = server->entry.capacity;
+    if (level == MS_LEVEL_IDLE) {
+        ms_resources_add(&available, &server->allocated, -1);
+        return available;
+    }
     ms_resources_add(&available, &server->reserved, -1);
     if (level == MS_LEVEL_RESERVE) {
         return available;
@@ -105,13 +109,13 @@
  * Whether tasks of STEP may run on SERVER at all, whatever capacity it has.  Best-effort
  * tasks would lengthen the response times of tasks with a latency target.  After a
  * preemption on the server, tasks of a lower priority than that of the preempting work
- * would only be preempted again.
+ * would only be preempted again; the idle level ignores this.
  */
 static bool
 is_eligible(const struct ms_engine *engine, const struct ms_batch_step *step,
-            const struct ms_batch_server *server)
+            const struct ms_batch_server *server, enum ms_placement_level level)
 {
-    if (engine->now < server->restricted_until &&
+    if (level != MS_LEVEL_IDLE && engine->now < server->restricted_until &&
         ms_batch_job_priority(step->occurrence->job) > server->restricted_priority) {
         return false;
     }
@@ -127,7 +131,7 @@
                       enum ms_placement_level level, uint32_t limit)
 {
     const struct ms_batch_step *step = pass->unit->step;
-    if (!is_eligible(pass->engine, step, server)) {
+    if (!is_eligible(pass->engine, step, server, level)) {
         return 0;
     }
     if (step->spec->per_server_max > 0) {
@@ -144,6 +148,35 @@
     return count;
 }
 
+/* Whether USED is less than half of CAPACITY, of each resource. */
+static bool
+is_below_half(const struct ms_resources *used, const struct ms_resources *capacity)
+{
+    return used->cpu_millis * 2 < capacity->cpu_millis &&
+           used->memory_mb * 2 < capacity->memory_mb && used->accels * 2 < capacity->accels;
+}
+
+bool
+ms_capacity_is_ample(const struct ms_placement_pass *pass)
+{
+    const uint32_t wanted = 2 * pass->unit->count;
+    struct ms_resources capacity = {0, 0, 0};
+    struct ms_resources used = {0, 0, 0};
+    uint32_t fitting = 0;
+    for (guint i = 0; i < pass->servers->len; i++) {
+        const struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
+        if (!is_eligible(pass->engine, pass->unit->step, server, MS_LEVEL_IDLE)) {
+            continue;
+        }
+        ms_resources_add(&capacity, &server->entry.capacity, 1);
+        ms_resources_add(&used, &server->allocated, 1);
+        if (fitting < wanted) {
+            fitting += ms_capacity_max_tasks(pass, server, MS_LEVEL_IDLE, wanted - fitting);
+        }
+    }
+    return fitting == wanted && is_below_half(&used, &capacity);
+}
+
 /* Core-seconds of work lost if TASK, or its whole gang, is stopped, and the overhead of that. */
 static int64_t
 preemption_cost_of(const struct ms_engine *engine, const struct ms_batch_task *task)
@@ -236,6 +269,7 @@
     switch (level) {
     case MS_LEVEL_FREE:
     case MS_LEVEL_RELEASING:
+    case MS_LEVEL_IDLE:
         /* Best fit: the server with the least free capacity. */
         available = ms_capacity_available(server, MS_LEVEL_FREE);
         return available.accels * 100 + available.cpu_millis / 10000;
--- a/src/batch/engine_explain.h
+++ b/src/batch/engine_explain.h
@@ -15,7 +15,7 @@
 struct ms_placement_pass;
 
 #define MS_EXPLAINED_STEPS_MAX 4   /* steps with a line of their own in one second */
-#define MS_PLACEMENT_LEVEL_COUNT 4 /* values of enum ms_placement_level */
+#define MS_PLACEMENT_LEVEL_COUNT 5 /* values of enum ms_placement_level */
 
 /* What a placement level said of a unit. */
 enum ms_level_outcome {
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -17,6 +17,11 @@
 #define PREEMPT_TOP_COST_MAX 2500   /* for a unit of the top priority */
 #define PREEMPT_COST_MAX 600        /* for a unit of a lower priority */
 
+/*
+ * While capacity is ample, a unit waits no longer than this for its rack, or because of
+ * reservations and restrictions, which pay only where capacity is scarce.
+ */
+#define AMPLE_WAIT_MAX_MS 1500
 #define RESERVE_WAIT_MS 300 /* wait of a unit before it is tried at the reserve level */
 #define RESERVATIONS_MAX 6  /* units that get a reservation at that level in one pass */
 /*
@@ -86,6 +91,7 @@
     }
     job->started = true;
     unit->step->unplaced_since = 0;
+    unit->step->ample_since = 0;
     ms_engine_mark_dirty(engine, job, true);
     return index;
 }
@@ -244,6 +250,27 @@
     return MS_OUTCOME_GRANTED;
 }
 
+/* Starts the current unit at the idle level if it has waited long enough for that. */
+static bool
+start_in_ample_capacity(const struct ms_placement_pass *pass)
+{
+    int64_t now = pass->engine->now;
+    struct ms_batch_step *step = pass->unit->step;
+    if (!ms_capacity_is_ample(pass)) {
+        step->ample_since = 0;
+        return false;
+    }
+    if (step->ample_since == 0) {
+        step->ample_since = now;
+    }
+    if (now - step->ample_since < AMPLE_WAIT_MAX_MS ||
+        ms_plan_unit(pass, MS_LEVEL_IDLE) == MS_NO_PLAN) {
+        return false;
+    }
+    start_unit(pass);
+    return true;
+}
+
 /* Tries the unit, which does not fit into free capacity, at the other levels. */
 static void
 place_waiting_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
@@ -301,6 +328,10 @@
     if (!remaining.gang) {
         remaining.count = 1; /* capacity is freed for one task at a time */
     }
+    if (start_in_ample_capacity(pass)) {
+        pass->unit = NULL;
+        return;
+    }
     ms_explain_begin_unit(pass, no_plan_outcome(pass));
     place_waiting_unit(pass, &remaining);
     ms_explain_unit(pass);
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -12,6 +12,8 @@
  *                 it waits and the capacity is reserved for it
  *     preempt     it fits if tasks of lower priority are stopped: the stops are
  *                 ordered and the capacity is reserved for it
+ *     idle        it fits into idle capacity, reserved or not: it starts there if it has
+ *                 waited for a while although capacity is ample
  *     reserve     it fits once running tasks have ended: capacity is reserved for
  *                 it, so that smaller units do not starve it
  */
@@ -28,6 +30,7 @@
     MS_LEVEL_FREE = 0,
     MS_LEVEL_RELEASING,
     MS_LEVEL_PREEMPT,
+    MS_LEVEL_IDLE,
     MS_LEVEL_RESERVE
 };
 
@@ -85,6 +88,12 @@
 struct ms_resources ms_capacity_available(const struct ms_batch_server *server,
                                           enum ms_placement_level level);
 
+/*
+ * Whether capacity is ample for the current unit: of the servers that may run it, less than half
+ * of each resource is in use, and it fits twice into what is idle.
+ */
+bool ms_capacity_is_ample(const struct ms_placement_pass *pass);
+
 /* How many tasks of the unit's step SERVER can take at LEVEL, at most LIMIT. */
 uint32_t ms_capacity_max_tasks(const struct ms_placement_pass *pass,
                                const struct ms_batch_server *server, enum ms_placement_level level,
--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -178,7 +178,7 @@
         if (score == MS_NO_PLAN) {
             continue;
         }
-        if (level == MS_LEVEL_FREE || level == MS_LEVEL_RELEASING) {
+        if (level == MS_LEVEL_FREE || level == MS_LEVEL_RELEASING || level == MS_LEVEL_IDLE) {
             /* Prefer the fullest rack: its free accelerators replace the cost, penalties stay. */
             score += free_accels(value) - pass->engine->plan_cost;
         }
@@ -223,7 +223,7 @@
     else if (spec->rack[0] != '\0') {
         score = plan_in_data_rack(pass, level);
     }
-    if (score != MS_NO_PLAN || ms_plan_is_bound_to_rack(pass)) {
+    if (score != MS_NO_PLAN || (level != MS_LEVEL_IDLE && ms_plan_is_bound_to_rack(pass))) {
         return score;
     }
     clear_plan(pass);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -64,6 +64,7 @@
     uint32_t active;             /* tasks assigned to a server: RECORDING to STOPPING */
     uint32_t done;               /* tasks that are DONE */
     int64_t ready_since;         /* when it first became ready to be placed, 0: not yet */
+    int64_t ample_since;         /* it has waited since then in spite of ample capacity, 0: no */
     int64_t unplaced_since;      /* since when tasks wait and none was placed, 0: none waits */
     int64_t gang_started_at;     /* gang: first start order of its current run, 0: none */
     GHashTable *advice;          /* advised queue: server id -> struct ms_advice_entry, or NULL */
--- a/tests/batch/unit_placement.c
+++ b/tests/batch/unit_placement.c
@@ -100,10 +100,35 @@
 }
 END_TEST
 
+/*
+ * A gang that prefers one rack must not wait for it for seconds while all servers are
+ * idle and no rack has enough of them.
+ */
+START_TEST(gang_leaves_its_rack_soon_while_capacity_is_ample)
+{
+    struct simulator *simulator = simulator_new(24, 16, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    for (size_t i = 0; i < 16; i += 4) {
+        simulator_disconnect_server(simulator, i, 60000); /* one of the four servers of a rack */
+    }
+    simulator_run(simulator, 3000);
+    simple_spec(&spec, "gang", "q1", 4, 8);
+    spec.steps[0].gang = true;
+    spec.steps[0].same_rack = true;
+    spec.steps[0].estimate_ms = 20000;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 4000);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    ck_assert_int_eq(simulator_job_phase(simulator, "gang"), MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 placement_cases(void)
 {
     TCase *cases = tcase_create("placement");
+    tcase_add_test(cases, gang_leaves_its_rack_soon_while_capacity_is_ample);
     tcase_add_test(cases, wide_gang_is_not_starved_by_later_jobs_of_its_priority);
     tcase_add_test(cases, wide_gang_is_not_starved_by_small_tasks);
     tcase_add_test(cases, preempting_gang_of_lower_priority_gets_the_servers);
