Engine: keep the time that a unit has waited over a change of the leader

What callers see: with the leader changing every few seconds a gang starts over with its wait each time, so it neither preempts others nor gets a reservation.

Cause: the engine counted the wait from when it learned of the job, and each leader has a new engine.

Change: a step without predecessors counts from when its job was accepted, or its occurrence due.

--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -454,6 +454,23 @@
     }
 }
 
+/*
+ * Since when STEP, which is ready, has been ready.  That of a step without predecessors does not
+ * depend on when this leader learned of it, so that a change of the leader does not reset it.
+ */
+static int64_t
+ready_since(const struct ms_engine *engine, const struct ms_batch_step *step)
+{
+    const struct ms_batch_occurrence *occurrence = step->occurrence;
+    const struct ms_batch_spec *spec = occurrence->job->spec;
+    int64_t ready_unix_ms = occurrence->due_ms > 0 ? occurrence->due_ms : spec->accepted_ms;
+    if (step->spec->depends_on_count > 0 || ready_unix_ms == 0) {
+        return engine->now;
+    }
+    int64_t age_ms = engine->unix_ms - engine->limits.start_early_ms - ready_unix_ms;
+    return MAX(engine->now - MAX(age_ms, 0), 1);
+}
+
 /* Collects the steps that have tasks ready to be placed. */
 static void
 collect_steps(struct ms_placement_pass *pass, GPtrArray *steps)
@@ -472,7 +489,7 @@
                     continue;
                 }
                 if (step->ready_since == 0) {
-                    step->ready_since = engine->now;
+                    step->ready_since = ready_since(engine, step);
                 }
                 g_ptr_array_add(steps, step);
             }
--- a/tests/batch/unit_placement.c
+++ b/tests/batch/unit_placement.c
@@ -124,10 +124,36 @@
 }
 END_TEST
 
+/*
+ * A gang must not lose the time that it has waited when the leader changes: with a new leader
+ * every second it never waited long enough to preempt others.
+ */
+START_TEST(wait_of_gang_counts_over_leader_changes)
+{
+    struct simulator *simulator = simulator_new(25, 8, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    submit_single_jobs(simulator, "small", "q2", 200, (struct ms_resources){5600, 100000, 1});
+    simulator_run(simulator, 500);
+    simple_spec(&spec, "gang", "q1", 8, 1);
+    spec.steps[0].task_resources = (struct ms_resources){26000, 140000, 1};
+    spec.steps[0].gang = true;
+    simulator_submit_job(simulator, &spec);
+    for (int i = 0; i < 6; i++) {
+        simulator_run(simulator, 1000);
+        simulator_change_leader(simulator, 20);
+    }
+    simulator_run(simulator, 1000);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    ck_assert_int_eq(simulator_job_phase(simulator, "gang"), MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 placement_cases(void)
 {
     TCase *cases = tcase_create("placement");
+    tcase_add_test(cases, wait_of_gang_counts_over_leader_changes);
     tcase_add_test(cases, gang_leaves_its_rack_soon_while_capacity_is_ample);
     tcase_add_test(cases, wide_gang_is_not_starved_by_later_jobs_of_its_priority);
     tcase_add_test(cases, wide_gang_is_not_starved_by_small_tasks);
