Engine: renew the lease of an unresponsive server that is listed again

What callers see: a backend server that lives gets no task any more until the next leader, so work waits although there is room for it.

Cause: a server that has confirmed the fence and has no task is cut off until its directory entry expires. ms_engine_unlist_server() makes a renewal due; it has no answer, and renewal_failed() plans no further one for a server that is neither listed nor busy. When the entry is back, ms_engine_update_server() planned one only if the fence was not confirmed. Nothing else is ever sent to that server, so it stays unresponsive. The same holds for a server whose tasks were given up at the end of its lease while it was unlisted.

Evidence: the new test failed before the change:

tests/batch/unit_server.c:103:F:server: idle_server_is_usable_again_after_its_entry_expired_behind_a_cut:0: Assertion 'usable_servers(&fixture) == 1' failed: usable_servers(&fixture) == 0

Why it works: an entry that comes back makes a renewal due if only an answer can make the server usable. If that fails too, the server is listed and renewal_failed() repeats it.

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -200,6 +200,22 @@
     return get_or_add_server(engine, id);
 }
 
+/* Makes a renewal due if only an answer makes SERVER, which is listed, usable and none is due. */
+static void
+renew_if_not_responding(const struct ms_engine *engine, struct ms_batch_server *server)
+{
+    if (server->renewal_pending || server->next_renewal_at != INT64_MAX) {
+        return;
+    }
+    if (!server->fence_confirmed) {
+        server->last_answer_at = engine->now;
+        server->clock_ms = server->entry.clock_ms;
+    }
+    if (!server->fence_confirmed || server->unresponsive) {
+        server->next_renewal_at = engine->now;
+    }
+}
+
 void
 ms_engine_update_server(struct ms_engine *engine, const struct ms_directory_entry *entry,
                         int64_t now)
@@ -223,12 +239,7 @@
     server->entry = *entry;
     server->listed = true;
     server->snapshot_number = engine->snapshot_number;
-    if (!server->fence_confirmed && !server->renewal_pending &&
-        server->next_renewal_at == INT64_MAX) {
-        server->last_answer_at = engine->now;
-        server->clock_ms = entry->clock_ms;
-        server->next_renewal_at = engine->now;
-    }
+    renew_if_not_responding(engine, server);
     if (draining_changed || !was_listed) {
         ms_engine_log_event(engine, "event=server_listed server=%s dc=%s rack=%s draining=%d",
                             entry->id, entry->dc, entry->rack, entry->draining);
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -20,5 +20,6 @@
 TCase *advice_cases(void);
 TCase *log_cases(void);
 TCase *placement_cases(void);
+TCase *server_cases(void);
 
 #endif
