Engine: use a server that restarted after its time of day stepped back

What callers see: such a server gets no task until the next leader.

Cause: an entry with an earlier start time than the known one was always taken for a delayed entry and ignored. A server that starts again under its id after its clock was set back registers with such a time, so none of its entries counted, although its own answers had shown that another incarnation runs.

Evidence: both new tests failed before the change:

tests/batch/unit_server.c:128:F:server: server_restarted_with_an_earlier_start_time_is_usable:0: Assertion 'usable_servers(&fixture) == 1' failed: usable_servers(&fixture) == 0 tests/batch/unit_server.c:147:F:server: server_restarted_at_another_address_with_an_earlier_start_time_is_usable:0: Assertion 'usable_servers(&fixture) == 1' failed: usable_servers(&fixture) == 0

Why it works: once an answer has shown that the known incarnation is over, its start time no longer counts. If nothing answers, an earlier start time is accepted when the server has no tasks: an entry that was delayed after all costs one renewal, and the next entry of the server replaces it. An entry that was delayed is still ignored while the server answers (third new test).

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -152,6 +152,7 @@
 {
     ms_engine_log_event(engine, "event=server_reset server=%s reason=%s", server->id, reason);
     server->incarnation++;
+    server->entry.start_unix_ms = 0; /* that incarnation is over */
     server->listed = false;
     server->fence_confirmed = false;
     server->unresponsive = false;
@@ -200,6 +201,20 @@
     return get_or_add_server(engine, id);
 }
 
+/*
+ * Whether ENTRY was delayed, and SERVER has started again since.  If SERVER does not answer
+ * and has no tasks, ENTRY may also be of a later incarnation, with the time of day set back.
+ */
+static bool
+is_of_earlier_incarnation(const struct ms_batch_server *server,
+                          const struct ms_directory_entry *entry)
+{
+    bool started_earlier = server->entry.id[0] != '\0' && entry->start_unix_ms != 0 &&
+                           entry->start_unix_ms < server->entry.start_unix_ms;
+    bool may_be_gone = server->unresponsive && ms_list_is_empty(&server->tasks);
+    return started_earlier && !may_be_gone;
+}
+
 /* Makes a renewal due if only an answer makes SERVER, which is listed, usable and none is due. */
 static void
 renew_if_not_responding(const struct ms_engine *engine, struct ms_batch_server *server)
@@ -224,9 +239,8 @@
     struct ms_batch_server *server = get_or_add_server(engine, entry->id);
     bool restarted = server->entry.start_unix_ms != 0 && entry->start_unix_ms != 0 &&
                      server->entry.start_unix_ms != entry->start_unix_ms;
-    if (server->entry.id[0] != '\0' && entry->start_unix_ms != 0 &&
-        entry->start_unix_ms < server->entry.start_unix_ms) {
-        return; /* delayed entry of an earlier incarnation */
+    if (is_of_earlier_incarnation(server, entry)) {
+        return;
     }
     if (restarted) {
         ms_batch_server_reset(engine, server, true, "reborn");
--- a/tests/batch/unit_server.c
+++ b/tests/batch/unit_server.c
@@ -105,10 +105,74 @@
 }
 END_TEST
 
+/* The server starts again under its id, after its time of day stepped back. */
+static void
+restart_with_earlier_start_time(struct fixture *fixture)
+{
+    fixture->entry.start_unix_ms = START_UNIX_MS - 2000;
+}
+
+/* A server whose time of day stepped back before it restarted stayed out of use. */
+START_TEST(server_restarted_with_an_earlier_start_time_is_usable)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    heartbeat(&fixture);
+    run(&fixture, 500);
+    expire_entry(&fixture);
+    restart_with_earlier_start_time(&fixture);
+    run(&fixture, 500);
+    ck_assert_uint_eq(usable_servers(&fixture), 0);
+    heartbeat(&fixture);
+    run(&fixture, 500);
+    ck_assert_uint_eq(usable_servers(&fixture), 1);
+    ms_engine_free(fixture.engine);
+}
+END_TEST
+
+/* The same for one that now has another address, so that its earlier one no longer answers. */
+START_TEST(server_restarted_at_another_address_with_an_earlier_start_time_is_usable)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    heartbeat(&fixture);
+    run(&fixture, 500);
+    expire_entry(&fixture);
+    restart_with_earlier_start_time(&fixture);
+    g_strlcpy(fixture.entry.address, "127.0.0.1:2", sizeof(fixture.entry.address));
+    run(&fixture, 500);
+    ck_assert_uint_eq(usable_servers(&fixture), 0);
+    heartbeat(&fixture);
+    run(&fixture, 500);
+    ck_assert_uint_eq(usable_servers(&fixture), 1);
+    ms_engine_free(fixture.engine);
+}
+END_TEST
+
+/* A delayed entry of an earlier incarnation must not replace that of a server that answers. */
+START_TEST(delayed_entry_of_earlier_incarnation_is_ignored)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    heartbeat(&fixture);
+    run(&fixture, 500);
+    struct ms_directory_entry earlier = fixture.entry;
+    earlier.start_unix_ms = START_UNIX_MS - 2000;
+    g_strlcpy(earlier.address, "127.0.0.1:2", sizeof(earlier.address));
+    ms_engine_update_server(fixture.engine, &earlier, fixture.now);
+    run(&fixture, 500);
+    ck_assert_uint_eq(usable_servers(&fixture), 1);
+    ms_engine_free(fixture.engine);
+}
+END_TEST
+
 TCase *
 server_cases(void)
 {
     TCase *cases = tcase_create("server");
     tcase_add_test(cases, idle_server_is_usable_again_after_its_entry_expired_behind_a_cut);
+    tcase_add_test(cases, server_restarted_with_an_earlier_start_time_is_usable);
+    tcase_add_test(cases, server_restarted_at_another_address_with_an_earlier_start_time_is_usable);
+    tcase_add_test(cases, delayed_entry_of_earlier_incarnation_is_ignored);
     return cases;
 }
