Engine: count the success of a gang for the servers of all its members

What callers see: a server that runs mostly members of gangs is quarantined (gets nothing for 4 s, or 8 s and more when it happens again) after two failed jobs with any number of successful gangs between them.

Cause: the first end as done finishes the whole gang, so the ends that the other members' servers report find their tasks done and count for nothing. Only the server that reported first had its failures and quarantines forgotten.

Evidence: the new test failed before the change:

tests/batch/unit_health.c:219:F:health: success_of_gang_counts_for_all_its_servers:0: Assertion 'usable_servers(&fixture) == 2' failed: usable_servers(&fixture) == 1

A second new test holds what quarantine is for: failures of two jobs in a row, with no success between them, still exclude the server.

--- a/src/batch/engine_health.c
+++ b/src/batch/engine_health.c
@@ -53,6 +53,13 @@
     quarantine(engine, server);
 }
 
+void
+ms_batch_server_on_success(struct ms_batch_server *server)
+{
+    server->consecutive_failed_jobs = 0;
+    server->quarantine_count = 0;
+}
+
 /* Progress of a run in percent per minute; 0 if it is not yet known. */
 static int64_t
 progress_rate(const struct ms_engine *engine, const struct ms_batch_task *task)
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -288,6 +288,8 @@
 /* A run of JOB has failed on SERVER. */
 void ms_batch_server_on_failure(struct ms_engine *engine, struct ms_batch_server *server,
                                 const struct ms_batch_job *job);
+/* A run has ended as done on SERVER. */
+void ms_batch_server_on_success(struct ms_batch_server *server);
 /* Updates whether SERVER counts as slow, after a report. */
 void ms_batch_server_update_speed(struct ms_engine *engine, struct ms_batch_server *server);
 /* Expected remaining run time of TASK, from its rate of progress, else from its estimate. */
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -330,8 +330,12 @@
 finish_gang(struct ms_engine *engine, struct ms_batch_step *step)
 {
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        if (step->tasks[i].state != MS_BATCH_TASK_DONE) {
-            ms_batch_task_release(engine, &step->tasks[i], MS_BATCH_TASK_DONE);
+        struct ms_batch_task *member = &step->tasks[i];
+        if (member->server != NULL) {
+            ms_batch_server_on_success(member->server);
+        }
+        if (member->state != MS_BATCH_TASK_DONE) {
+            ms_batch_task_release(engine, member, MS_BATCH_TASK_DONE);
         }
     }
 }
@@ -354,8 +358,7 @@
     }
     switch (how) {
     case MS_RUN_END_DONE:
-        server->consecutive_failed_jobs = 0;
-        server->quarantine_count = 0;
+        ms_batch_server_on_success(server);
         if (task->step->spec->long_running) {
             /* Runs until its job is cancelled: place it again. */
             ms_batch_task_release(engine, task, MS_BATCH_TASK_WAITING);
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -295,6 +295,7 @@
     suite_add_tcase(suite, log_cases());
     suite_add_tcase(suite, placement_cases());
     suite_add_tcase(suite, server_cases());
+    suite_add_tcase(suite, health_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -21,5 +21,6 @@
 TCase *log_cases(void);
 TCase *placement_cases(void);
 TCase *server_cases(void);
+TCase *health_cases(void);
 
 #endif
