Engine: do not quarantine a server for tasks that failed elsewhere too

What callers see: while some jobs fail wherever they run, up to a fifth of the healthy servers get nothing for 4 s at a time, and other jobs wait.

Cause: two failed jobs in a row quarantine a server, and every retry of a task that cannot succeed counted against the server of that retry. With four attempts a task, retries made most of the failures.

Evidence: the new test failed before the change:

tests/batch/unit_health.c:244:F:health: jobs_that_fail_everywhere_do_not_exclude_all_servers:0: Assertion 'usable_servers(&fixture) >= 1' failed: usable_servers(&fixture) == 0

Why it works: a task that has failed before says little about the server of its next attempt. The server is still chosen last for a while (suspect_until), and the task still avoids it.

--- a/src/batch/engine_health.c
+++ b/src/batch/engine_health.c
@@ -40,9 +40,13 @@
 
 void
 ms_batch_server_on_failure(struct ms_engine *engine, struct ms_batch_server *server,
-                           const struct ms_batch_job *job)
+                           const struct ms_batch_task *task)
 {
+    const struct ms_batch_job *job = ms_batch_task_job(task);
     server->suspect_until = engine->now + SUSPECT_MS;
+    if (task->failures > 0) {
+        return; /* the task has failed before: it is more likely the cause than the server */
+    }
     if (strcmp(server->last_failed_job, job->id) != 0) {
         server->consecutive_failed_jobs++;
         g_strlcpy(server->last_failed_job, job->id, sizeof(server->last_failed_job));
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -285,9 +285,9 @@
                                const struct ms_server_report *report, int64_t sent_at);
 
 /* engine_health.c */
-/* A run of JOB has failed on SERVER. */
+/* A run of TASK has failed on SERVER; TASK's failures do not include it yet. */
 void ms_batch_server_on_failure(struct ms_engine *engine, struct ms_batch_server *server,
-                                const struct ms_batch_job *job);
+                                const struct ms_batch_task *task);
 /* A run has ended as done on SERVER. */
 void ms_batch_server_on_success(struct ms_batch_server *server);
 /* Updates whether SERVER counts as slow, after a report. */
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -372,7 +372,7 @@
         }
         break;
     case MS_RUN_END_FAILED:
-        ms_batch_server_on_failure(engine, server, job);
+        ms_batch_server_on_failure(engine, server, task);
         ms_batch_task_release(engine, task, MS_BATCH_TASK_WAITING);
         back_off(engine, task, RETRY_BACKOFF_MS);
         count_failure(task, server->id);
--- a/tests/batch/unit_health.c
+++ b/tests/batch/unit_health.c
@@ -221,11 +221,37 @@
 }
 END_TEST
 
+/* Starts job ID, which fails on both servers, one after the other; it is cancelled then. */
+static void
+fail_job_on_both(struct fixture *fixture, const char *id)
+{
+    start_job(fixture, id, 1, "");
+    const struct started_run *first = &fixture->runs[fixture->run_count - 1];
+    end_run(fixture, fixture->run_count - 1, MS_RUN_END_FAILED);
+    wait_for_runs(fixture, fixture->run_count + 1);
+    ck_assert_str_ne(fixture->runs[fixture->run_count - 1].server, first->server);
+    end_run(fixture, fixture->run_count - 1, MS_RUN_END_FAILED);
+    ms_engine_cancel_job(fixture->engine, id, fixture->now);
+}
+
+/* Two jobs that fail wherever they run excluded every server on which they were retried. */
+START_TEST(jobs_that_fail_everywhere_do_not_exclude_all_servers)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    fail_job_on_both(&fixture, "first");
+    fail_job_on_both(&fixture, "second");
+    ck_assert_uint_ge(usable_servers(&fixture), 1);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 health_cases(void)
 {
     TCase *cases = tcase_create("health");
     tcase_add_test(cases, server_is_quarantined_after_failures_of_two_jobs);
     tcase_add_test(cases, success_of_gang_counts_for_all_its_servers);
+    tcase_add_test(cases, jobs_that_fail_everywhere_do_not_exclude_all_servers);
     return cases;
 }
