Engine: ask for advice again when a queue is back in the policy

What callers see: a job of an advised queue does not start until the next leader, whatever is free.

Cause: an answer of the advice service that arrives while the step's queue is not in the policy was dropped before the step's query was marked as answered. The step then waited for that answer for good and was never allowed on any server.

Evidence: the new test failed before the change:

tests/batch/unit_advice.c:234:F:advice: step_is_queried_again_after_its_queue_is_back:0: Assertion 'fixture.last_start_server == "one"' failed: fixture.last_start_server == ""

Why it works: the query is over whatever becomes of its answer; the step asks again after the usual delay, once its queue is back.

--- a/src/batch/engine_advice.c
+++ b/src/batch/engine_advice.c
@@ -213,11 +213,11 @@
     struct ms_batch_step *step = find_step(engine, query);
     ms_engine_log_event(engine, "event=advice_answer step=%s good=%d", query->task,
                         rows != NULL ? (int)rows->len : -1);
-    if (step == NULL || queue_of(step) == NULL) {
-        return; /* the step is complete, or its queue is gone */
+    if (step == NULL) {
+        return; /* it is complete */
     }
     step->advice_pending = false;
-    if (rows == NULL) {
+    if (rows == NULL || queue_of(step) == NULL) {
         step->advice_retry_at = engine->now + RETRY_MS;
         return;
     }
--- a/tests/batch/unit_advice.c
+++ b/tests/batch/unit_advice.c
@@ -135,6 +135,25 @@
     }
 }
 
+/* Advances the clock until the advice service is queried; the query has no answer yet. */
+static struct ms_engine_action *
+fixture_next_query(struct fixture *fixture)
+{
+    for (int64_t end_at = fixture->now + 1000; fixture->now < end_at;) {
+        struct ms_engine_action *action = NULL;
+        fixture->now += TICK_MS;
+        ms_engine_tick(fixture->engine, fixture->now, fixture->now);
+        while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
+            if (action->kind == MS_ENGINE_QUERY_ADVICE) {
+                return action;
+            }
+            answer_action(fixture, action);
+            ms_engine_action_free(action);
+        }
+    }
+    ck_abort_msg("no query");
+}
+
 START_TEST(step_starts_on_advised_server)
 {
     struct fixture fixture;
@@ -199,6 +218,24 @@
 }
 END_TEST
 
+/* A query answered while its queue was out of the policy left the step waiting for good. */
+START_TEST(step_is_queried_again_after_its_queue_is_back)
+{
+    static const struct ms_policy no_queues = {.version = 2};
+    struct fixture fixture;
+    fixture_set_up(&fixture);
+    struct ms_engine_action *query = fixture_next_query(&fixture);
+    ms_engine_set_policy(fixture.engine, &no_queues);
+    fixture.advised_server = "one";
+    answer_query(&fixture, query);
+    ms_engine_action_free(query);
+    ms_engine_set_policy(fixture.engine, advised_policy());
+    fixture_run_until_start(&fixture, 2000);
+    ck_assert_str_eq(fixture.last_start_server, "one");
+    fixture_tear_down(&fixture);
+}
+END_TEST
+
 START_TEST(advice_answer_is_decoded)
 {
     static const char answer[] = "{\"good\":[[\"i-1\",\"t-1\"],[\"i-2\",7],[\"i-3\",\"t-3\"]]}";
@@ -238,6 +275,7 @@
     tcase_add_test(cases, nothing_starts_without_advised_server);
     tcase_add_test(cases, unavailable_service_is_queried_again);
     tcase_add_test(cases, rejected_ticket_is_replaced);
+    tcase_add_test(cases, step_is_queried_again_after_its_queue_is_back);
     tcase_add_test(cases, advice_answer_is_decoded);
     tcase_add_test(cases, advised_queue_is_decoded);
     return cases;
