Engine: do not extend a quarantine for runs that started before it

What callers see: a server on which several runs fail at the same moment gets nothing for up to 32 s, though the cause may have lasted a second.

Cause: each pair of failed jobs quarantined the server anew and doubled the time, also while it was quarantined already. The check for stalled runs leaves a quarantine that is in force alone; the one for failures did not.

Evidence: the new test (six runs fail at once; the server has to be usable again after the first quarantine of 4 s) failed before the change:

tests/batch/unit_health.c:281:F:health: quarantine_is_not_extended_by_runs_started_before_it:0: Assertion 'usable_servers(&fixture) == 2' failed: usable_servers(&fixture) == 1

Why it works: a run that started before the quarantine says nothing about the server after it. A server that still fails after the quarantine gets the next, longer one, as before.

--- a/src/batch/engine_health.c
+++ b/src/batch/engine_health.c
@@ -44,6 +44,9 @@
 {
     const struct ms_batch_job *job = ms_batch_task_job(task);
     server->suspect_until = engine->now + SUSPECT_MS;
+    if (engine->now < server->quarantined_until) {
+        return; /* the run started before the quarantine, which it does not extend */
+    }
     if (task->failures > 0) {
         return; /* the task has failed before: it is more likely the cause than the server */
     }
--- a/tests/batch/unit_health.c
+++ b/tests/batch/unit_health.c
@@ -15,6 +15,7 @@
 #define RUNS_MAX 8
 #define SERVER_ACCELS 8
 #define START_UNIX_MS 5000
+#define FIRST_QUARANTINE_MS 4000 /* QUARANTINE_MS of src/batch/engine_health.c */
 
 /* A run that the engine has ordered. */
 struct started_run {
@@ -45,34 +46,45 @@
     return &policy;
 }
 
-/* Answers ACTION, which the engine has queued; a renewal reports what runs on its server. */
+/* The server of RENEWAL answers it with what runs there and, unless it is NULL, with END. */
 static void
-answer(struct fixture *fixture, const struct ms_engine_action *action)
+report_runs(struct fixture *fixture, const struct ms_engine_action *renewal,
+            struct ms_reported_end *end)
 {
     struct ms_reported_run running[RUNS_MAX];
-    struct ms_server_report report = {
-        .start_unix_ms = START_UNIX_MS, .clock_ms = fixture->now, .running = running};
-    struct started_run *run = &fixture->runs[fixture->run_count];
+    struct ms_server_report report = {.start_unix_ms = START_UNIX_MS,
+                                      .clock_ms = fixture->now,
+                                      .running = running,
+                                      .ended = end,
+                                      .ended_count = end != NULL};
+    memset(running, 0, sizeof(running));
+    for (size_t i = 0; i < fixture->run_count; i++) {
+        const struct started_run *run = &fixture->runs[i];
+        if (!run->ended && strcmp(run->server, renewal->server) == 0) {
+            struct ms_reported_run *row = &running[report.running_count++];
+            g_strlcpy(row->task, run->task, sizeof(row->task));
+            row->run = run->run;
+        }
+    }
+    ms_engine_on_renewal_answer(fixture->engine, renewal, MS_ORDER_OK, &report, fixture->now,
+                                fixture->now);
+}
+
+/* Answers ACTION, which the engine has queued. */
+static void
+answer(struct fixture *fixture, const struct ms_engine_action *action)
+{
+    struct started_run *run = NULL;
     switch (action->kind) {
     case MS_ENGINE_RENEW_LEASE:
-        memset(running, 0, sizeof(running));
-        for (size_t i = 0; i < fixture->run_count; i++) {
-            run = &fixture->runs[i];
-            if (!run->ended && strcmp(run->server, action->server) == 0) {
-                struct ms_reported_run *row = &running[report.running_count++];
-                g_strlcpy(row->task, run->task, sizeof(row->task));
-                row->run = run->run;
-            }
-        }
-        ms_engine_on_renewal_answer(fixture->engine, action, MS_ORDER_OK, &report, fixture->now,
-                                    fixture->now);
+        report_runs(fixture, action, NULL);
         return;
     case MS_ENGINE_START:
         ck_assert_uint_lt(fixture->run_count, RUNS_MAX);
+        run = &fixture->runs[fixture->run_count++];
         g_strlcpy(run->task, action->task, sizeof(run->task));
         g_strlcpy(run->server, action->server, sizeof(run->server));
         run->run = action->run;
-        fixture->run_count++;
         ms_engine_on_order_answer(fixture->engine, action, MS_ORDER_OK, fixture->now, fixture->now);
         return;
     case MS_ENGINE_STORE:
@@ -143,14 +155,18 @@
     ck_assert_uint_eq(fixture->run_count, count);
 }
 
-/* Submits job ID, of COUNT tasks on servers with LABEL ("": any), and waits for their starts. */
+/*
+ * Submits job ID, of COUNT tasks with ACCELS accelerators each, on servers with LABEL ("": any),
+ * and waits for their starts.
+ */
 static void
-start_job(struct fixture *fixture, const char *id, uint32_t count, const char *label)
+start_job(struct fixture *fixture, const char *id, uint32_t count, int64_t accels,
+          const char *label)
 {
     struct ms_stored_job *job = &fixture->jobs[fixture->job_count++];
     g_strlcpy(job->id, id, sizeof(job->id));
     job->accepted = true;
-    simple_spec(&job->spec, id, "q0", count, SERVER_ACCELS);
+    simple_spec(&job->spec, id, "q0", count, accels);
     job->spec.steps[0].gang = count > 1;
     g_strlcpy(job->spec.steps[0].label, label, sizeof(job->spec.steps[0].label));
     ms_engine_add_job(fixture->engine, job, fixture->now);
@@ -163,21 +179,18 @@
 {
     struct started_run *run = &fixture->runs[index];
     struct ms_reported_end end = {.position = ++fixture->end_count, .run = run->run, .end = how};
-    struct ms_server_report report = {
-        .start_unix_ms = START_UNIX_MS, .clock_ms = fixture->now, .ended = &end, .ended_count = 1};
     struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE};
     g_strlcpy(renewal.server, run->server, sizeof(renewal.server));
     g_strlcpy(end.task, run->task, sizeof(end.task));
     run->ended = true;
-    ms_engine_on_renewal_answer(fixture->engine, &renewal, MS_ORDER_OK, &report, fixture->now,
-                                fixture->now);
+    report_runs(fixture, &renewal, &end);
 }
 
 /* Starts job ID on the server with LABEL, where its run fails; the job is cancelled then. */
 static void
 fail_job_on(struct fixture *fixture, const char *id, const char *label)
 {
-    start_job(fixture, id, 1, label);
+    start_job(fixture, id, 1, SERVER_ACCELS, label);
     end_run(fixture, fixture->run_count - 1, MS_RUN_END_FAILED);
     ms_engine_cancel_job(fixture->engine, id, fixture->now);
 }
@@ -209,7 +222,7 @@
     struct fixture fixture;
     fixture_init(&fixture);
     fail_job_on(&fixture, "first", "two");
-    start_job(&fixture, "gang", 2, "");
+    start_job(&fixture, "gang", 2, SERVER_ACCELS, "");
     size_t on_one = strcmp(fixture.runs[1].server, "one") == 0 ? 1 : 2;
     ck_assert_str_eq(fixture.runs[on_one].server, "one");
     end_run(&fixture, on_one, MS_RUN_END_DONE);
@@ -225,7 +238,7 @@
 static void
 fail_job_on_both(struct fixture *fixture, const char *id)
 {
-    start_job(fixture, id, 1, "");
+    start_job(fixture, id, 1, SERVER_ACCELS, "");
     const struct started_run *first = &fixture->runs[fixture->run_count - 1];
     end_run(fixture, fixture->run_count - 1, MS_RUN_END_FAILED);
     wait_for_runs(fixture, fixture->run_count + 1);
@@ -246,6 +259,30 @@
 }
 END_TEST
 
+/* Runs that failed during a quarantine doubled it, though they had started before it. */
+START_TEST(quarantine_is_not_extended_by_runs_started_before_it)
+{
+    const uint32_t job_count = 6;
+    struct fixture fixture;
+    fixture_init(&fixture);
+    for (uint32_t i = 0; i < job_count; i++) {
+        char id[MS_JOB_ID_MAX];
+        g_snprintf(id, sizeof(id), "job%u", i);
+        start_job(&fixture, id, 1, 1, "two");
+    }
+    for (uint32_t i = 0; i < job_count; i++) {
+        end_run(&fixture, i, MS_RUN_END_FAILED);
+        ms_engine_cancel_job(fixture.engine, fixture.jobs[i].id, fixture.now);
+    }
+    ck_assert_uint_eq(usable_servers(&fixture), 1);
+    for (int64_t until = fixture.now + FIRST_QUARANTINE_MS + 100; fixture.now < until;) {
+        tick(&fixture);
+    }
+    ck_assert_uint_eq(usable_servers(&fixture), 2);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 health_cases(void)
 {
@@ -253,5 +290,6 @@
     tcase_add_test(cases, server_is_quarantined_after_failures_of_two_jobs);
     tcase_add_test(cases, success_of_gang_counts_for_all_its_servers);
     tcase_add_test(cases, jobs_that_fail_everywhere_do_not_exclude_all_servers);
+    tcase_add_test(cases, quarantine_is_not_extended_by_runs_started_before_it);
     return cases;
 }
