A stored job without a queue waits instead of crashing the leader

What callers would see: a job is accepted, then a configuration removes its queue while it waits. The leader crashes in its next placement pass, so does each host that takes over, and no job of any queue starts any more.

Cause: slack_ms() (engine_place.c) reads job->queue, which is NULL for a queue that is not in the policy. The other readers of it expect NULL.

Mend: the pass leaves out the steps of such jobs, as no server may run them anyhow (is_eligible() needs the queue's service). They wait and are collected again as soon as a policy has the queue. The line "event=queue_missing jobs= id= queue=" is logged when their number changes, the last one with jobs=0. Ruled out: a default slack in slack_ms(); such a unit would count as waiting and could use up the 24 plans of a pass, though no server is eligible.

--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -471,14 +471,34 @@
     return MAX(engine->now - MAX(age_ms, 0), 1);
 }
 
-/* Collects the steps that have tasks ready to be placed. */
+/* Logs the number of open jobs whose queue the policy does not have, if it has changed. */
+static void
+log_missing_queues(struct ms_engine *engine, uint32_t count, const struct ms_batch_job *example)
+{
+    if (count == engine->jobs_without_queue) {
+        return;
+    }
+    engine->jobs_without_queue = count;
+    ms_engine_log_event(engine, "event=queue_missing jobs=%u id=%s queue=%s", count,
+                        example != NULL ? example->id : "",
+                        example != NULL ? example->spec->queue : "");
+}
+
+/* Collects the steps that have tasks ready to be placed; a job without a queue waits. */
 static void
 collect_steps(struct ms_placement_pass *pass, GPtrArray *steps)
 {
     struct ms_engine *engine = pass->engine;
+    uint32_t without_queue = 0;
+    const struct ms_batch_job *last_without_queue = NULL;
     MS_LIST_FOREACH(link, &engine->jobs)
     {
         struct ms_batch_job *job = MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link);
+        if (job->queue == NULL && job->phase == MS_PHASE_OPEN) {
+            without_queue++;
+            last_without_queue = job;
+            continue;
+        }
         for (guint i = 0; job->phase == MS_PHASE_OPEN && i < job->occurrences->len; i++) {
             struct ms_batch_occurrence *occurrence = g_ptr_array_index(job->occurrences, i);
             for (size_t s = 0; occurrence->steps != NULL && s < job->spec->step_count; s++) {
@@ -495,6 +515,7 @@
             }
         }
     }
+    log_missing_queues(engine, without_queue, last_without_queue);
 }
 
 void
--- a/tests/batch/unit_engine.c
+++ b/tests/batch/unit_engine.c
@@ -360,6 +360,57 @@
 }
 END_TEST
 
+static void
+count_jobs_without_queue(void *opaque, const char *text)
+{
+    uint32_t *count = opaque;
+    *count += g_str_has_prefix(text, "event=queue_missing");
+}
+
+/*
+ * An accepted job whose queue the policy does not have crashed the leader, and each next one.
+ * It has to wait, with a log line, and must not keep others from starting.
+ */
+START_TEST(job_whose_queue_is_missing_waits)
+{
+    static struct ms_queue_rule queues[] = {
+        {.name = "q0", .service = "service", .failures_max = 3},
+        {.name = "removed", .service = "service", .failures_max = 3}};
+    static const struct ms_policy restored = {.version = 2, .queues = queues, .queue_count = 2};
+    struct ms_server_report report = {.start_unix_ms = 7, .clock_ms = 1};
+    struct ms_stored_job orphan = {.id = "orphan", .accepted = true};
+    struct ms_stored_job job = {.id = "job", .accepted = true};
+    uint32_t lines = 0;
+    uint32_t run = 0;
+    simple_spec(&orphan.spec, "orphan", "removed", 4, 8);
+    orphan.spec.steps[0].gang = true;
+    simple_spec(&job.spec, "job", "q0", 1, 1);
+    struct ms_engine *engine = new_engine_with_server(&orphan, &report);
+    ms_engine_set_log(engine, count_jobs_without_queue, &lines);
+    for (int64_t now = 100; now < 5000; now += 10) {
+        answer_orders(engine, now, &run);
+    }
+    ck_assert_uint_eq(run, 0);
+    ck_assert_uint_eq(lines, 1);
+    ms_engine_add_job(engine, &job, 5000);
+    for (int64_t now = 5000; now < 6000; now += 10) {
+        answer_orders(engine, now, &run);
+    }
+    ck_assert_uint_eq(run, 1);
+    ck_assert_uint_eq(lines, 1);
+    ms_engine_set_policy(engine, &restored);
+    struct ms_engine_stats stats;
+    for (int64_t now = 6000; now < 7000; now += 10) {
+        answer_orders(engine, now, &run);
+    }
+    ms_engine_stats(engine, &stats);
+    ck_assert_uint_eq(stats.units_waiting, 1); /* it waits for capacity as any other job */
+    ms_engine_free(engine);
+    ms_batch_spec_clear(&orphan.spec);
+    ms_batch_spec_clear(&job.spec);
+}
+END_TEST
+
 /* ---- in the simulator ---- */
 
 /* A new leader has to adopt the runs of the earlier one instead of starting them again. */
@@ -546,6 +597,7 @@
     tcase_add_test(cases, failed_task_is_placed_again_after_backoff);
     tcase_add_test(cases, run_reported_by_new_incarnation_is_kept);
     tcase_add_test(cases, late_end_of_gang_counts_while_other_members_are_stopped);
+    tcase_add_test(cases, job_whose_queue_is_missing_waits);
     tcase_add_test(cases, runs_survive_leader_change);
     tcase_add_test(cases, runs_survive_disconnect_within_lease);
     tcase_add_test(cases, runs_survive_unlisting_of_draining_server);
