Soak: the stand-in ends a gang as broken when a member is lost

Cause: the stand-in. When a server restarted, or a lease expired, the members of the gang on other servers worked on and ended as done. On the users' page the tasks of a gang "work only together ... and that they end done together. One such end represents all of them"; "broken" is the end of a member after another one has ended. The check itself ("succeeded before all of its tasks did") is unchanged.

Mend: Server.restart() and a lapse end the rest of the gang as broken. Ruled out: to take a lone end as a lost run in the engine.

--- a/tests/batch/unit_engine.c
+++ b/tests/batch/unit_engine.c
@@ -360,6 +360,54 @@
 }
 END_TEST
 
+static void
+note_success(void *opaque, const char *text)
+{
+    bool *succeeded = opaque;
+    *succeeded |= strstr(text, "event=job_end") != NULL && strstr(text, "outcome=succeeded");
+}
+
+/*
+ * The members of a gang succeed together, so the end of one counts for all, also after the
+ * ends of the others were lost with their server: none of them may start again.
+ */
+START_TEST(gang_succeeds_with_one_end_after_others_were_lost)
+{
+    struct ms_server_report report = {.start_unix_ms = 7, .clock_ms = 1};
+    struct ms_reported_run reported_run = {.run = 1};
+    struct ms_reported_end reported_end = {.position = 1, .run = 1, .end = MS_RUN_END_DONE};
+    struct ms_stored_job job = {.id = "job", .accepted = true};
+    bool succeeded = false;
+    uint32_t run = 0;
+    int64_t now = 100;
+    simple_spec(&job.spec, "job", "q0", 2, 1);
+    job.spec.steps[0].gang = true;
+    ms_task_name_format(reported_run.task, "job", 0, 0, 0);
+    ms_task_name_format(reported_end.task, "job", 0, 0, 0);
+    struct ms_engine *engine = new_engine_with_server(&job, &report);
+    ms_engine_set_log(engine, note_success, &succeeded);
+    for (; now < 500; now += 10) {
+        answer_orders(engine, now, &run);
+    }
+    report.running = &reported_run; /* the other member is not in the report: it is lost */
+    report.running_count = 1;
+    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE, .server = "one"};
+    ms_engine_on_renewal_answer(engine, &renewal, MS_ORDER_OK, &report, now, now);
+    ck_assert(!succeeded);
+    report.running_count = 0;
+    report.ended = &reported_end;
+    report.ended_count = 1;
+    ms_engine_on_renewal_answer(engine, &renewal, MS_ORDER_OK, &report, now, now);
+    ck_assert(succeeded);
+    for (; now < 3000; now += 10) {
+        answer_orders(engine, now, &run);
+    }
+    ck_assert_uint_eq(run, 1);
+    ms_engine_free(engine);
+    ms_batch_spec_clear(&job.spec);
+}
+END_TEST
+
 static void
 count_jobs_without_queue(void *opaque, const char *text)
 {
@@ -597,6 +645,7 @@
     tcase_add_test(cases, failed_task_is_placed_again_after_backoff);
     tcase_add_test(cases, run_reported_by_new_incarnation_is_kept);
     tcase_add_test(cases, late_end_of_gang_counts_while_other_members_are_stopped);
+    tcase_add_test(cases, gang_succeeds_with_one_end_after_others_were_lost);
     tcase_add_test(cases, job_whose_queue_is_missing_waits);
     tcase_add_test(cases, runs_survive_leader_change);
     tcase_add_test(cases, runs_survive_disconnect_within_lease);
--- a/tests/check.py
+++ b/tests/check.py
@@ -44,6 +44,7 @@
         parts = name.split("-")  # explain-FILE-ID or summary-FILE
         command = [f"{BUILD}/mustardspread", "logs", parts[0]] + parts[2:]
         yield f"logs-{name}", command + [f"{HERE}/logs/{parts[1]}.log"], path
+    yield "soak-standins", ["/usr/bin/python3", f"{HERE}/soak/check_standins.py"], None
     for seed in ("7", "202"):  # a short general run, then seeds that have failed before
         command = ["/usr/bin/python3", f"{HERE}/soak/soak.py", "--seed", seed, "--seconds", "6"]
         yield f"soak-{seed}", command, None
--- /dev/null
+++ b/tests/soak/check_standins.py
@@ -0,0 +1,79 @@
+#!/usr/bin/python3
+"""Checks how the soak test's stand-in servers end the members of a gang.
+
+The members work only together and succeed together; if one ends otherwise or is
+lost with its server, the others end as broken.
+"""
+import asyncio
+import sys
+import unittest
+
+from soak_standins import StandIns, now_ms
+
+JOB = "00000000000000ab"
+STEP = {"count": 2, "cpu": 1000, "memMb": 1000, "gpu": 1, "gang": True}
+LEASE_MS = 5000
+WATCH_S = 0.2  # several turns of Server.watch_runs()
+
+
+def gang_of_two():
+    """Stand-ins with two servers, on each of which a member of one gang works."""
+    standins = StandIns(1, 2)
+    standins.specs[JOB] = {"taskSpec": "text", "steps": [STEP]}
+    for index, server in enumerate(standins.servers):
+        order = {"task": f"{JOB}.0.0.{index}", "run": 1, "taskSpec": "text",
+                 "deadlineMs": now_ms() + LEASE_MS}
+        server.apply_start(order)
+    return standins
+
+
+async def watch(servers):
+    """Lets SERVERS end their runs that are due."""
+    watchers = [asyncio.create_task(server.watch_runs()) for server in servers]
+    await asyncio.sleep(WATCH_S)
+    for watcher in watchers:
+        watcher.cancel()
+
+
+def results(server):
+    return [row[3] for row in server.ended]
+
+
+class GangEnds(unittest.TestCase):
+    def setUp(self):
+        self.standins = gang_of_two()
+        self.first, self.second = self.standins.servers
+
+    def end_work(self):
+        """The work of all members that still run is done."""
+        for server in self.standins.servers:
+            for run in server.runs.values():
+                run["ends_ms"] = 0
+        asyncio.run(watch(self.standins.servers))
+
+    def test_members_succeed_together(self):
+        self.end_work()
+        self.assertEqual(results(self.first), ["done"])
+        self.assertEqual(results(self.second), ["done"])
+        self.assertEqual(len(self.standins.done_tasks), 2)
+
+    # A member ended as done after its server had lost another one: the job had succeeded
+    # although one of its tasks had not.
+    def test_member_does_not_succeed_after_restart_of_another_server(self):
+        self.second.restart()
+        self.end_work()
+        self.assertEqual(results(self.first), ["broken"])
+        self.assertEqual(self.standins.done_tasks, set())
+
+    # The same after the lease of another member had expired.
+    def test_member_does_not_succeed_after_lapse_of_another(self):
+        self.second.lease_deadline_ms = 0
+        asyncio.run(watch([self.second]))
+        self.end_work()
+        self.assertEqual(results(self.first), ["broken"])
+        self.assertEqual(results(self.second), ["lapsed"])
+        self.assertEqual(self.standins.done_tasks, set())
+
+
+if __name__ == "__main__":
+    sys.exit(not unittest.main(exit=False).result.wasSuccessful())
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -220,8 +220,7 @@
         while True:
             await asyncio.sleep(0.05)
             if self.runs and now_ms() >= self.lease_deadline_ms:
-                for task in list(self.runs):
-                    self.end_run(task, "lapsed")
+                self.expire_lease()
             for task, run in list(self.runs.items()):
                 if self.runs.get(task) is not run:
                     continue  # finish_run() has ended it together with its gang
@@ -229,16 +228,21 @@
                 if gang_incomplete and now_ms() - run["started_ms"] > GANG_TIMEOUT_MS:
                     self.end_run(task, "alone")
                 elif run["working"] and now_ms() >= run["ends_ms"]:
-                    self.finish_run(task, run)
+                    self.finish_run(task, run["result"])
 
-    def finish_run(self, task, run):
+    def expire_lease(self):
+        """Ends all runs; the rests of their gangs, on other servers, end as well."""
+        expired_runs = list(self.runs.values())
+        for task in list(self.runs):
+            self.end_run(task, "lapsed")
+        for run in expired_runs:
+            self.standins.end_rest_of_gang(run, "broken")
+
+    def finish_run(self, task, result):
         """Ends a run; if it belongs to a gang, the runs of all other members end as well."""
-        self.end_run(task, run["result"])
-        if run["gang"]:
-            for server in self.standins.servers:
-                for other, other_run in list(server.runs.items()):
-                    if other_run["step_id"] == run["step_id"] and other_run["run"] == run["run"]:
-                        server.end_run(other, "done" if run["result"] == "done" else "broken")
+        run = self.runs[task]
+        self.end_run(task, result)
+        self.standins.end_rest_of_gang(run, "done" if result == "done" else "broken")
 
     def end_run(self, task, result):
         run = self.runs.pop(task)
@@ -254,9 +258,12 @@
 
     def restart(self):
         """Simulates a restart: a new incarnation under the same id, with nothing remembered."""
+        lost_runs = list(self.runs.values())
         self.incarnation += 100000
         self.fencing_token, self.lease_deadline_ms = 0, 0
         self.runs, self.ended, self.last_position, self.closed_runs = {}, [], 0, {}
+        for run in lost_runs:
+            self.standins.end_rest_of_gang(run, "broken")
 
     async def respond(self, request, body, status=200):
         if self.standins.random.random() < self.answer_loss_rate:
@@ -392,6 +399,15 @@
             for member in members:
                 member.update(working=True, ends_ms=ends_ms)
 
+    def end_rest_of_gang(self, run, result):
+        """Ends the members of RUN's gang that still run, if it belongs to one."""
+        if not run["gang"]:
+            return
+        for server in self.servers:
+            for other, other_run in list(server.runs.items()):
+                if other_run["step_id"] == run["step_id"] and other_run["run"] == run["run"]:
+                    server.end_run(other, result)
+
     async def start(self):
         await self.log.start()
         for server in self.servers:
