A host that has resigned renews the epoch of its next term

What callers would see: a host whose takeover takes too long (the directory of servers cannot be read for 8 s, while the log takes records) resigns. If it is the leader again later, it sends no renewal of its epoch: another host takes over after 0.9 s, or it steps down itself after 2.5 s. Each takeover holds up the start of work, and starts the wait for servers that do not answer anew.

Cause: ms_leader_resign() left renewal_in_flight set. The answer to that renewal comes when the host follows or is in a later epoch and is ignored, so nothing cleared the flag; ms_leader_step_down() did.

Mend: both end the term in one function, which clears the flag. A late answer of the earlier epoch cannot clear the flag of the new term, as ms_leader_append_done() compares epochs.

--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -131,10 +131,16 @@
 
 /* This host is no longer the leader: its own leases now count as an earlier leader's. */
 static void
-note_own_leases(struct ms_entry *entry, bool resigned)
+end_term(struct ms_entry *entry, bool resigned)
 {
+    ms_engine_free(entry->engine);
+    entry->engine = NULL;
+    ms_stream_reader_enable(entry->stream_readers[MS_STREAM_SERVERS], false);
+    ms_order_sender_set_min_epoch(entry->order_sender, UINT64_MAX);
+    entry->renewal_in_flight = false; /* an answer to a renewal of this epoch will be ignored */
     entry->last_leader_record_at = entry->now;
     entry->earlier_leases_until = earlier_leases_end(entry, resigned);
+    set_state(entry, MS_FOLLOWING);
 }
 
 /* Our claim was read from the log: starts the first step, the fence. */
@@ -156,14 +162,8 @@
     }
     ms_log(MS_LOG_NOTICE, "event=lead_end reason=%s epoch=%" G_GUINT64_FORMAT, reason,
            entry->table->leader.epoch);
-    ms_engine_free(entry->engine);
-    entry->engine = NULL;
-    ms_stream_reader_enable(entry->stream_readers[MS_STREAM_SERVERS], false);
     ms_appender_set_epoch(entry->fenced_appender, 0);
-    ms_order_sender_set_min_epoch(entry->order_sender, UINT64_MAX);
-    entry->renewal_in_flight = false;
-    note_own_leases(entry, false);
-    set_state(entry, MS_FOLLOWING);
+    end_term(entry, false);
 }
 
 void
@@ -377,10 +377,5 @@
         return;
     }
     push_fenced(entry, MS_APPEND_LEADER_RESIGN, MS_LEADER_RESIGN);
-    ms_engine_free(entry->engine);
-    entry->engine = NULL;
-    ms_stream_reader_enable(entry->stream_readers[MS_STREAM_SERVERS], false);
-    ms_order_sender_set_min_epoch(entry->order_sender, UINT64_MAX);
-    note_own_leases(entry, true);
-    set_state(entry, MS_FOLLOWING);
+    end_term(entry, true);
 }
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -80,6 +80,8 @@
         self.topics, self.producers, self.waiters = {}, {}, []
         self.mode, self.random = "ok", random.Random(0)
         self.delayed_claims, self.claim_delay_s = b"", 0.0  # claims with these bytes are delayed
+        self.unreadable_topic = None  # calls that read it get status 503
+        self.fenced_answer_delay_s = 0.0  # the answers to a leader's appends are late by this
         self.port = None
 
     def records(self, topic):
@@ -117,6 +119,8 @@
             return refusal
         if self.mode == "lose" and self.random.random() < 0.4:
             request.transport.abort()
+        if "producer" in query:
+            await asyncio.sleep(self.fenced_answer_delay_s)
         return web.json_response({"offset": 0, "end": len(self.records(query["topic"]))})
 
     def apply_append(self, query, body):
@@ -153,7 +157,7 @@
         return None
 
     async def read(self, request):
-        if self.mode == "busy":
+        if self.is_unreadable(request):
             return web.json_response({}, status=503)
         records, start = self.records(request.query["topic"]), int(request.query["from"])
         wait_end = time.monotonic() + int(request.query.get("waitMs", 0)) / 1000
@@ -167,8 +171,11 @@
             parts.append(struct.pack(">I", len(content)) + content)
         return web.Response(body=b"".join(parts))
 
+    def is_unreadable(self, request):
+        return self.mode == "busy" or request.query["topic"] == self.unreadable_topic
+
     async def newest(self, request):
-        if self.mode == "busy":
+        if self.is_unreadable(request):
             return web.json_response({}, status=503)
         records = self.records(request.query["topic"])
         latest_values = {}
