Simulator: a gang that lost a member ends as broken

What was seen: nothing in the product. The simulator had the fault of the soak's stand-in: after a crash, a loss or an expired lease of one server the members of the gang on others worked on, and the end of one as done counted for all. A gang that loses a member, the case in which it has to wait for all its runs and start again, was therefore hardly ever simulated.

--- a/tests/batch/simulated_server.c
+++ b/tests/batch/simulated_server.c
@@ -91,6 +91,18 @@
     }
 }
 
+/* RUNS were lost or have expired: the rests of their gangs end as broken. */
+static void
+break_gangs(struct simulator *simulator, const GArray *runs)
+{
+    for (guint i = 0; i < runs->len; i++) {
+        const struct run *run = &g_array_index(runs, struct run, i);
+        if (run->gang) {
+            end_gang_members(simulator, run->task, run->run, MS_RUN_END_GANG_BROKEN);
+        }
+    }
+}
+
 /* Schedules the end of the gang's run once all its members have started. */
 static void
 start_gang_if_complete(struct simulator *simulator, const char *task, uint32_t run_number,
@@ -311,9 +323,12 @@
     if (simulator->now >= server->lease_deadline && server->runs->len > 0) {
         /* Earlier ends stay valid if no run is in progress when the lease expires. */
         server->last_void_position = server->last_end_position;
+        GArray *expired = g_array_copy(server->runs);
         while (server->runs->len > 0) {
             end_run(simulator, server, server->runs->len - 1, MS_RUN_END_LEASE_EXPIRED);
         }
+        break_gangs(simulator, expired);
+        g_array_unref(expired);
     }
     for (guint i = 0; i < server->runs->len; i++) {
         struct run run = g_array_index(server->runs, struct run, i);
@@ -346,9 +361,12 @@
 }
 
 void
-simulated_server_clear(struct simulated_server *server)
+simulated_server_clear(struct simulator *simulator, struct simulated_server *server)
 {
+    GArray *lost = g_array_copy(server->runs);
     g_array_set_size(server->runs, 0);
+    break_gangs(simulator, lost);
+    g_array_unref(lost);
     g_array_set_size(server->ended, 0);
     g_hash_table_remove_all(server->closed_runs);
     server->last_end_position = 0;
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -385,6 +385,16 @@
     }
 }
 
+/* SERVER disappears for good; the directory lists it until its entry expires. */
+static void
+lose_server(struct simulator *simulator, struct simulated_server *server)
+{
+    simulator_trace(simulator, server, "vanish", "");
+    simulated_server_clear(simulator, server);
+    server->lost = true;
+    server->unlist_at = simulator->now + DIRECTORY_ENTRY_TIMEOUT_MS;
+}
+
 /* Causes random faults of SERVER, and completes the removal of one that shut down or was lost. */
 static void
 inject_server_faults(struct simulator *simulator, struct simulated_server *server)
@@ -393,7 +403,7 @@
         return;
     }
     if (server->shutdown_at > 0 && simulator->now >= server->shutdown_at) {
-        simulated_server_clear(server);
+        simulated_server_clear(simulator, server);
         server->removed = true;
         if (simulator->engine != NULL) {
             ms_engine_unlist_server(simulator->engine, server->entry.id, simulator->now);
@@ -410,15 +420,12 @@
         return;
     }
     if (simulator_chance(simulator, simulator->faults.server_loss)) {
-        simulator_trace(simulator, server, "vanish", "");
-        simulated_server_clear(server);
-        server->lost = true;
-        server->unlist_at = simulator->now + DIRECTORY_ENTRY_TIMEOUT_MS;
+        lose_server(simulator, server);
         return;
     }
     if (simulator_chance(simulator, simulator->faults.server_restart)) {
         simulator_trace(simulator, server, "crash", "");
-        simulated_server_clear(server);
+        simulated_server_clear(simulator, server);
         server->entry.start_unix_ms += 100000;
         if (simulator->engine != NULL) {
             ms_engine_update_server(simulator->engine, &server->entry, simulator->now);
@@ -523,6 +530,12 @@
     simulator->servers[index].unreachable_until = simulator->now + ms;
 }
 
+void
+simulator_lose_server(struct simulator *simulator, size_t index)
+{
+    lose_server(simulator, &simulator->servers[index]);
+}
+
 void
 simulator_stall_runs(struct simulator *simulator, size_t index, int64_t ms)
 {
--- a/tests/batch/simulator.h
+++ b/tests/batch/simulator.h
@@ -63,6 +63,9 @@
 /* Makes server INDEX unreachable for MS; its runs go on. */
 void simulator_disconnect_server(struct simulator *simulator, size_t index, int64_t ms);
 
+/* Server INDEX disappears for good without draining. */
+void simulator_lose_server(struct simulator *simulator, size_t index);
+
 /* Keeps the runs on server INDEX from making progress for MS. */
 void simulator_stall_runs(struct simulator *simulator, size_t index, int64_t ms);
 
--- a/tests/batch/simulator_private.h
+++ b/tests/batch/simulator_private.h
@@ -112,7 +112,10 @@
                                                  const struct simulated_server *server);
 /* Simulates one millisecond on SERVER: stalls runs, expires the lease, ends runs. */
 void simulated_server_tick(struct simulator *simulator, struct simulated_server *server);
-/* Clears the state that is lost when SERVER restarts, shuts down or disappears. */
-void simulated_server_clear(struct simulated_server *server);
+/*
+ * Clears the state that is lost when SERVER restarts, shuts down or disappears; the rests of
+ * its gangs end as broken.
+ */
+void simulated_server_clear(struct simulator *simulator, struct simulated_server *server);
 
 #endif
--- a/tests/batch/unit_engine.c
+++ b/tests/batch/unit_engine.c
@@ -536,6 +536,25 @@
 }
 END_TEST
 
+/* The end of one member counts for all only if all have ended so: a gang runs again as a whole. */
+START_TEST(gang_that_lost_a_member_runs_again)
+{
+    struct simulator *simulator = simulator_new(21, 4, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct simulator_counts counts;
+    simple_spec(&spec, "job", "q1", 3, 8);
+    spec.steps[0].gang = true;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 300);
+    simulator_lose_server(simulator, 0);
+    simulator_run(simulator, 12000);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_counts(simulator, &counts);
+    ck_assert_uint_eq(counts.starts, 6);
+    simulator_free(simulator);
+}
+END_TEST
+
 START_TEST(stalled_run_is_placed_elsewhere)
 {
     struct simulator *simulator = simulator_new(11, 4, &no_faults, NULL);
@@ -651,6 +670,7 @@
     tcase_add_test(cases, runs_survive_disconnect_within_lease);
     tcase_add_test(cases, runs_survive_unlisting_of_draining_server);
     tcase_add_test(cases, tasks_of_lost_server_are_placed_again);
+    tcase_add_test(cases, gang_that_lost_a_member_runs_again);
     tcase_add_test(cases, stalled_run_is_placed_elsewhere);
     tcase_add_test(cases, best_effort_task_leaves_server_of_latency_sensitive_task);
     tcase_add_test(cases, cancelled_job_is_stopped);
