--- a/tests/batch/unit_engine.c
+++ b/tests/batch/unit_engine.c
@@ -368,10 +368,12 @@
 }
 
 /*
- * The members of a gang succeed together, so the end of one counts for all, also after the
- * ends of the others were lost with their server: none of them may start again.
+ * Starts a gang of two members on server "one", whose report then lists only member 0: member 1
+ * is lost and member 0 is being stopped.  Reports that member ENDED has ended as done; the
+ * gang has succeeded, and none of its members may start again.
  */
-START_TEST(gang_succeeds_with_one_end_after_others_were_lost)
+static void
+check_late_end_of_gang(uint32_t ended)
 {
     struct ms_server_report report = {.start_unix_ms = 7, .clock_ms = 1};
     struct ms_reported_run reported_run = {.run = 1};
@@ -383,13 +385,13 @@
     simple_spec(&job.spec, "job", "q0", 2, 1);
     job.spec.steps[0].gang = true;
     ms_task_name_format(reported_run.task, "job", 0, 0, 0);
-    ms_task_name_format(reported_end.task, "job", 0, 0, 0);
+    ms_task_name_format(reported_end.task, "job", 0, 0, ended);
     struct ms_engine *engine = new_engine_with_server(&job, &report);
     ms_engine_set_log(engine, note_success, &succeeded);
     for (; now < 500; now += 10) {
         answer_orders(engine, now, &run);
     }
-    report.running = &reported_run; /* the other member is not in the report: it is lost */
+    report.running = &reported_run;
     report.running_count = 1;
     struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE, .server = "one"};
     ms_engine_on_renewal_answer(engine, &renewal, MS_ORDER_OK, &report, now, now);
@@ -406,6 +408,22 @@
     ms_engine_free(engine);
     ms_batch_spec_clear(&job.spec);
 }
+
+/*
+ * The members of a gang succeed together, so the end of one counts for all, also after the
+ * ends of the others were lost with their server.
+ */
+START_TEST(gang_succeeds_with_one_end_after_others_were_lost)
+{
+    check_late_end_of_gang(0);
+}
+END_TEST
+
+/* The end of a lost member was acknowledged and not counted while another one was stopped. */
+START_TEST(gang_succeeds_with_end_of_lost_member_while_another_is_stopped)
+{
+    check_late_end_of_gang(1);
+}
 END_TEST
 
 static void
@@ -665,6 +683,7 @@
     tcase_add_test(cases, run_reported_by_new_incarnation_is_kept);
     tcase_add_test(cases, late_end_of_gang_counts_while_other_members_are_stopped);
     tcase_add_test(cases, gang_succeeds_with_one_end_after_others_were_lost);
+    tcase_add_test(cases, gang_succeeds_with_end_of_lost_member_while_another_is_stopped);
     tcase_add_test(cases, job_whose_queue_is_missing_waits);
     tcase_add_test(cases, runs_survive_leader_change);
     tcase_add_test(cases, runs_survive_disconnect_within_lease);
