--- a/tests/batch/engine_fuzz.c
+++ b/tests/batch/engine_fuzz.c
@@ -14,6 +14,7 @@
 
 #define JOB_COUNT 12
 #define FAULTS_DURATION_MS 25000   /* in which faults occur and jobs are submitted */
+#define FREQUENT_TAKEOVERS_EVERY 5 /* every 5th seed: a takeover each 1.7 s, silent servers */
 #define RECOVERY_DURATION_MS 90000 /* without faults; all jobs have to end in it */
 
 /* Runs one seed and adds its counts to TOTALS; returns whether it passed. */
@@ -43,6 +44,10 @@
     if (simulator_random(&random_state, 4) == 0) {
         faults.run_stall = 2;
     }
+    if (seed % FREQUENT_TAKEOVERS_EVERY == 0) {
+        faults.leader_change = 60;
+        faults.server_silence = 5;
+    }
     struct simulator *simulator = simulator_new(seed, 16, &faults, trace);
     for (uint32_t i = 0; i < JOB_COUNT; i++) {
         struct ms_batch_spec spec;
--- a/tests/batch/simulator.h
+++ b/tests/batch/simulator.h
@@ -32,6 +32,7 @@
     int job_cancellation;  /* a random job is cancelled */
     int server_drain;      /* a server drains, then shuts down for good */
     int server_loss;       /* a server disappears for good without draining */
+    int server_silence;    /* a server carries out orders for 1 to 15 s, but no answer arrives */
     int run_stall;         /* the runs on a server make no progress for 1 to 6 s */
 };
 
@@ -66,6 +67,12 @@
 /* Server INDEX disappears for good without draining. */
 void simulator_lose_server(struct simulator *simulator, size_t index);
 
+/* Loses the answers of server INDEX for MS; it still carries out orders. */
+void simulator_silence_server(struct simulator *simulator, size_t index, int64_t ms);
+
+/* Keeps the log from storing anything for MS. */
+void simulator_stop_log(struct simulator *simulator, int64_t ms);
+
 /* Keeps the runs on server INDEX from making progress for MS. */
 void simulator_stall_runs(struct simulator *simulator, size_t index, int64_t ms);
 
--- a/tests/batch/simulator_private.h
+++ b/tests/batch/simulator_private.h
@@ -34,6 +34,7 @@
     uint64_t last_end_position;  /* of this incarnation, 0: none */
     GHashTable *closed_runs;     /* task name -> highest run that was stopped or has ended */
     int64_t unreachable_until;
+    int64_t silent_until; /* its answers are lost until then */
     int64_t stalled_until;
     int64_t shutdown_at; /* when a draining server shuts down, 0: never */
     int64_t unlist_at;   /* of a lost server: when the directory no longer lists it */
