Takeovers do not start the wait for a silent server anew

What callers would see: a gang has a member on a server that is gone. After a takeover it starts again when the leases of earlier leaders have certainly expired, 11.2 s after the last one's last sign. Each further takeover within that time started the 11.2 s again, as the leader in between might have extended the lease.

Evidence: in the simulator a gang of three on four servers loses a server as the leader changes; it then succeeds after 13.0 s; with further takeovers at 8, 16 and 24 s after 21.05, 29.05 and 37.05 s. The test leader_changes_do_not_prolong_wait_for_lost_server failed with "simulator_job_phase(simulator, id) == 0, phase == 1".

Mend: a leader that gets no answer from such a server freezes its lease: it sends no later deadline to it, and stores in the states of the jobs there by when the lease has expired. When the server answers, these states are stored again without that, and only then are deadlines sent and tasks placed. The next leader relies on the record of its immediate predecessor only, for the same incarnation, freezes the lease too, without any deadline of its own, and stores the record under its epoch. So it acts towards that server as the earlier leader would have, had it lived on, and the argument for a single takeover holds for a chain of them: a renewal carried out late has its old deadline, on the server's clock, and a deposed leader's replacement of the record is refused by the fenced log. Without a record, or one from another epoch, the wait is as before. Each such record is part of the job's state: no further key, and older readers ignore it.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -299,7 +299,7 @@
     }
     resolve_queue(engine, job);
     if (stored->state != NULL) {
-        ms_engine_restore_job(engine, job, stored->state);
+        ms_engine_restore_job(engine, job, stored->state, stored->state_read_at);
     }
     add_due_occurrences(engine, job);
     engine->placement_due = true;
@@ -351,6 +351,9 @@
             server->ends_stored = server->ends_storing;
             server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
         }
+        if (server->thaw_storing) {
+            ms_batch_server_finish_thaw(engine, server);
+        }
     }
     MS_LIST_FOREACH(link, &engine->jobs)
     {
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -66,7 +66,8 @@
     char checkpoint[MS_CHECKPOINT_MAX]; /* START: where to resume, or "" */
     char ticket[MS_TICKET_MAX];         /* START on an advised queue, else "" */
     GPtrArray *candidates;              /* QUERY_ADVICE: ids of servers */
-    int64_t deadline_ms;   /* START, RENEW_LEASE: end of the lease on the server's clock */
+    /* START, RENEW_LEASE: end of the lease on the server's clock; 0: the lease is not extended. */
+    int64_t deadline_ms;
     uint64_t ack_position; /* RENEW_LEASE: last acknowledged end of a run */
     int64_t queue_wait_ms; /* START: from when the task was ready until it was placed */
     /* RENEW_LEASE: how long the server may wait for a run to end before it answers. */
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -100,6 +100,17 @@
     int64_t accepted_at;            /* when the engine learned of the job */
 };
 
+/*
+ * Whether the lease of a server may be extended.  A new leader freezes the lease of a server
+ * that does not answer, and stores in the states of the jobs there when it ends at the latest:
+ * the next leader then need not wait longer, as it would if this leader had extended it.
+ */
+enum ms_lease_state {
+    MS_LEASE_NORMAL = 0, /* each renewal extends it */
+    MS_LEASE_FROZEN,     /* not extended: a stored record relies on it, or will do so */
+    MS_LEASE_THAWING,    /* not extended: the server has answered; these records are replaced */
+};
+
 /*
  * A backend server.  The ends_* fields are positions of run ends (struct ms_reported_end):
  * an end is seen in a report, then stored with the state of its job, then acknowledged.
@@ -138,6 +149,11 @@
     int64_t available_until;      /* DRAINING: earliest time of its shutdown, 0: none seen */
     uint32_t quarantine_count;    /* since the last success */
     struct ms_list_link servers_link; /* in engine->servers */
+    enum ms_lease_state lease_state;
+    /* While the lease is not NORMAL: */
+    int64_t frozen_deadline; /* deadline of all renewals, 0: none */
+    int64_t frozen_until;    /* by then the lease has certainly expired */
+    bool thaw_storing;       /* THAWING: the store in progress replaces the last such record */
     /* Valid within one placement pass only. */
     struct ms_resources reserved;    /* for units that wait */
     struct ms_resources releasing;   /* freed when the stops in progress are done */
@@ -255,6 +271,10 @@
                            const char *reason);
 /* The lease deadline to send to SERVER, on its clock; recorded in lease_deadline_max. */
 int64_t ms_batch_server_new_deadline(struct ms_engine *engine, struct ms_batch_server *server);
+/* From now on the lease of SERVER is not extended; it has certainly expired by UNTIL. */
+void ms_batch_server_freeze_lease(struct ms_batch_server *server, int64_t until);
+/* All records that rely on the lease of SERVER, which is THAWING, are replaced: it is NORMAL. */
+void ms_batch_server_finish_thaw(struct ms_engine *engine, struct ms_batch_server *server);
 /* When all runs on SERVER have certainly ended if it stays unresponsive. */
 int64_t ms_batch_server_lease_end(const struct ms_engine *engine,
                                   const struct ms_batch_server *server);
@@ -311,7 +331,11 @@
 /* engine_store.c */
 /* Queues a STORE with the states of the dirty jobs. */
 void ms_engine_store_dirty_jobs(struct ms_engine *engine);
-/* Restores the tasks of JOB from its StateRecord; one that is malformed is logged and ignored. */
-void ms_engine_restore_job(struct ms_engine *engine, struct ms_batch_job *job, GBytes *state);
+/*
+ * Restores the tasks of JOB from its StateRecord, read at READ_AT; one that is malformed is
+ * logged and ignored.
+ */
+void ms_engine_restore_job(struct ms_engine *engine, struct ms_batch_job *job, GBytes *state,
+                           int64_t read_at);
 
 #endif
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -29,6 +29,9 @@
 int64_t
 ms_batch_server_new_deadline(struct ms_engine *engine, struct ms_batch_server *server)
 {
+    if (server->lease_state != MS_LEASE_NORMAL) {
+        return server->frozen_deadline;
+    }
     /* A call to an unresponsive server may still arrive and must not extend its lease. */
     if (server->unresponsive && server->lease_deadline_max > 0 &&
         !ms_list_is_empty(&server->tasks)) {
@@ -51,9 +54,73 @@
     double remaining_ms =
         (double)(server->lease_deadline_max - server->clock_ms) * CLOCK_DRIFT_FACTOR;
     int64_t lease_end = server->last_answer_at + (int64_t)MAX(remaining_ms, 0.0) + LEASE_MARGIN_MS;
+    if (server->lease_state != MS_LEASE_NORMAL) {
+        return MAX(lease_end, server->frozen_until);
+    }
     return server->fence_confirmed ? lease_end : MAX(lease_end, engine->earlier_leases_until);
 }
 
+void
+ms_batch_server_freeze_lease(struct ms_batch_server *server, int64_t until)
+{
+    server->lease_state = MS_LEASE_FROZEN;
+    server->frozen_deadline = server->lease_deadline_max;
+    server->frozen_until = MAX(server->frozen_until, until);
+}
+
+/* Marks the states of all jobs that have tasks on SERVER as to be stored. */
+static void
+mark_jobs_dirty(struct ms_engine *engine, struct ms_batch_server *server, bool urgent)
+{
+    MS_LIST_FOREACH(link, &server->tasks)
+    {
+        const struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
+        ms_engine_mark_dirty(engine, ms_batch_task_job(task), urgent);
+    }
+}
+
+/*
+ * Freezes the lease of SERVER if it runs tasks of an earlier leader and has not answered this
+ * one.  From now on every deadline sent to it is the one sent before, also if it answers.
+ */
+static void
+freeze_if_silent(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    int64_t lease_end = ms_batch_server_lease_end(engine, server);
+    if (server->lease_state != MS_LEASE_NORMAL || server->fence_confirmed ||
+        server->last_report_at != 0 || (server->listed && !server->unresponsive) ||
+        engine->now >= lease_end || ms_list_is_empty(&server->tasks)) {
+        return;
+    }
+    ms_batch_server_freeze_lease(server, lease_end);
+    mark_jobs_dirty(engine, server, false);
+    ms_engine_log_event(engine, "event=lease_frozen server=%s left_ms=%" G_GINT64_FORMAT,
+                        server->id, lease_end - engine->now);
+}
+
+/* SERVER, whose lease is FROZEN, has answered: the states that rely on it have to be replaced. */
+static void
+begin_thaw(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    server->lease_state = MS_LEASE_THAWING;
+    server->thaw_storing = false;
+    mark_jobs_dirty(engine, server, true);
+    ms_engine_log_event(engine, "event=lease_thawed server=%s", server->id);
+}
+
+void
+ms_batch_server_finish_thaw(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    server->lease_state = MS_LEASE_NORMAL;
+    server->thaw_storing = false;
+    server->frozen_until = 0;
+    /* No leader has granted more than this. */
+    server->lease_deadline_max =
+        MAX(server->lease_deadline_max, server->clock_ms + engine->limits.lease_ms);
+    server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
+    engine->placement_due = true;
+}
+
 bool
 ms_batch_server_has_label(const struct ms_batch_server *server, const char *label)
 {
@@ -86,6 +153,9 @@
     if (server->unknown_run_count > 0) {
         return MS_SERVER_UNKNOWN_RUNS;
     }
+    if (server->lease_state != MS_LEASE_NORMAL) {
+        return MS_SERVER_LEASE_FROZEN;
+    }
     if (engine->now < server->quarantined_until) {
         return MS_SERVER_QUARANTINED;
     }
@@ -176,6 +246,12 @@
     else {
         lose_all_tasks(engine, server, reason);
     }
+    if (server->lease_state != MS_LEASE_NORMAL) {
+        /* Its kept tasks, if any, may run under the lease of the new incarnation. */
+        ms_batch_server_freeze_lease(server, ms_batch_server_lease_end(engine, server));
+        server->frozen_deadline = 0;
+        mark_jobs_dirty(engine, server, true);
+    }
 }
 
 /* See ms_engine_get_or_add_server(). */
@@ -298,7 +374,7 @@
 {
     bool busy = !ms_list_is_empty(&server->tasks) || server->unknown_run_count > 0;
     mark_ends_stored(engine, server);
-    if (server->ends_seen > server->ends_stored) {
+    if (server->ends_seen > server->ends_stored || server->lease_state != MS_LEASE_NORMAL) {
         server->next_renewal_at = engine->now + STORE_WAIT_MS;
     }
     else if (server->unknown_run_count > 0) {
@@ -368,7 +444,7 @@
     mark_ends_stored(engine, server);
     bool may_wait = server->fence_confirmed && !server->unresponsive &&
                     !ms_list_is_empty(&server->tasks) && server->ends_seen == server->ends_stored &&
-                    server->unknown_run_count == 0;
+                    server->unknown_run_count == 0 && server->lease_state == MS_LEASE_NORMAL;
     struct ms_engine_action *action = ms_engine_push_action(engine, MS_ENGINE_RENEW_LEASE, server);
     action->deadline_ms = ms_batch_server_new_deadline(engine, server);
     action->ack_position = ack_position(server);
@@ -430,6 +506,9 @@
     server->clock_ms = report->clock_ms;
     server->last_report_at = engine->now;
     server->ends_acked = MAX(server->ends_acked, renewal->ack_position);
+    if (server->lease_state == MS_LEASE_FROZEN) {
+        begin_thaw(engine, server);
+    }
     ms_batch_server_on_report(engine, server, report, sent_at);
     ms_batch_server_update_speed(engine, server);
     schedule_renewal(engine, server);
@@ -476,6 +555,11 @@
     {
         tick_task(engine, MS_CONTAINER_OF(link, struct ms_batch_task, server_link));
     }
+    freeze_if_silent(engine, server);
+    if (server->lease_state == MS_LEASE_THAWING && !engine->store_pending &&
+        ms_list_is_empty(&engine->dirty)) {
+        ms_batch_server_finish_thaw(engine, server);
+    }
     renew_if_due(engine, server);
 }
 
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -14,11 +14,27 @@
 /* Status of a task as stored in a record. */
 enum stored_status { STORED_WAITING = 0, STORED_ACTIVE, STORED_DONE };
 
-/* Position in SERVERS, from 1, of SERVER as "ID/START"; it is added if missing. */
+/* Fields of StateRecord.servers; the last two follow only if the lease of the server is frozen. */
+enum server_field { SERVER_ID = 0, SERVER_START, SERVER_FROZEN_EPOCH, SERVER_LEASE_LEFT_MS };
+
+/* The text of SERVER in StateRecord.servers. */
+static char *
+server_text(const struct ms_engine *engine, const struct ms_batch_server *server)
+{
+    if (server->lease_state != MS_LEASE_FROZEN) {
+        return g_strdup_printf("%s/%" G_GINT64_FORMAT, server->id, server->entry.start_unix_ms);
+    }
+    return g_strdup_printf("%s/%" G_GINT64_FORMAT "/%" G_GUINT64_FORMAT "/%" G_GINT64_FORMAT,
+                           server->id, server->entry.start_unix_ms, engine->epoch,
+                           MAX(server->frozen_until - engine->now, 0));
+}
+
+/* Position in SERVERS, from 1, of the text of SERVER; it is added if missing. */
 static uint32_t
-server_index(GPtrArray *servers, const struct ms_batch_server *server)
+server_index(const struct ms_engine *engine, GPtrArray *servers,
+             const struct ms_batch_server *server)
 {
-    char *text = g_strdup_printf("%s/%" G_GINT64_FORMAT, server->id, server->entry.start_unix_ms);
+    char *text = server_text(engine, server);
     for (guint i = 0; i < servers->len; i++) {
         if (strcmp(g_ptr_array_index(servers, i), text) == 0) {
             g_free(text);
@@ -31,8 +47,8 @@
 
 /* Writes TASK to the arrays of RECORD at INDEX. */
 static void
-pack_task(struct ms_batch_task *task, Ms__Batch__OccurrenceRecord *record, size_t index,
-          GPtrArray *servers)
+pack_task(const struct ms_engine *engine, struct ms_batch_task *task,
+          Ms__Batch__OccurrenceRecord *record, size_t index, GPtrArray *servers)
 {
     enum stored_status status = STORED_WAITING;
     if (task->state == MS_BATCH_TASK_DONE) {
@@ -40,7 +56,7 @@
     }
     else if (task->server != NULL) {
         status = STORED_ACTIVE;
-        record->server[index] = server_index(servers, task->server);
+        record->server[index] = server_index(engine, servers, task->server);
     }
     if (task->state == MS_BATCH_TASK_RECORDING) {
         task->store_pending = true;
@@ -55,7 +71,8 @@
 
 /* The record of OCCURRENCE, which borrows its checkpoints; see free_occurrence_record(). */
 static Ms__Batch__OccurrenceRecord *
-pack_occurrence(struct ms_batch_occurrence *occurrence, GPtrArray *servers)
+pack_occurrence(const struct ms_engine *engine, struct ms_batch_occurrence *occurrence,
+                GPtrArray *servers)
 {
     Ms__Batch__OccurrenceRecord *record = g_new0(Ms__Batch__OccurrenceRecord, 1);
     ms__batch__occurrence_record__init(record);
@@ -80,7 +97,7 @@
     for (size_t s = 0; s < spec->step_count; s++) {
         for (uint32_t k = 0; k < spec->steps[s].task_count; k++, index++) {
             record->checkpoint[index] = "";
-            pack_task(&occurrence->steps[s].tasks[k], record, index, servers);
+            pack_task(engine, &occurrence->steps[s].tasks[k], record, index, servers);
         }
     }
     return record;
@@ -99,7 +116,7 @@
 
 /* The state record of JOB; a job that has ended is stored without its occurrences. */
 static GBytes *
-pack_job_state(struct ms_batch_job *job)
+pack_job_state(const struct ms_engine *engine, struct ms_batch_job *job)
 {
     Ms__Batch__StateRecord record = MS__BATCH__STATE_RECORD__INIT;
     GPtrArray *servers = g_ptr_array_new_with_free_func(g_free);
@@ -109,7 +126,8 @@
     record.n_occurrences = count;
     record.occurrences = g_new0(Ms__Batch__OccurrenceRecord *, count + 1);
     for (size_t i = 0; i < count; i++) {
-        record.occurrences[i] = pack_occurrence(g_ptr_array_index(job->occurrences, i), servers);
+        record.occurrences[i] =
+            pack_occurrence(engine, g_ptr_array_index(job->occurrences, i), servers);
     }
     record.n_servers = servers->len;
     record.servers = (char **)servers->pdata;
@@ -161,7 +179,7 @@
             continue;
         }
         job->store_pending = true;
-        GBytes *value = pack_job_state(job);
+        GBytes *value = pack_job_state(engine, job);
         bytes += g_bytes_get_size(value);
         add_store_record(action->records, MS_KEY_STATE, job->id, value);
     }
@@ -176,18 +194,45 @@
         struct ms_batch_server *server =
             MS_CONTAINER_OF(server_link, struct ms_batch_server, servers_link);
         server->ends_storing = server->ends_seen;
+        server->thaw_storing = server->lease_state == MS_LEASE_THAWING;
+    }
+}
+
+/*
+ * Freezes the lease of SERVER, the server of a task of JOB, if the leader of the epoch before
+ * has done so, for this incarnation of it: only then has nobody extended it since.  FIELDS
+ * (enum server_field) was read at READ_AT.  The state is stored again, for the next leader.
+ */
+static void
+restore_frozen_lease(struct ms_engine *engine, struct ms_batch_job *job,
+                     struct ms_batch_server *server, char **fields, int64_t read_at)
+{
+    bool same_start =
+        server->entry.start_unix_ms == 0 ||
+        server->entry.start_unix_ms == g_ascii_strtoll(fields[SERVER_START], NULL, 10);
+    if (!same_start ||
+        g_ascii_strtoull(fields[SERVER_FROZEN_EPOCH], NULL, 10) + 1 != engine->epoch) {
+        return;
     }
+    ms_batch_server_freeze_lease(server,
+                                 read_at + g_ascii_strtoll(fields[SERVER_LEASE_LEFT_MS], NULL, 10));
+    ms_engine_mark_dirty(engine, job, false);
 }
 
-/* Assigns TASK to the server SERVER_REF, "ID/START" in its record. */
+/* Assigns TASK to the server SERVER_REF of its record, which was read at READ_AT. */
 static void
-restore_active(struct ms_engine *engine, struct ms_batch_task *task, const char *server_ref)
+restore_active(struct ms_engine *engine, struct ms_batch_task *task, const char *server_ref,
+               int64_t read_at)
 {
-    char **fields = g_strsplit(server_ref, "/", 2);
+    char **fields = g_strsplit(server_ref, "/", 0);
+    guint count = g_strv_length(fields);
     int64_t start_unix_ms =
-        fields[0] != NULL && fields[1] != NULL ? g_ascii_strtoll(fields[1], NULL, 10) : 0;
+        count > SERVER_START ? g_ascii_strtoll(fields[SERVER_START], NULL, 10) : 0;
     struct ms_batch_server *server =
-        ms_engine_get_or_add_server(engine, fields[0] != NULL ? fields[0] : "");
+        ms_engine_get_or_add_server(engine, count > SERVER_ID ? fields[SERVER_ID] : "");
+    if (count > SERVER_LEASE_LEFT_MS) {
+        restore_frozen_lease(engine, ms_batch_task_job(task), server, fields, read_at);
+    }
     if (server->entry.start_unix_ms == 0) {
         server->entry.start_unix_ms = start_unix_ms;
     }
@@ -201,10 +246,11 @@
     g_strfreev(fields);
 }
 
-/* Restores the tasks of OCCURRENCE; STATE is the state record that contains RECORD. */
+/* Restores the tasks of OCCURRENCE; STATE, read at READ_AT, is the record that contains RECORD. */
 static void
 restore_occurrence(struct ms_engine *engine, struct ms_batch_occurrence *occurrence,
-                   const Ms__Batch__OccurrenceRecord *record, const Ms__Batch__StateRecord *state)
+                   const Ms__Batch__OccurrenceRecord *record, const Ms__Batch__StateRecord *state,
+                   int64_t read_at)
 {
     const struct ms_batch_spec *spec = occurrence->job->spec;
     size_t index = 0;
@@ -227,14 +273,15 @@
             }
             if (record->status.data[index] == STORED_ACTIVE && index < record->n_server &&
                 record->server[index] > 0 && record->server[index] <= state->n_servers) {
-                restore_active(engine, task, state->servers[record->server[index] - 1]);
+                restore_active(engine, task, state->servers[record->server[index] - 1], read_at);
             }
         }
     }
 }
 
 void
-ms_engine_restore_job(struct ms_engine *engine, struct ms_batch_job *job, GBytes *state)
+ms_engine_restore_job(struct ms_engine *engine, struct ms_batch_job *job, GBytes *state,
+                      int64_t read_at)
 {
     gsize length = 0;
     const uint8_t *data = g_bytes_get_data(state, &length);
@@ -247,7 +294,7 @@
         const Ms__Batch__OccurrenceRecord *item = record->occurrences[i];
         if (item->number < MS_BATCH_OCCURRENCES_MAX) {
             restore_occurrence(engine, ms_batch_job_get_or_add_occurrence(job, item->number), item,
-                               record);
+                               record, read_at);
         }
     }
     ms__batch__state_record__free_unpacked(record, NULL);
--- a/src/batch/job_table.h
+++ b/src/batch/job_table.h
@@ -46,6 +46,8 @@
     enum ms_phase phase; /* from the newest StateRecord; see also ms_stored_job_phase() */
     bool started;        /* a task was assigned to a server; from the newest StateRecord */
     GBytes *state;       /* newest StateRecord in its stored form, or NULL */
+    /* Set by the owner of the table, on its own clock, not by ms_job_table_apply(). */
+    int64_t state_read_at; /* when `state` was read */
 };
 
 /* Kind of a LeadRecord; the numbers are stored. */
--- a/src/batch/server_types.c
+++ b/src/batch/server_types.c
@@ -38,7 +38,7 @@
 ms_server_exclusion_name(enum ms_server_exclusion exclusion)
 {
     static const char *const names[MS_SERVER_EXCLUSION_COUNT] = {
-        "usable",   "unlisted",     "unfenced",    "unresponsive",
-        "draining", "unknown_runs", "quarantined", "dc_out"};
+        "usable",       "unlisted",     "unfenced",    "unresponsive", "draining",
+        "unknown_runs", "lease_frozen", "quarantined", "dc_out"};
     return names[exclusion];
 }
--- a/src/entry/log_streams.c
+++ b/src/entry/log_streams.c
@@ -30,7 +30,7 @@
 
 /* Passes a change of the jobs table on: to waiting calls, the engine, the leader election. */
 static void
-handle_change(struct ms_entry *entry, enum ms_table_change change, const struct ms_stored_job *job)
+handle_change(struct ms_entry *entry, enum ms_table_change change, struct ms_stored_job *job)
 {
     switch (change) {
     case MS_CHANGED_ACCEPTED:
@@ -48,8 +48,10 @@
     case MS_CHANGED_LEADER:
         ms_leader_record_applied(entry);
         break;
-    case MS_CHANGED_HOST:
     case MS_CHANGED_STATE:
+        job->state_read_at = entry->now;
+        break;
+    case MS_CHANGED_HOST:
     case MS_CHANGED_NOTHING:
     case MS_CHANGED_UNREADABLE:
         break;
--- a/src/obs/counters.c
+++ b/src/obs/counters.c
@@ -62,6 +62,8 @@
     [MS_GAUGE_SERVERS_DRAINING] = {"servers_draining", "gauge", "Servers that will shut down"},
     [MS_GAUGE_SERVERS_UNKNOWN_RUNS] = {"servers_unknown_runs", "gauge",
                                        "Servers with runs that no record allows"},
+    [MS_GAUGE_SERVERS_LEASE_FROZEN] = {"servers_lease_frozen", "gauge",
+                                       "Servers whose lease is not extended yet"},
     [MS_GAUGE_SERVERS_QUARANTINED] = {"servers_quarantined", "gauge", "Servers in quarantine"},
     [MS_GAUGE_SERVERS_DC_OUT] = {"servers_dc_out", "gauge",
                                  "Servers of data centres that are out of service"},
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -266,8 +266,9 @@
         gsize length = 0;
         const uint8_t *value =
             record->value != NULL ? g_bytes_get_data(record->value, &length) : NULL;
-        if (record->value != NULL) {
-            ms_job_table_apply(simulator->table, record->key, value, length, &job);
+        if (record->value != NULL && ms_job_table_apply(simulator->table, record->key, value,
+                                                        length, &job) == MS_CHANGED_STATE) {
+            job->state_read_at = simulator->now;
         }
     }
 }
