--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -118,42 +118,40 @@
 struct ms_batch_server {
     char id[MS_NAME_MAX];
     struct ms_directory_entry entry;  /* latest directory entry */
+    struct ms_list_link servers_link; /* in engine->servers */
     bool listed;                      /* the directory contains it */
-    uint32_t snapshot_number;         /* number of the directory snapshot that last listed it */
-    uint32_t incarnation;             /* rises whenever a new incarnation is noticed */
     bool fence_confirmed;             /* this incarnation has answered a renewal of this epoch */
     bool unresponsive;                /* the last call had no answer */
-    uint32_t renewal_failure_count;   /* consecutive renewals without an answer */
     bool renewal_pending;             /* a renewal awaits its answer */
+    uint32_t snapshot_number;         /* number of the directory snapshot that last listed it */
+    uint32_t incarnation;             /* rises whenever a new incarnation is noticed */
+    uint32_t renewal_failure_count;   /* consecutive renewals without an answer */
     int64_t next_renewal_at;          /* when to renew its lease, INT64_MAX: not needed */
     int64_t last_answer_at;           /* when it last answered */
     int64_t last_report_at;           /* when its last report arrived */
     int64_t clock_ms;                 /* its clock at last_answer_at */
     int64_t lease_deadline_max;       /* latest lease deadline sent to it, on its clock */
-    int64_t dead_at;                  /* unused, see ms_batch_server_lease_end() */
-    uint64_t ends_seen;               /* last end reported */
-    uint64_t ends_storing;            /* ends up to here are stored when the store in progress is */
-    uint64_t ends_stored;             /* ends up to here are stored */
-    uint64_t ends_acked;              /* ends up to here are acknowledged */
-    uint64_t withheld_end;            /* first end that must not be acknowledged, 0: none */
-    uint32_t unknown_run_count;       /* runs in the last report that no record allows */
+    int64_t frozen_deadline;          /* lease not NORMAL: deadline of all renewals, 0: none */
+    int64_t frozen_until;             /* lease not NORMAL: by then it has certainly expired */
+    enum ms_lease_state lease_state;
+    bool thaw_storing;         /* THAWING: the store in progress replaces the last such record */
+    uint64_t ends_seen;        /* last end reported */
+    uint64_t ends_storing;     /* ends up to here are stored when the store in progress is */
+    uint64_t ends_stored;      /* ends up to here are stored */
+    uint64_t ends_acked;       /* ends up to here are acknowledged */
+    uint64_t withheld_end;     /* first end that must not be acknowledged, 0: none */
+    struct ms_list_link tasks; /* struct ms_batch_task, linked by server_link */
     struct ms_resources allocated;    /* by the tasks assigned to it */
-    struct ms_list_link tasks;        /* struct ms_batch_task, linked by server_link */
+    uint32_t unknown_run_count;       /* runs in the last report that no record allows */
     uint32_t consecutive_failed_jobs; /* since the last success; repeats of one job count once */
     char last_failed_job[MS_JOB_ID_MAX];
     int64_t quarantined_until;    /* quarantined until then */
     int64_t suspect_until;        /* chosen last until then: a run failed or was refused here */
     int64_t slow_until;           /* chosen last until then: its runs are much slower than others */
+    int64_t available_until;      /* DRAINING: earliest time of its shutdown, 0: none seen */
     int64_t restricted_until;     /* tasks were preempted here, see ms_batch_server_restrict() */
     uint32_t restricted_priority; /* until then: lowest priority that it takes */
-    int64_t available_until;      /* DRAINING: earliest time of its shutdown, 0: none seen */
     uint32_t quarantine_count;    /* since the last success */
-    struct ms_list_link servers_link; /* in engine->servers */
-    enum ms_lease_state lease_state;
-    /* While the lease is not NORMAL: */
-    int64_t frozen_deadline; /* deadline of all renewals, 0: none */
-    int64_t frozen_until;    /* by then the lease has certainly expired */
-    bool thaw_storing;       /* THAWING: the store in progress replaces the last such record */
     /* Valid within one placement pass only. */
     struct ms_resources reserved;    /* for units that wait */
     struct ms_resources releasing;   /* freed when the stops in progress are done */
