--- a/Makefile
+++ b/Makefile
@@ -55,10 +55,12 @@
 $(BUILD)/differential: $(BUILD)/tests/naive/differential.o $(BUILD)/tests/naive/simulator.o $(BUILD)/tests/naive/simulator_action.o $(BUILD)/tests/naive/simulator_scenario.o $(BUILD)/tests/naive/simulator_server.o $(BUILD)/tests/naive/reference_scheduler.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/batch-unit: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/batch/unit*.c)) $(BUILD)/tests/batch/simulator.o $(BUILD)/tests/batch/simulated_server.o $(PLATFORM_OBJECTS) $(LIB)
+SIMULATOR_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/batch/simulat*.c))
+
+$(BUILD)/batch-unit: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/batch/unit*.c)) $(SIMULATOR_OBJECTS) $(PLATFORM_OBJECTS) $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
-$(BUILD)/batch-fuzz: $(BUILD)/tests/batch/engine_fuzz.o $(BUILD)/tests/batch/simulator.o $(BUILD)/tests/batch/simulated_server.o $(LIB)
+$(BUILD)/batch-fuzz: $(BUILD)/tests/batch/engine_fuzz.o $(SIMULATOR_OBJECTS) $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bench-policy: $(BUILD)/bench/policy.o $(BUILD)/tests/naive/simulator.o $(BUILD)/tests/naive/simulator_action.o $(BUILD)/tests/naive/simulator_scenario.o $(BUILD)/tests/naive/simulator_server.o $(BUILD)/tests/naive/reference_scheduler.o $(LIB)
--- a/tests/batch/engine_fuzz.c
+++ b/tests/batch/engine_fuzz.c
@@ -1,22 +1,74 @@
 /*
  * engine_fuzz.c - runs the engine in the simulator with random jobs and faults.
  *
- * usage: batch-fuzz FIRST LAST [trace]
+ * usage: batch-fuzz [liveness | starvation | takeovers] FIRST LAST [trace]
  *
- * Runs the seeds FIRST to LAST; the third argument, whatever it is, prints a trace.  The
+ * Runs the seeds FIRST to LAST; an argument after them, whatever it is, prints a trace.  The
  * seed determines the jobs and the faults.  No invariant of the simulator may be violated, and
  * every job has to end once the faults are over.  Prints each seed that fails, then totals.
+ *
+ * "liveness" runs other scenarios, and checks that jobs make progress when they could: wide
+ * gangs of large tasks beside many small tasks of the lowest priority, which go on after the
+ * faults; directory entries that expire, series of leader losses, and servers that are lost or
+ * stall while they run a member of a gang.  At the end a gang that needs every server in service
+ * has to run.  "starvation" runs the same scenarios, and counts capacity that runs of a lower
+ * priority use as available.  In "takeovers" more servers are lost, and the leader is lost in
+ * series until the end, which is no excuse for jobs that wait for a server lost long before.
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "batch/simulator.h"
 
+#define SERVER_COUNT 16
 #define JOB_COUNT 12
 #define FAULTS_DURATION_MS 25000   /* in which faults occur and jobs are submitted */
 #define FREQUENT_TAKEOVERS_EVERY 5 /* every 5th seed: a takeover each 1.7 s, silent servers */
 #define RECOVERY_DURATION_MS 90000 /* without faults; all jobs have to end in it */
 
+/* Of the scenarios of all modes that check liveness. */
+#define LIVENESS_SERVER_COUNT 24
+#define LIVENESS_CALM_MS 25000   /* after the faults, in which jobs are submitted too */
+#define LIVENESS_SETTLE_MS 20000 /* after the last leader loss, without jobs */
+#define LIVENESS_GANG_MS 5000    /* in which a gang ends that needs all servers and has them */
+#define LIVENESS_ROUND_MS 200    /* between two jobs of small tasks */
+#define LIVENESS_LARGE_JOB_PERMILLE 80    /* of the rounds, for each other kind of job */
+#define TAKEOVERS_SERVER_LOSS_PERMILLE 30 /* in mode "takeovers": of servers that run a gang */
+#define TAKEOVERS_SERIES_PERMILLE 12      /* of leader losses, after the other faults */
+
+/* Checks that the JOB_COUNT jobs of SEED have ended, and prints what was violated. */
+static bool
+check_end(const struct simulator *simulator, uint64_t seed, uint32_t job_count)
+{
+    if (simulator_violation(simulator)[0] != '\0') {
+        printf("seed=%lu broken=\"%s\"\n", (unsigned long)seed, simulator_violation(simulator));
+        return false;
+    }
+    for (uint32_t i = 0; i < job_count; i++) {
+        char id[MS_JOB_ID_MAX];
+        snprintf(id, sizeof(id), "job%u", i);
+        if (simulator_job_phase(simulator, id) == MS_PHASE_OPEN) {
+            printf("seed=%lu broken=\"%s has not ended\"\n", (unsigned long)seed, id);
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+add_counts(struct simulator_counts *totals, const struct simulator *simulator)
+{
+    struct simulator_counts counts;
+    simulator_counts(simulator, &counts);
+    totals->starts += counts.starts;
+    totals->done += counts.done;
+    totals->failed += counts.failed;
+    totals->stopped += counts.stopped;
+    totals->leader_changes += counts.leader_changes;
+    totals->idle_ms_max = MAX(totals->idle_ms_max, counts.idle_ms_max);
+}
+
 /* Runs one seed and adds its counts to TOTALS; returns whether it passed. */
 static bool
 run_seed(uint64_t seed, struct simulator_counts *totals, FILE *trace)
@@ -48,7 +100,7 @@
         faults.leader_change = 60;
         faults.server_silence = 5;
     }
-    struct simulator *simulator = simulator_new(seed, 16, &faults, trace);
+    struct simulator *simulator = simulator_new(seed, SERVER_COUNT, &faults, trace);
     for (uint32_t i = 0; i < JOB_COUNT; i++) {
         struct ms_batch_spec spec;
         simulator_random_spec(&random_state, i, &spec);
@@ -57,45 +109,156 @@
     }
     simulator_disable_faults(simulator);
     simulator_run(simulator, RECOVERY_DURATION_MS);
-    bool passed = simulator_violation(simulator)[0] == '\0';
-    if (!passed) {
-        printf("seed=%lu broken=\"%s\"\n", (unsigned long)seed, simulator_violation(simulator));
-    }
-    for (uint32_t i = 0; passed && i < JOB_COUNT; i++) {
-        char id[MS_JOB_ID_MAX];
-        snprintf(id, sizeof(id), "job%u", i);
-        if (simulator_job_phase(simulator, id) == MS_PHASE_OPEN) {
-            printf("seed=%lu broken=\"%s has not ended\"\n", (unsigned long)seed, id);
-            passed = false;
+    bool passed = check_end(simulator, seed, JOB_COUNT);
+    add_counts(totals, simulator);
+    simulator_free(simulator);
+    return passed;
+}
+
+/* A mode that checks liveness. */
+struct liveness_mode {
+    const char *name;
+    enum simulator_liveness liveness;
+    bool takeovers; /* the leader is lost in series until the end */
+};
+
+static const struct liveness_mode liveness_modes[] = {
+    {"liveness", SIMULATOR_LIVENESS_FREE, false},
+    {"starvation", SIMULATOR_LIVENESS_PREEMPTIBLE, false},
+    {"takeovers", SIMULATOR_LIVENESS_FREE, true},
+};
+
+/* The jobs of one seed of these modes. */
+struct job_mix {
+    uint32_t small_tasks_max; /* of one job of small tasks */
+    uint32_t job_count;       /* submitted so far */
+};
+
+/* Submits jobs for DURATION_MS. */
+static void
+submit_mixed_jobs(struct simulator *simulator, uint64_t *random_state, int64_t duration_ms,
+                  struct job_mix *mix)
+{
+    for (int64_t elapsed_ms = 0; elapsed_ms < duration_ms; elapsed_ms += LIVENESS_ROUND_MS) {
+        struct ms_batch_spec spec;
+        simulator_small_tasks_spec(random_state, mix->job_count++, mix->small_tasks_max, &spec);
+        simulator_submit_job(simulator, &spec);
+        if (simulator_random(random_state, 1000) < LIVENESS_LARGE_JOB_PERMILLE) {
+            uint32_t priority = simulator_random(random_state, 2);
+            uint32_t width = 2 + simulator_random(random_state, LIVENESS_SERVER_COUNT / 2 - 1);
+            simulator_wide_gang_spec(mix->job_count++, priority, width, &spec);
+            simulator_submit_job(simulator, &spec);
         }
+        if (simulator_random(random_state, 1000) < LIVENESS_LARGE_JOB_PERMILLE) {
+            simulator_random_spec(random_state, mix->job_count++, &spec);
+            simulator_submit_job(simulator, &spec);
+        }
+        simulator_run(simulator, LIVENESS_ROUND_MS);
     }
-    struct simulator_counts counts;
-    simulator_counts(simulator, &counts);
-    totals->starts += counts.starts;
-    totals->done += counts.done;
-    totals->failed += counts.failed;
-    totals->stopped += counts.stopped;
-    totals->leader_changes += counts.leader_changes;
+}
+
+/* Submits a gang with a member on each server in service, and lets it end. */
+static void
+submit_gang_on_all_servers(struct simulator *simulator, struct job_mix *mix)
+{
+    struct ms_batch_spec spec;
+    uint32_t width = simulator_count_usable_servers(simulator);
+    simulator_wide_gang_spec(mix->job_count++, 0, width, &spec);
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, LIVENESS_GANG_MS);
+}
+
+/* As run_seed(), for a MODE that checks liveness. */
+static bool
+run_liveness_seed(uint64_t seed, const struct liveness_mode *mode, struct simulator_counts *totals,
+                  FILE *trace)
+{
+    uint64_t random_state = seed * 99991u + 7;
+    struct simulator_faults faults = {
+        .answer_loss = (int)simulator_random(&random_state, 30),
+        .order_loss = (int)simulator_random(&random_state, 20),
+        .server_restart = (int)simulator_random(&random_state, 2),
+        .server_disconnect = (int)simulator_random(&random_state, 4),
+        .leader_change = (int)simulator_random(&random_state, 10),
+        .log_outage = (int)simulator_random(&random_state, 10),
+        .run_failure = (int)simulator_random(&random_state, 40),
+        .job_cancellation = (int)simulator_random(&random_state, 10),
+        .run_stall = (int)simulator_random(&random_state, 2),
+        .directory_expiry = (int)simulator_random(&random_state, 3),
+        .leader_change_series = (int)simulator_random(&random_state, 10),
+        .gang_server_loss = (int)simulator_random(&random_state, 6),
+        .gang_stall = (int)simulator_random(&random_state, 15),
+    };
+    if (simulator_random(&random_state, 3) == 0) {
+        faults.order_delay = 10;
+    }
+    if (simulator_random(&random_state, 4) == 0) {
+        faults.directory_expiry = 20; /* at most times most servers are not listed */
+    }
+    if (mode->takeovers) {
+        faults.gang_server_loss = TAKEOVERS_SERVER_LOSS_PERMILLE;
+    }
+    struct job_mix mix = {.small_tasks_max = 4 + simulator_random(&random_state, 20)};
+    struct simulator *simulator = simulator_new(seed, LIVENESS_SERVER_COUNT, &faults, trace);
+    simulator_set_liveness(simulator, mode->liveness);
+    submit_mixed_jobs(simulator, &random_state, FAULTS_DURATION_MS, &mix);
+    if (mode->takeovers) {
+        simulator_disable_server_faults(simulator, TAKEOVERS_SERIES_PERMILLE);
+    }
+    else {
+        simulator_disable_faults(simulator);
+    }
+    submit_mixed_jobs(simulator, &random_state, LIVENESS_CALM_MS, &mix);
+    simulator_run(simulator, RECOVERY_DURATION_MS);
+    simulator_disable_faults(simulator);
+    simulator_run(simulator, LIVENESS_SETTLE_MS);
+    submit_gang_on_all_servers(simulator, &mix);
+    bool passed = check_end(simulator, seed, mix.job_count);
+    add_counts(totals, simulator);
     simulator_free(simulator);
     return passed;
 }
 
+/* The mode called NAME, or NULL. */
+static const struct liveness_mode *
+find_mode(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(liveness_modes); i++) {
+        if (strcmp(name, liveness_modes[i].name) == 0) {
+            return &liveness_modes[i];
+        }
+    }
+    return NULL;
+}
+
 int
 main(int argc, char **argv)
 {
+    const struct liveness_mode *mode = argc > 1 ? find_mode(argv[1]) : NULL;
+    if (mode != NULL) {
+        argc--;
+        argv++;
+    }
     if (argc != 3 && argc != 4) {
-        fprintf(stderr, "usage: batch-fuzz FIRST LAST [trace]\n");
+        fprintf(stderr,
+                "usage: batch-fuzz [liveness | starvation | takeovers] FIRST LAST [trace]\n");
         return 2;
     }
     uint64_t first = strtoull(argv[1], NULL, 10);
     uint64_t last = strtoull(argv[2], NULL, 10);
+    FILE *trace = argc == 4 ? stdout : NULL;
     uint64_t failed = 0;
-    struct simulator_counts totals = {0, 0, 0, 0, 0};
+    struct simulator_counts totals = {0, 0, 0, 0, 0, 0};
     for (uint64_t seed = first; seed <= last; seed++) {
-        failed += !run_seed(seed, &totals, argc == 4 ? stdout : NULL);
+        bool passed = mode != NULL ? run_liveness_seed(seed, mode, &totals, trace)
+                                   : run_seed(seed, &totals, trace);
+        failed += !passed;
     }
     printf("starts=%u done=%u failed=%u stopped=%u take_overs=%u\n", totals.starts, totals.done,
            totals.failed, totals.stopped, totals.leader_changes);
+    if (mode != NULL) {
+        printf("idle_ms_max=%" G_GINT64_FORMAT "\n", totals.idle_ms_max);
+    }
     printf("%lu seeds, %lu failed\n", (unsigned long)last - (unsigned long)first + 1,
            (unsigned long)failed);
     return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/batch/simulated_server.c
+++ b/tests/batch/simulated_server.c
@@ -34,6 +34,12 @@
     }
 }
 
+bool
+simulated_server_reachable(const struct simulator *simulator, const struct simulated_server *server)
+{
+    return !server->removed && !server->lost && simulator->now >= server->unreachable_until;
+}
+
 /* Length of the prefix that the names of all tasks of a step share: "ID.OCCURRENCE.STEP.". */
 static size_t
 gang_prefix_length(const char *task)
@@ -41,9 +47,8 @@
     return (size_t)(strrchr(task, '.') - task) + 1;
 }
 
-/* The step of a task by the task's name; NULL if no such job was submitted. */
-static const struct ms_step *
-find_step(const struct simulator *simulator, const char *task)
+const struct ms_step *
+simulator_find_step(const struct simulator *simulator, const char *task)
 {
     char id[MS_JOB_ID_MAX];
     uint32_t occurrence = 0;
@@ -70,6 +75,9 @@
     simulator_trace(simulator, server, ms_run_end_name(how), reported.task);
     simulator->counts.done += how == MS_RUN_END_DONE;
     simulator->counts.failed += how == MS_RUN_END_FAILED;
+    if (how == MS_RUN_END_FAILED) {
+        simulator_note_fault(simulator, simulator->now);
+    }
     simulator->counts.stopped += how == MS_RUN_END_STOPPED;
     g_array_remove_index(server->runs, index);
 }
@@ -136,7 +144,7 @@
             const struct event *order)
 {
     const char *task = order->action->task;
-    const struct ms_step *step = find_step(simulator, task);
+    const struct ms_step *step = simulator_find_step(simulator, task);
     char id[MS_JOB_ID_MAX];
     uint32_t occurrence = 0;
     uint32_t step_index = 0;
@@ -177,7 +185,7 @@
     struct ms_resources allocated = step->task_resources;
     for (guint i = 0; i < server->runs->len; i++) {
         const struct ms_step *other =
-            find_step(simulator, g_array_index(server->runs, struct run, i).task);
+            simulator_find_step(simulator, g_array_index(server->runs, struct run, i).task);
         ms_resources_add(&allocated, &other->task_resources, 1);
     }
     if (!ms_resources_fit(&server->entry.capacity, &allocated)) {
@@ -212,7 +220,7 @@
     if (!unfenced_late) {
         check_start(simulator, server, order);
     }
-    const struct ms_step *step = find_step(simulator, action->task);
+    const struct ms_step *step = simulator_find_step(simulator, action->task);
     struct run run = {.run = action->run, .started_at = simulator->now, .gang = step->gang};
     g_strlcpy(run.task, action->task, sizeof(run.task));
     run.will_fail = simulator_chance(simulator, simulator->faults.run_failure);
@@ -345,7 +353,7 @@
         }
         end_run(simulator, server, i, how);
         if (run.gang && how == MS_RUN_END_DONE) {
-            const struct ms_step *step = find_step(simulator, run.task);
+            const struct ms_step *step = simulator_find_step(simulator, run.task);
             for (uint32_t k = 0; k < step->task_count; k++) {
                 char *name =
                     g_strdup_printf("%.*s%u", (int)gang_prefix_length(run.task), run.task, k);
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -1,5 +1,5 @@
 /*
- * simulator.c - events, faults and the log of the simulator.
+ * simulator.c - clock, events and the log of the simulator.
  */
 #include <stdio.h>
 #include <string.h>
@@ -7,14 +7,13 @@
 #include "batch/simulator_private.h"
 
 #define NETWORK_LATENCY_MS 2
-#define LOG_STORE_MS 6 /* time that the log takes to store records */
+#define LOG_STORE_MS 6        /* time that the log takes to store records */
+#define ORDER_TIMEOUT_MS 1000 /* after which the engine is told that there is no answer */
 #define FAULT_INTERVAL_MS 100
 #define SERVER_ACCELS 8
 #define SERVER_CPU_MILLIS 64000
 #define SERVER_MEMORY_MB 256000
-#define LEASE_MAX_MS 10000              /* longest lease that a server grants */
-#define LEADER_RENEWAL_TIMEOUT_MS 2500  /* RENEWAL_TIMEOUT_MS of src/entry/leader.c */
-#define DIRECTORY_ENTRY_TIMEOUT_MS 4500 /* when the entry of a lost server expires */
+#define LEASE_MAX_MS 10000 /* longest lease that a server grants */
 
 uint32_t
 simulator_random(uint64_t *state, uint32_t below)
@@ -82,17 +81,11 @@
 {
     struct ms_engine_limits limits;
     ms_engine_limits_defaults(&limits);
-    limits.lease_ms = 8000;
+    limits.lease_ms = SIMULATOR_LEASE_MS;
     simulator->epoch++;
     simulator->generation++;
-    /*
-     * As earlier_leases_end() in src/entry/leader.c: a lease, longer by 103/100 as servers'
-     * clocks may be slow, and a margin of 500 ms.
-     */
     int64_t earlier_leases_until =
-        simulator->epoch > 1
-            ? simulator->leader_lost_at + LEADER_RENEWAL_TIMEOUT_MS + 8000 * 103 / 100 + 500
-            : 0;
+        simulator->epoch > 1 ? simulator->leader_lost_at + EARLIER_LEASES_MS : 0;
     simulator->engine =
         ms_engine_new(&limits, simulator->epoch, earlier_leases_until, simulator->now);
     if (simulator->trace != NULL) {
@@ -104,7 +97,7 @@
         if (!server->lost) {
             server->entry.clock_ms = simulator->now;
         }
-        if (!server->removed) {
+        if (!server->removed && !server->unlisted) {
             ms_engine_update_server(simulator->engine, &server->entry, simulator->now);
         }
     }
@@ -141,6 +134,7 @@
     simulator->done_tasks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     simulator->acked_failures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     simulator->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    simulator->idle_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     for (size_t i = 0; i < servers; i++) {
         init_server(simulator, i);
     }
@@ -176,6 +170,7 @@
     g_hash_table_destroy(simulator->done_tasks);
     g_hash_table_destroy(simulator->acked_failures);
     g_hash_table_destroy(simulator->cancelled);
+    g_hash_table_destroy(simulator->idle_since);
     g_free(simulator);
 }
 
@@ -208,8 +203,7 @@
     answer->action = order->action;
     answer->sent_at = order->sent_at;
     order->action = NULL;
-    bool reachable =
-        !server->removed && !server->lost && simulator->now >= server->unreachable_until;
+    bool reachable = simulated_server_reachable(simulator, server);
     answer->due_at = simulator->now + NETWORK_LATENCY_MS;
     answer->result = MS_ORDER_NO_ANSWER;
     if (reachable) {
@@ -242,10 +236,13 @@
     bool answer_lost = order->delayed ||
                        simulator_chance(simulator, simulator->faults.answer_loss) ||
                        simulator->now < server->silent_until;
+    if (answer_lost) {
+        simulator_note_fault(simulator, simulator->now + ORDER_TIMEOUT_MS);
+    }
     if (!reachable || answer_lost) {
         answer->result = MS_ORDER_NO_ANSWER;
         answer->clock_ms = 0;
-        answer->due_at = simulator->now + 1000;
+        answer->due_at = simulator->now + ORDER_TIMEOUT_MS;
         ms_server_report_free(answer->report);
         answer->report = NULL;
     }
@@ -280,6 +277,7 @@
     struct event *copy = g_new0(struct event, 1);
     copy->kind = EVENT_ORDER_ARRIVES;
     copy->due_at = simulator->now + 2000 + simulator_random(&simulator->random_state, 10000);
+    simulator_note_fault(simulator, copy->due_at);
     copy->epoch = simulator->epoch;
     copy->delayed = true;
     copy->action = g_new0(struct ms_engine_action, 1);
@@ -321,7 +319,8 @@
             }
             event->kind = EVENT_ANSWER_ARRIVES;
             event->result = MS_ORDER_NO_ANSWER;
-            event->due_at = simulator->now + 1000;
+            event->due_at = simulator->now + ORDER_TIMEOUT_MS;
+            simulator_note_fault(simulator, event->due_at);
         }
         push_event(simulator, event);
     }
@@ -391,120 +390,6 @@
     }
 }
 
-/* SERVER disappears for good; the directory lists it until its entry expires. */
-static void
-lose_server(struct simulator *simulator, struct simulated_server *server)
-{
-    simulator_trace(simulator, server, "vanish", "");
-    simulated_server_clear(simulator, server);
-    server->lost = true;
-    server->unlist_at = simulator->now + DIRECTORY_ENTRY_TIMEOUT_MS;
-}
-
-/* Causes random faults of SERVER, and completes the removal of one that shut down or was lost. */
-static void
-inject_server_faults(struct simulator *simulator, struct simulated_server *server)
-{
-    if (server->removed) {
-        return;
-    }
-    if (server->shutdown_at > 0 && simulator->now >= server->shutdown_at) {
-        simulated_server_clear(simulator, server);
-        server->removed = true;
-        if (simulator->engine != NULL) {
-            ms_engine_unlist_server(simulator->engine, server->entry.id, simulator->now);
-        }
-        return;
-    }
-    if (server->lost) {
-        if (simulator->now >= server->unlist_at) {
-            server->removed = true;
-            if (simulator->engine != NULL) {
-                ms_engine_unlist_server(simulator->engine, server->entry.id, simulator->now);
-            }
-        }
-        return;
-    }
-    if (simulator_chance(simulator, simulator->faults.server_loss)) {
-        lose_server(simulator, server);
-        return;
-    }
-    if (simulator_chance(simulator, simulator->faults.server_restart)) {
-        simulator_trace(simulator, server, "crash", "");
-        simulated_server_clear(simulator, server);
-        server->entry.start_unix_ms += 100000;
-        if (simulator->engine != NULL) {
-            ms_engine_update_server(simulator->engine, &server->entry, simulator->now);
-        }
-    }
-    if (simulator_chance(simulator, simulator->faults.run_stall)) {
-        simulator_trace(simulator, server, "hang", "");
-        server->stalled_until =
-            simulator->now + 1000 + simulator_random(&simulator->random_state, 5000);
-    }
-    if (simulator->faults.server_silence > 0 &&
-        simulator_chance(simulator, simulator->faults.server_silence)) {
-        server->silent_until =
-            simulator->now + 1000 + simulator_random(&simulator->random_state, 14000);
-    }
-    if (simulator_chance(simulator, simulator->faults.server_disconnect)) {
-        server->unreachable_until =
-            simulator->now + 1000 + simulator_random(&simulator->random_state, 5000);
-    }
-    if (simulator_chance(simulator, simulator->faults.server_drain) && !server->entry.draining) {
-        server->entry.draining = true;
-        server->shutdown_at = simulator->now + 4000;
-        if (simulator->engine != NULL) {
-            ms_engine_update_server(simulator->engine, &server->entry, simulator->now);
-        }
-    }
-}
-
-/* Cancels a random submitted job, possibly one that has ended, or none. */
-static void
-cancel_random_job(struct simulator *simulator)
-{
-    GHashTableIter iterator;
-    gpointer id = NULL;
-    g_hash_table_iter_init(&iterator, simulator->specs);
-    uint32_t skip =
-        simulator_random(&simulator->random_state, g_hash_table_size(simulator->specs) + 1);
-    while (g_hash_table_iter_next(&iterator, &id, NULL)) {
-        if (skip-- == 0) {
-            simulator_cancel_job(simulator, id);
-            return;
-        }
-    }
-}
-
-static void
-inject_faults(struct simulator *simulator)
-{
-    for (size_t i = 0; i < simulator->server_count; i++) {
-        inject_server_faults(simulator, &simulator->servers[i]);
-    }
-    if (simulator_chance(simulator, simulator->faults.log_outage)) {
-        simulator->log_outage_until =
-            simulator->now + 1000 + simulator_random(&simulator->random_state, 3000);
-    }
-    if (simulator->engine != NULL && simulator_chance(simulator, simulator->faults.leader_change)) {
-        simulator_change_leader(simulator, 500 + simulator_random(&simulator->random_state, 3000));
-    }
-    if (simulator_chance(simulator, simulator->faults.job_cancellation)) {
-        cancel_random_job(simulator);
-    }
-}
-
-void
-simulator_change_leader(struct simulator *simulator, int64_t delay_ms)
-{
-    ms_engine_free(simulator->engine);
-    simulator->engine = NULL;
-    simulator->leader_lost_at = simulator->now;
-    simulator->new_leader_at = simulator->now + delay_ms;
-    simulator->counts.leader_changes++;
-}
-
 void
 simulator_run(struct simulator *simulator, int64_t ms)
 {
@@ -516,7 +401,8 @@
             simulated_server_tick(simulator, &simulator->servers[i]);
         }
         if (simulator->now % FAULT_INTERVAL_MS == 0) {
-            inject_faults(simulator);
+            simulator_inject_faults(simulator);
+            simulator_check_progress(simulator);
         }
         if (simulator->engine == NULL && simulator->now >= simulator->new_leader_at &&
             simulator->now >= simulator->log_outage_until) {
@@ -529,58 +415,6 @@
     }
 }
 
-void
-simulator_disable_faults(struct simulator *simulator)
-{
-    memset(&simulator->faults, 0, sizeof(simulator->faults));
-}
-
-void
-simulator_disconnect_server(struct simulator *simulator, size_t index, int64_t ms)
-{
-    simulator->servers[index].unreachable_until = simulator->now + ms;
-}
-
-void
-simulator_lose_server(struct simulator *simulator, size_t index)
-{
-    lose_server(simulator, &simulator->servers[index]);
-}
-
-void
-simulator_silence_server(struct simulator *simulator, size_t index, int64_t ms)
-{
-    simulator->servers[index].silent_until = simulator->now + ms;
-}
-
-void
-simulator_stop_log(struct simulator *simulator, int64_t ms)
-{
-    simulator->log_outage_until = simulator->now + ms;
-}
-
-void
-simulator_stall_runs(struct simulator *simulator, size_t index, int64_t ms)
-{
-    simulator->servers[index].stalled_until = simulator->now + ms;
-}
-
-void
-simulator_drain_and_unlist_server(struct simulator *simulator, size_t index, int64_t ms)
-{
-    struct simulated_server *server = &simulator->servers[index];
-    server->entry.draining = true;
-    ms_engine_update_server(simulator->engine, &server->entry, simulator->now);
-    simulator_disconnect_server(simulator, index, ms);
-    ms_engine_unlist_server(simulator->engine, server->entry.id, simulator->now);
-}
-
-void
-simulator_relist_server(struct simulator *simulator, size_t index)
-{
-    ms_engine_update_server(simulator->engine, &simulator->servers[index].entry, simulator->now);
-}
-
 /* Stores a record in the log and tells the engine about an accepted or cancelled job. */
 static void
 store_record(struct simulator *simulator, const char *prefix, const char *id, const uint8_t *value,
@@ -639,30 +473,3 @@
 {
     *counts = simulator->counts;
 }
-
-void
-simulator_random_spec(uint64_t *random_state, uint32_t job_number, struct ms_batch_spec *spec)
-{
-    memset(spec, 0, sizeof(*spec));
-    snprintf(spec->id, sizeof(spec->id), "job%u", job_number);
-    snprintf(spec->queue, sizeof(spec->queue), "q%u", simulator_random(random_state, 3));
-    g_strlcpy(spec->account, "account", sizeof(spec->account));
-    spec->payload = g_strdup_printf("payload of %u", job_number);
-    spec->step_count = 1 + simulator_random(random_state, 2);
-    spec->steps = g_new0(struct ms_step, spec->step_count);
-    for (size_t i = 0; i < spec->step_count; i++) {
-        struct ms_step *step = &spec->steps[i];
-        step->task_count = 1 + simulator_random(random_state, 6);
-        step->task_resources.cpu_millis = 1000 + simulator_random(random_state, 20000);
-        step->task_resources.memory_mb = 1000 + simulator_random(random_state, 60000);
-        step->task_resources.accels = 1 << simulator_random(random_state, 4);
-        step->estimate_ms = 1500;
-        step->gang = simulator_random(random_state, 2) == 0;
-        step->same_rack = step->gang && simulator_random(random_state, 2) == 0;
-        step->checkpoints = simulator_random(random_state, 2) == 0;
-        if (i > 0) {
-            step->depends_on = g_new0(uint32_t, 1);
-            step->depends_on_count = 1;
-        }
-    }
-}
--- a/tests/batch/simulator.h
+++ b/tests/batch/simulator.h
@@ -18,7 +18,8 @@
 
 /*
  * Probabilities of faults, in per mille.  Those of orders, answers and runs apply to each of
- * them, server_* and run_stall to each server every 100 ms, the others every 100 ms.
+ * them, server_*, run_stall and directory_expiry to each server every 100 ms, the others every
+ * 100 ms.
  */
 struct simulator_faults {
     int answer_loss;       /* an order is carried out, but its answer is lost */
@@ -34,6 +35,21 @@
     int server_loss;       /* a server disappears for good without draining */
     int server_silence;    /* a server carries out orders for 1 to 15 s, but no answer arrives */
     int run_stall;         /* the runs on a server make no progress for 1 to 6 s */
+    /* A server is unreachable until its directory entry has expired; both return later. */
+    int directory_expiry;
+    int leader_change_series; /* the leader is lost two to four times within 12 s */
+    int gang_server_loss;     /* a server that runs a member of a gang disappears for good */
+    int gang_stall;           /* the runs on such a server make no progress for 1 to 6 s */
+};
+
+/*
+ * Capacity in which the tasks of a job have to fit twice over before the job counts as able
+ * to run; see simulator_set_liveness().
+ */
+enum simulator_liveness {
+    SIMULATOR_LIVENESS_UNCHECKED = 0,
+    SIMULATOR_LIVENESS_FREE,        /* what no run uses */
+    SIMULATOR_LIVENESS_PREEMPTIBLE, /* that, and what runs of a lower priority use */
 };
 
 struct simulator;
@@ -52,12 +68,28 @@
 /* Stores the cancellation of a job without delay. */
 void simulator_cancel_job(struct simulator *simulator, const char *id);
 
+/*
+ * Checks from now on that jobs make progress.  Once all faults, and the longest wait for leases
+ * after them, are over, no open job may be without a run for 3 s while a step of it is due,
+ * under half of each resource is in use, and its tasks (one task, or all members of a gang)
+ * fit twice over into the capacity that LIVENESS names of servers that are up, listed, not
+ * draining and reachable.
+ */
+void simulator_set_liveness(struct simulator *simulator, enum simulator_liveness liveness);
+
 /* Advances the simulated clock by MS, or until an invariant is violated. */
 void simulator_run(struct simulator *simulator, int64_t ms);
 
 /* Causes no further faults; those in progress end as scheduled. */
 void simulator_disable_faults(struct simulator *simulator);
 
+/*
+ * The same, but series of leader losses go on with probability PER_MILLE.  They do not count as
+ * faults when it is checked that jobs make progress; only the time without a leader, and
+ * 3 s from the start of each, are allowed for.
+ */
+void simulator_disable_server_faults(struct simulator *simulator, int per_mille);
+
 /* Destroys the engine; the engine of a new leader starts after DELAY_MS. */
 void simulator_change_leader(struct simulator *simulator, int64_t delay_ms);
 
@@ -85,6 +117,9 @@
 /* Adds server INDEX to the directory again. */
 void simulator_relist_server(struct simulator *simulator, size_t index);
 
+/* The number of servers in service: up, listed, not draining and reachable. */
+uint32_t simulator_count_usable_servers(const struct simulator *simulator);
+
 /* The first violated invariant with the task and the time, or "". */
 const char *simulator_violation(const struct simulator *simulator);
 
@@ -98,12 +133,21 @@
     uint32_t failed;
     uint32_t stopped;
     uint32_t leader_changes;
+    int64_t idle_ms_max; /* the longest time that a job could run and did not, if checked */
 };
 
 void simulator_counts(const struct simulator *simulator, struct simulator_counts *counts);
 
-/* Fills SPEC with random job "jobNUMBER" of one or two steps, for simulator_submit_job(). */
+/* These fill SPEC with a random job "jobNUMBER", for simulator_submit_job(). */
+/* Of one or two steps. */
 void simulator_random_spec(uint64_t *random_state, uint32_t job_number, struct ms_batch_spec *spec);
+/* One step of 1 to COUNT_MAX small single tasks, in the queue of the lowest priority. */
+void simulator_small_tasks_spec(uint64_t *random_state, uint32_t job_number, uint32_t count_max,
+                                struct ms_batch_spec *spec);
+
+/* Fills SPEC with a gang of WIDTH tasks that each need over half of a server's memory. */
+void simulator_wide_gang_spec(uint32_t job_number, uint32_t priority, uint32_t width,
+                              struct ms_batch_spec *spec);
 
 /* The next pseudo-random number, 0 to BELOW - 1; STATE must not be 0. */
 uint32_t simulator_random(uint64_t *state, uint32_t below);
--- a/tests/batch/simulator_private.h
+++ b/tests/batch/simulator_private.h
@@ -1,5 +1,5 @@
 /*
- * simulator_private.h - state of the simulator, shared by simulator.c and simulated_server.c.
+ * simulator_private.h - state of the simulator, shared by its source files.
  *
  * Times are milliseconds of the simulated clock.
  */
@@ -10,6 +10,15 @@
 
 #define TASK_FAILURES_MAX 3 /* failed runs of a task before its job fails */
 
+#define SIMULATOR_LEASE_MS 8000
+#define LEADER_RENEWAL_TIMEOUT_MS 2500 /* RENEWAL_TIMEOUT_MS of src/entry/leader.c */
+/*
+ * From the loss of a leader until the leases that it granted have expired, as
+ * earlier_leases_end() in src/entry/leader.c: a lease, longer by 103/100 as servers' clocks
+ * may be slow, and a margin of 500 ms.
+ */
+#define EARLIER_LEASES_MS (LEADER_RENEWAL_TIMEOUT_MS + SIMULATOR_LEASE_MS * 103 / 100 + 500)
+
 /* A run in progress on a server. */
 struct run {
     char task[MS_TASK_NAME_MAX];
@@ -37,7 +46,9 @@
     int64_t silent_until; /* its answers are lost until then */
     int64_t stalled_until;
     int64_t shutdown_at; /* when a draining server shuts down, 0: never */
-    int64_t unlist_at;   /* of a lost server: when the directory no longer lists it */
+    int64_t unlist_at;   /* of a lost server, or if RELIST_AT is set: when its entry expires */
+    int64_t relist_at;   /* when its expired entry returns, 0: its entry does not expire */
+    bool unlisted;       /* the directory does not list it */
     bool lost;           /* disappeared without draining */
     bool removed;        /* for good; the directory does not list it */
 };
@@ -79,11 +90,17 @@
     GPtrArray *events;      /* struct event, not sorted */
     uint64_t next_sequence; /* of the next event */
     int64_t log_outage_until;
-    GHashTable *specs;          /* job id -> struct ms_batch_spec, as submitted */
-    GHashTable *acked_done;     /* names of tasks whose success was acknowledged */
-    GHashTable *done_tasks;     /* names of tasks that were done, acknowledged or not */
-    GHashTable *acked_failures; /* task name -> number of acknowledged failed runs */
-    GHashTable *cancelled;      /* ids of cancelled jobs */
+    GHashTable *specs;           /* job id -> struct ms_batch_spec, as submitted */
+    GHashTable *acked_done;      /* names of tasks whose success was acknowledged */
+    GHashTable *done_tasks;      /* names of tasks that were done, acknowledged or not */
+    GHashTable *acked_failures;  /* task name -> number of acknowledged failed runs */
+    GHashTable *cancelled;       /* ids of cancelled jobs */
+    uint32_t leader_losses_left; /* of the series in progress */
+    int64_t next_leader_loss_at; /* in that series */
+    bool leader_losses_expected; /* they do not count as faults */
+    int64_t faults_until;        /* no fault is active or pending from then on, if none follows */
+    enum simulator_liveness liveness;
+    GHashTable *idle_since; /* job id -> int64_t: since when the job could run and does not */
     struct simulator_counts counts;
     char violation[SIMULATOR_TEXT_MAX]; /* first violated invariant, or "" */
     FILE *trace;                        /* or NULL */
@@ -111,6 +128,9 @@
 /* The report of SERVER; freed with ms_server_report_free(). */
 struct ms_server_report *simulated_server_report(const struct simulator *simulator,
                                                  const struct simulated_server *server);
+/* Whether orders and their answers reach SERVER and the engine. */
+bool simulated_server_reachable(const struct simulator *simulator,
+                                const struct simulated_server *server);
 /* Simulates one millisecond on SERVER: stalls runs, expires the lease, ends runs. */
 void simulated_server_tick(struct simulator *simulator, struct simulated_server *server);
 /*
@@ -118,5 +138,17 @@
  * its gangs end as broken.
  */
 void simulated_server_clear(struct simulator *simulator, struct simulated_server *server);
+/* The step of a task by the task's name; NULL if no such job was submitted. */
+const struct ms_step *simulator_find_step(const struct simulator *simulator, const char *task);
+
+/* simulator_faults.c */
+/* Records that a fault lasts until UNTIL. */
+void simulator_note_fault(struct simulator *simulator, int64_t until);
+/* Causes random faults, and ends those that are over; called every 100 ms. */
+void simulator_inject_faults(struct simulator *simulator);
+
+/* simulator_liveness.c */
+/* Checks, when the faults have been over for long enough, that jobs make progress. */
+void simulator_check_progress(struct simulator *simulator);
 
 #endif
--- a/tests/check.py
+++ b/tests/check.py
@@ -34,6 +34,7 @@
     yield "differential-guarantees", [f"{BUILD}/differential", "guarantees"], None
     yield "batch-unit", [f"{BUILD}/batch-unit"], None
     yield "batch-fuzz", [f"{BUILD}/batch-fuzz", "1", "3000"], None
+    yield "batch-liveness", [f"{BUILD}/batch-fuzz", "liveness", "1", "60"], None
     yield "platform-names", ["/usr/bin/python3", f"{ROOT}/scripts/check_platform_names.py"], None
     yield "example-step", [f"{BUILD}/example-step"], f"{ROOT}/examples/step.expected"
     for path in sorted(glob.glob(f"{HERE}/replay/*.trace")):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,13 +3,18 @@
 
 usage: soak.py [--seed N] [--seconds S] [--hosts N] [--servers N] [--keep DIR]
 
-Submits, queries and cancels jobs while it injects faults from outside the hosts:
-signals, a proxy between each host and the log, a proxy in front of each server,
-and servers that lose answers, carry out orders late or restart.  Then it stops
-the faults and checks that every accepted job ends, that no job has run which was
-refused on each try, and that the stand-ins found no violation.  Prints one line
-for each violation and a summary; the exit code is 0 when there was none.  --keep
-writes the hosts' settings and logs to DIR.
+Submits, queries and cancels jobs while it injects faults from outside the hosts: signals,
+also in series that overlap on several hosts, changes of the configuration, a proxy between
+each host and the log, a proxy in front of each server, and servers that lose answers, carry
+out orders late, restart, or are cut off until their directory entry has expired.  Clients
+use their connections to a host that shuts down until it closes them.
+
+Then it stops the faults, submits jobs for CALM_S more, and at last a gang with a task on
+each server.  It checks that jobs make progress (soak_progress.py); that every job ends
+that was accepted, or that exists by a later answer or a start; that no job has run
+which was refused on each try; and that the stand-ins found no violation.  Prints one line
+for each violation and a summary; the exit code is 0 when there was none.  --keep writes the
+hosts' settings and logs to DIR.
 """
 import argparse
 import asyncio
@@ -22,12 +27,16 @@
 
 import aiohttp
 
+from soak_progress import SETTLE_S, ProgressCheck
 from soak_standins import Proxy, StandIns
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 BUILD = os.environ.get("MS_BUILD", os.path.join(HERE, "..", "..", "build"))
 SETTLE_TIMEOUT_S = 45
+CALM_S = SETTLE_S + 4  # of traffic without faults
+ALL_SERVERS_TIMEOUT_S = 10
 CALL_TIMEOUT_MS = 3000
+DIRECTORY_ENTRY_TIMEOUT_S = 1.5  # when the entry of a server that is cut off expires
 
 
 def free_port():
@@ -52,6 +61,7 @@
         self.soak, self.name, self.process, self.frozen = soak, f"host-{index}", None, False
         self.ports = [free_port() for _ in range(3)]
         self.proxy = Proxy(soak.standins.log.port)
+        self.lock = asyncio.Lock()  # held by a fault: those of one host do not overlap
 
     async def start(self):
         if self.proxy.port is None:
@@ -105,7 +115,9 @@
         self.directory = options.keep or tempfile.mkdtemp(prefix="soak-")
         os.makedirs(self.directory, exist_ok=True)
         self.accepted, self.cancelled, self.submitted = set(), set(), 0
-        self.injecting_faults = True
+        self.unanswered = set()  # submitted, neither accepted nor refused on each try
+        self.open_jobs = set()  # accepted, and not yet seen to have ended
+        self.injecting_faults, self.idle_max_s = True, 0.0
 
     async def call(self, method, path, body=None):
         """Calls a random host; returns the status and the body, status 0 without an answer."""
@@ -121,8 +133,15 @@
         except (aiohttp.ClientError, asyncio.TimeoutError, ValueError):
             return 0, {}
 
+    def make_wide_gang(self, width):
+        return {"taskSpec": f"payload {self.submitted}", "steps": [
+            {"count": width, "cpu": 26000, "memMb": 140000, "gpu": 1, "estimatedMs": 700,
+             "gang": True, "after": []}]}
+
     def make_spec(self):
         steps = []
+        if self.random.random() < 0.1:  # wide, and only one task fits on a server
+            return self.make_wide_gang(self.options.servers // 2)
         for number in range(self.random.choice([1, 1, 2])):
             steps.append({"count": self.random.randint(1, 4), "cpu": 4000, "memMb": 1000,
                           "gpu": self.random.choice([1, 1, 2, 4]), "estimatedMs": 700,
@@ -130,25 +149,27 @@
                           "after": [number - 1] if number else []})
         return {"taskSpec": f"payload {self.submitted}", "steps": steps}
 
-    async def submit(self):
-        """Submits a random job, with up to six tries; may cancel it; queries it after 3 s."""
+    async def submit(self, spec=None):
+        """Submits SPEC, or a random job and may cancel it; six tries; queries it after 3 s."""
         job = f"{self.random.getrandbits(64):016x}"
         path = f"/q{self.random.randrange(3)}/{job}"
-        self.standins.specs[job] = self.make_spec()
+        self.standins.specs[job] = spec or self.make_spec()
         self.submitted += 1
         always_refused = True
         for _ in range(6):
             status, _ = await self.call("POST", path, self.standins.specs[job])
             always_refused = always_refused and status in (429, 503)
             if status == 200:
-                self.accepted.add((job, path))
+                self.note_accepted(job, path)
                 break
             await asyncio.sleep(0.3)
         else:
             if always_refused:
                 self.standins.refused_jobs.add(job)
+            else:
+                self.unanswered.add((job, path))
             return
-        if self.random.random() < 0.15:
+        if spec is None and self.random.random() < 0.15:
             await asyncio.sleep(self.random.random())
             self.cancelled.add(job)
             await self.call("DELETE", path)
@@ -157,10 +178,14 @@
         if status == 410:
             self.standins.report_violation("an accepted job is not known", job)
 
-    async def submit_jobs(self):
-        """Submits jobs for the length of the test, three a second on average."""
+    def note_accepted(self, job, path):
+        self.accepted.add((job, path))
+        self.open_jobs.add((job, path))
+
+    async def submit_jobs(self, duration_s):
+        """Submits jobs for DURATION_S, three a second on average."""
         tasks = []
-        end = time.monotonic() + self.options.seconds
+        end = time.monotonic() + duration_s
         while time.monotonic() < end:
             tasks.append(asyncio.create_task(self.submit()))
             await asyncio.sleep(self.random.expovariate(3.0))
@@ -168,6 +193,24 @@
 
     async def fault_host(self, host):
         kind = self.random.choice(["kill", "term", "freeze", "delay", "silent", "one_way", "reset"])
+        async with host.lock:
+            await self.inject_host_fault(host, kind)
+
+    async def signal_after(self, host, delay_s):
+        await asyncio.sleep(delay_s)
+        async with host.lock:
+            await self.inject_host_fault(host, self.random.choice(["kill", "term", "freeze"]))
+
+    async def fault_series(self):
+        """Sends signals to several hosts, or all, in quick succession; in up to three rounds."""
+        for _ in range(self.random.randint(1, 3)):
+            if not self.injecting_faults:
+                return
+            hosts = self.random.sample(self.hosts, self.random.randint(2, len(self.hosts)))
+            await asyncio.gather(*(self.signal_after(host, self.random.uniform(0, 1.0))
+                                   for host in hosts))
+
+    async def inject_host_fault(self, host, kind):
         duration_s = self.random.uniform(0.3, 4.0)
         if kind in ("kill", "term"):
             await host.stop(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
@@ -184,11 +227,13 @@
 
     async def fault_server(self, server):
         kind = self.random.choice(["silent", "one_way", "reset", "answer_loss_rate",
-                                   "late_order_rate", "restart"])
+                                   "late_order_rate", "restart", "expire", "expire"])
         duration_s = self.random.uniform(0.3, 5.0)
         if kind == "restart":
             server.restart()
             self.standins.publish_server(server)
+        elif kind == "expire":
+            await self.expire_directory_entry(server)
         elif kind in ("answer_loss_rate", "late_order_rate"):  # attributes of Server
             setattr(server, kind, 0.3)
             await asyncio.sleep(duration_s)
@@ -198,6 +243,24 @@
             await asyncio.sleep(duration_s)
             server.proxy.mode = "pass"
 
+    async def expire_directory_entry(self, server):
+        """Cuts a server off until its entry has expired; both return, in either order."""
+        server.proxy.mode = "silent"
+        await asyncio.sleep(DIRECTORY_ENTRY_TIMEOUT_S)
+        self.standins.expire_server(server)
+        await asyncio.sleep(self.random.uniform(0.3, 5.0))
+        reachable_first = self.random.random() < 0.5
+        if reachable_first:
+            server.proxy.mode = "pass"
+            await asyncio.sleep(self.random.uniform(0, 2.0))
+        self.standins.publish_server(server)
+        if not reachable_first:
+            await asyncio.sleep(self.random.uniform(0, 2.0))
+            server.proxy.mode = "pass"
+
+    async def change_config(self):
+        self.standins.publish_config(self.random.randint(8, 24))
+
     async def fault_log(self):
         self.standins.log.mode = self.random.choice(["busy", "lose"])
         await asyncio.sleep(self.random.uniform(0.3, 3.0))
@@ -210,19 +273,41 @@
             if self.injecting_faults:
                 await inject()
 
+    async def find_unanswered_jobs(self):
+        """Adds the jobs that exist although no submission was answered with success."""
+        for job, path in sorted(self.unanswered):
+            status, _ = await self.call("GET", path)
+            if status == 200 or job in self.standins.started_jobs:
+                self.unanswered.discard((job, path))
+                self.note_accepted(job, path)
+
+    async def poll_open_jobs(self):
+        for job, path in sorted(self.open_jobs):
+            status, body = await self.call("GET", path)
+            if status == 200 and body["state"] not in ("pending", "running"):
+                self.open_jobs.discard((job, path))
+                self.check_end(job, body["state"])
+
     async def settle(self):
-        """Waits until every accepted job has ended; one that has not is a violation."""
-        open_jobs = set(self.accepted)
-        end = time.monotonic() + SETTLE_TIMEOUT_S
-        while open_jobs and time.monotonic() < end:
-            for job, path in sorted(open_jobs):
-                status, body = await self.call("GET", path)
-                if status == 200 and body["state"] not in ("pending", "running"):
-                    open_jobs.discard((job, path))
-                    self.check_end(job, body["state"])
+        """Submits further jobs, then a gang with a task on each server; waits for all to end."""
+        await self.wait_for_jobs(self.submit_jobs(CALM_S), SETTLE_TIMEOUT_S,
+                                 "an accepted job has not ended")
+        # A server that is in service again, but not used, keeps it waiting.
+        await self.wait_for_jobs(self.submit(self.make_wide_gang(self.options.servers)),
+                                 ALL_SERVERS_TIMEOUT_S, "a gang on all servers has not ended")
+
+    async def wait_for_jobs(self, submission, timeout_s, rule):
+        """Runs SUBMISSION and waits for all jobs to end; one that has not violates RULE."""
+        traffic = asyncio.create_task(submission)
+        end = time.monotonic() + timeout_s
+        while (self.open_jobs or not traffic.done()) and time.monotonic() < end:
+            await self.find_unanswered_jobs()
+            await self.poll_open_jobs()
             await asyncio.sleep(0.2)
-        for job, _ in sorted(open_jobs):
-            self.standins.report_violation("an accepted job has not ended", job)
+        await traffic
+        for job, _ in sorted(self.open_jobs):
+            self.standins.report_violation(rule, job)
+        self.open_jobs.clear()
 
     def check_end(self, job, state):
         """Checks the final state of a job against the servers' records."""
@@ -249,11 +334,19 @@
                 fault_loops.append(
                     self.repeat_fault(lambda server=server: self.fault_server(server), 10))
             fault_loops.append(self.repeat_fault(self.fault_log, 8))
+            fault_loops.append(self.repeat_fault(self.fault_series, 10))
+            fault_loops.append(self.repeat_fault(self.change_config, 2))
             fault_tasks = [asyncio.create_task(loop) for loop in fault_loops]
-            await self.submit_jobs()
+            progress = ProgressCheck(self)
+            await self.submit_jobs(self.options.seconds)
             self.injecting_faults = False
             await asyncio.gather(*fault_tasks)
+            self.standins.failure_rate = 0.0
+            self.standins.note_fault()
+            progress_task = asyncio.create_task(progress.watch())
             await self.settle()
+            progress_task.cancel()
+            self.idle_max_s = progress.idle_max_s
             for job in self.standins.refused_jobs:
                 if job in self.standins.started_jobs:
                     self.standins.report_violation("a refused job has run", job)
@@ -273,7 +366,7 @@
     for violation in violations:
         print(f"seed={soak.options.seed} broken=\"{violation}\"")
     print(f"seed={soak.options.seed} jobs={len(soak.accepted)} starts={soak.standins.start_count} "
-          f"broken={len(violations)} logs={soak.directory}")
+          f"idle_max_s={soak.idle_max_s:.1f} broken={len(violations)} logs={soak.directory}")
     return 1 if violations else 0
 
 
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -199,6 +199,8 @@
     of runs until the scheduler acknowledges their positions.
     """
 
+    capacity = {"cpu": 64000, "memMb": 256000, "gpu": 8}
+
     def __init__(self, standins, index):
         self.standins, self.id = standins, f"i-{index}"
         self.rack, self.zone = f"r{index // 4}", f"dc-{index % 2}"
@@ -219,9 +221,13 @@
 
     def directory_entry(self):
         return {"service": "planner", "address": f"127.0.0.1:{self.proxy.port}", "zone": self.zone,
-                "slots": 8, "state": "ready", "capacity": {"cpu": 64000, "memMb": 256000, "gpu": 8},
+                "slots": 8, "state": "ready", "capacity": self.capacity,
                 "labels": ["a", self.rack], "clockMs": now_ms(), "born": self.incarnation}
 
+    def free(self, resource):
+        """Returns how much of a resource the runs in progress leave."""
+        return self.capacity[resource] - sum(run["step"][resource] for run in self.runs.values())
+
     async def watch_runs(self):
         """Ends runs whose lease expired, whose gang did not start in time, or that are done."""
         while True:
@@ -274,6 +280,7 @@
 
     async def respond(self, request, body, status=200):
         if self.standins.random.random() < self.answer_loss_rate:
+            self.standins.note_fault()
             request.transport.abort()
         body["clockMs"] = now_ms()
         return web.json_response(body, status=status)
@@ -283,8 +290,7 @@
         order = await request.json()
         if self.standins.random.random() < self.late_order_rate:
             delay = self.standins.random.uniform(2, 6)
-            asyncio.get_running_loop().call_later(
-                delay, lambda: self.apply_if_not_fenced(order, apply))
+            asyncio.get_running_loop().call_later(delay, self.apply_late, order, apply)
             request.transport.abort()
             return web.json_response({})
         refusal = self.apply_if_not_fenced(order, apply)
@@ -298,6 +304,10 @@
         self.fencing_token = order["fencingToken"]
         return apply(order)
 
+    def apply_late(self, order, apply):
+        self.standins.note_fault()
+        self.apply_if_not_fenced(order, apply)
+
     def extend_lease(self, order):
         self.lease_deadline_ms = min(max(self.lease_deadline_ms, order.get("deadlineMs", 0)),
                                      now_ms() + LEASE_MAX_MS)
@@ -361,7 +371,8 @@
 
     `specs` holds every submitted job by id; `acknowledged_tasks` are the tasks whose
     successful end the scheduler acknowledged.  `refused_jobs` were refused on each
-    try.  `failure_rate` is the share of runs that fail.
+    try.  `failure_rate` is the share of runs that fail.  `last_fault_at` is the time of the
+    latest effect of a fault.
     """
 
     def __init__(self, seed, servers):
@@ -370,6 +381,10 @@
         self.specs, self.done_tasks, self.acknowledged_tasks = {}, set(), set()
         self.refused_jobs, self.started_jobs, self.violations = set(), set(), []
         self.failure_rate, self.start_count = 0.0, 0
+        self.last_fault_at, self.config_version = 0.0, 0
+
+    def note_fault(self):
+        self.last_fault_at = time.monotonic()
 
     def report_violation(self, rule, subject):
         self.violations.append(f"{rule}: {subject}")
@@ -392,8 +407,7 @@
             for index in range(spec["steps"][earlier]["count"]):
                 if f"{job}.0.{earlier}.{index}" not in self.done_tasks:
                     self.report_violation("started before an earlier step was done", task)
-        allocated_gpus = step["gpu"] + sum(run["step"]["gpu"] for run in server.runs.values())
-        if allocated_gpus > 8:
+        if any(server.free(name) < step[name] for name in server.capacity):
             self.report_violation("capacity of the server exceeded", task)
         return step
 
@@ -422,17 +436,28 @@
             server.proxy = Proxy(server.port)
             await server.proxy.start()
             self.publish_server(server)
-        self.log.append_record("keyed.op", "config", json.dumps(config()).encode())
+        self.publish_config(16)
 
     def publish_server(self, server):
         """Writes the server's current entry to the directory."""
         self.log.append_record("keyed.servers", server.id,
                                json.dumps(server.directory_entry()).encode())
 
+    def expire_server(self, server):
+        """Removes the server's entry from the directory."""
+        self.log.append_record("keyed.servers", server.id, b"")
+
+    def publish_config(self, guaranteed_gpus):
+        """Writes a new version of the configuration."""
+        self.config_version += 1
+        self.log.append_record("keyed.op", "config", json.dumps(
+            config(self.config_version, guaranteed_gpus)).encode())
+
 
-def config():
+def config(version=1, guaranteed_gpus=16):
     routes = [{"name": f"q{i}", "hostname": "soak.example", "pathPrefix": f"/q{i}/",
                "service": "planner", "priority": i, "maxAttempts": 3, "stretch": 3.0,
                "targetLatencyMs": 1000} for i in range(3)]
-    return {"version": 1, "routes": routes, "services": [{"name": "planner"}], "limits": {},
-            "tenants": [{"name": "account", "apiKeys": ["key"], "guaranteed": {"gpu": 16}}]}
+    return {"version": version, "routes": routes, "services": [{"name": "planner"}], "limits": {},
+            "tenants": [{"name": "account", "apiKeys": ["key"],
+                         "guaranteed": {"gpu": guaranteed_gpus}}]}
