Engine: make each further preemption of a task more costly

What callers see: a task is preempted again and again and makes no progress, while others beside it go on undisturbed.

Cause: the cheapest run is preempted, and that is always the one that was restarted last, as it has the least work to lose.

Change: the overhead that is added to the cost of preempting a task doubles with each preemption that it has suffered, up to 32 times.

--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -6,7 +6,12 @@
 
 #include "batch/engine_placement.h"
 
-#define STOP_OVERHEAD_CORE_S 40   /* core-seconds added to the preemption cost of each task */
+/*
+ * Core-seconds added to the preemption cost of a task.  They double with each preemption that it
+ * has suffered: a task that has just been restarted would otherwise always be the cheapest one.
+ */
+#define STOP_OVERHEAD_CORE_S 40
+#define STOP_OVERHEAD_DOUBLINGS 5
 #define RESTRICTION_MS 1500       /* how long a preemption restricts its server */
 #define PREEMPTIBLE_TASKS_MAX 128 /* tasks of one server that are considered for preemption */
 
@@ -183,7 +188,9 @@
 {
     int64_t cost = task->step->spec->checkpoints ? 0 : ms_batch_task_work_core_s(engine, task);
     int64_t count = task->step->spec->gang ? task->step->spec->task_count : 1;
-    return (cost + STOP_OVERHEAD_CORE_S) * count;
+    int64_t overhead = (int64_t)STOP_OVERHEAD_CORE_S
+                       << MIN(task->preemption_count, STOP_OVERHEAD_DOUBLINGS);
+    return (cost + overhead) * count;
 }
 
 struct ms_batch_task *
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -128,6 +128,7 @@
             struct ms_batch_task *task = &step->tasks[i];
             if (task->state == MS_BATCH_TASK_STOPPING && (step->spec->gang || task == cheapest)) {
                 task->preempted = true;
+                task->preemption_count++;
                 task->preemptor_priority = priority;
                 ms_resources_add(&task->server->releasing, &step->spec->task_resources, 1);
             }
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -42,6 +42,7 @@
     bool stop_confirmed;   /* STOPPING: the server has confirmed the stop order */
     bool preempted;        /* STOPPING: preempted by more urgent work */
     uint32_t preemptor_priority; /* PREEMPTED: priority of that work */
+    uint32_t preemption_count;   /* how often it has been preempted */
     int64_t next_order_at;       /* no order is sent before then */
     int64_t last_answer_at;    /* when the start call ended or the stop was confirmed, 0: not yet */
     int64_t running_since;     /* when the run was seen to have started, 0: not yet */
--- a/tests/batch/unit_placement.c
+++ b/tests/batch/unit_placement.c
@@ -3,6 +3,8 @@
  * is there for them.  They run in the simulator.
  */
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "batch/unit.h"
 #include "batch/simulator.h"
@@ -149,10 +151,72 @@
 }
 END_TEST
 
+/* The number of lines of TRACE that say that a run of JOB was preempted. */
+static uint32_t
+count_preemptions(const char *trace, const char *job)
+{
+    uint32_t count = 0;
+    char prefix[MS_TASK_NAME_MAX];
+    snprintf(prefix, sizeof(prefix), "event=stop task=%s.", job);
+    char **lines = g_strsplit(trace, "\n", -1);
+    for (size_t i = 0; lines[i] != NULL; i++) {
+        count += strstr(lines[i], prefix) != NULL && strstr(lines[i], "reason=reclaimed") != NULL;
+    }
+    g_strfreev(lines);
+    return count;
+}
+
+/*
+ * Preemptions must not hit the same task again and again: one that has just been restarted has
+ * the least work to lose.
+ */
+START_TEST(preemptions_spread_over_tasks)
+{
+    char *trace = NULL;
+    size_t trace_size = 0;
+    FILE *stream = open_memstream(&trace, &trace_size);
+    struct simulator *simulator = simulator_new(26, 1, &no_faults, stream);
+    struct ms_batch_spec spec;
+    for (int i = 0; i < 8; i++) {
+        char id[MS_JOB_ID_MAX];
+        snprintf(id, sizeof(id), "long%d", i);
+        simple_spec(&spec, id, "q2", 1, 1);
+        spec.steps[0].estimate_ms = 100000;
+        simulator_submit_job(simulator, &spec);
+    }
+    simulator_run(simulator, 300);
+    simulator_stall_runs(simulator, 0, 1000000); /* the runs do not end */
+    for (int i = 0; i < 6; i++) {
+        char id[MS_JOB_ID_MAX];
+        snprintf(id, sizeof(id), "urgent%d", i);
+        simple_spec(&spec, id, "q0", 1, 1);
+        spec.steps[0].estimate_ms = 100000;
+        simulator_submit_job(simulator, &spec);
+        simulator_run(simulator, 2000);
+        simulator_cancel_job(simulator, id);
+        simulator_run(simulator, 3000);
+    }
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    simulator_free(simulator);
+    ck_assert_int_eq(fclose(stream), 0);
+    uint32_t total = 0;
+    for (int i = 0; i < 8; i++) {
+        char id[MS_JOB_ID_MAX];
+        snprintf(id, sizeof(id), "long%d", i);
+        uint32_t count = count_preemptions(trace, id);
+        ck_assert_uint_le(count, 3);
+        total += count;
+    }
+    ck_assert_uint_ge(total, 6);
+    free(trace);
+}
+END_TEST
+
 TCase *
 placement_cases(void)
 {
     TCase *cases = tcase_create("placement");
+    tcase_add_test(cases, preemptions_spread_over_tasks);
     tcase_add_test(cases, wait_of_gang_counts_over_leader_changes);
     tcase_add_test(cases, gang_leaves_its_rack_soon_while_capacity_is_ample);
     tcase_add_test(cases, wide_gang_is_not_starved_by_later_jobs_of_its_priority);
