Engine: count the wait for a rack from when a unit last lost its place

What callers see: a gang that has lost its run, or whose leader has changed, starts outside its rack at once, where it takes three times as long.

Cause: the wait for the rack counted from when the step became ready.

Change: this one wait counts from when the unit last lost its place, or the leader learned of it. The field moves from the explaining code, which only reads it now.

The regression test fails with the count of before: unit_placement.c:236: Assertion 'counts.starts == 0' failed: counts.starts == 4

--- a/src/batch/engine_explain.c
+++ b/src/batch/engine_explain.c
@@ -26,35 +26,12 @@
     return engine->now - engine->placement_logged_at >= LOG_INTERVAL_MS;
 }
 
-/* Whether a member that is still assigned to a server keeps STEP, a gang, from being placed. */
-static bool
-is_blocked_gang(const struct ms_batch_step *step)
-{
-    return step->spec->gang && step->waiting > 0 && step->active > 0;
-}
-
 static bool
 has_long_wait(const struct ms_engine *engine, const struct ms_batch_step *step)
 {
     return step->unplaced_since > 0 && engine->now - step->unplaced_since > EXPLAIN_WAIT_MS;
 }
 
-void
-ms_explain_note_wait(struct ms_placement_pass *pass, struct ms_batch_step *step, bool ready)
-{
-    bool blocked = is_blocked_gang(step);
-    if (!ready && !blocked) {
-        step->unplaced_since = 0;
-        return;
-    }
-    if (step->unplaced_since == 0) {
-        step->unplaced_since = pass->engine->now;
-    }
-    if (blocked) {
-        g_ptr_array_add(pass->blocked_gangs, step);
-    }
-}
-
 /* Orders steps by falling wait. */
 static gint
 compare_waits(gconstpointer left, gconstpointer right)
--- a/src/batch/engine_explain.h
+++ b/src/batch/engine_explain.h
@@ -48,12 +48,6 @@
     uint32_t count;
 };
 
-/*
- * Updates since when STEP has waiting tasks of which none was placed.  READY: it is ready to
- * be placed.
- */
-void ms_explain_note_wait(struct ms_placement_pass *pass, struct ms_batch_step *step, bool ready);
-
 /* Chooses, at most once a second, the steps of STEPS (those ready to be placed) to explain. */
 void ms_explain_begin_pass(struct ms_placement_pass *pass, const GPtrArray *steps);
 
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -472,6 +472,25 @@
     return MAX(engine->now - MAX(age_ms, 0), 1);
 }
 
+/* Whether a member that is still assigned to a server keeps STEP, a gang, from being placed. */
+static bool
+is_blocked_gang(const struct ms_batch_step *step)
+{
+    return step->spec->gang && step->waiting > 0 && step->active > 0;
+}
+
+/* Updates since when tasks of STEP wait and none was placed; WAITS: some wait now. */
+static void
+update_unplaced_since(const struct ms_engine *engine, struct ms_batch_step *step, bool waits)
+{
+    if (!waits) {
+        step->unplaced_since = 0;
+    }
+    else if (step->unplaced_since == 0) {
+        step->unplaced_since = engine->now;
+    }
+}
+
 /* Logs the number of open jobs whose queue the policy does not have, if it has changed. */
 static void
 log_missing_queues(struct ms_engine *engine, uint32_t count, const struct ms_batch_job *example)
@@ -505,7 +524,11 @@
             for (size_t s = 0; occurrence->steps != NULL && s < job->spec->step_count; s++) {
                 struct ms_batch_step *step = &occurrence->steps[s];
                 bool ready = ms_batch_step_ready(engine, step);
-                ms_explain_note_wait(pass, step, ready);
+                bool blocked = is_blocked_gang(step);
+                update_unplaced_since(engine, step, ready || blocked);
+                if (blocked) {
+                    g_ptr_array_add(pass->blocked_gangs, step);
+                }
                 if (!ready) {
                     continue;
                 }
--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -136,7 +136,10 @@
     return feasible && unplanned == 0 ? total_score : MS_NO_PLAN;
 }
 
-/* Whether the unit has waited long enough to run outside its preferred rack. */
+/*
+ * Whether the unit has waited long enough to run outside its preferred rack.  A unit that has
+ * just lost its run has not waited yet, however long ago it became ready.
+ */
 static bool
 may_leave_rack(const struct ms_placement_pass *pass)
 {
@@ -144,7 +147,7 @@
     int64_t wait_ms = (int64_t)((double)step->spec->estimate_ms * OFF_RACK_WAIT_FRACTION);
     bool top_priority = ms_batch_job_priority(step->occurrence->job) == 0;
     wait_ms = MIN(wait_ms, top_priority ? OFF_RACK_WAIT_TOP_MS : OFF_RACK_WAIT_MAX_MS);
-    return pass->engine->now - step->ready_since >= wait_ms;
+    return pass->engine->now - step->unplaced_since >= wait_ms;
 }
 
 /* The number of free accelerators of SERVERS. */
--- a/tests/batch/unit_placement.c
+++ b/tests/batch/unit_placement.c
@@ -212,10 +212,40 @@
 }
 END_TEST
 
+/*
+ * With a new leader a gang must wait for its rack again: servers are back soon after a
+ * takeover, and outside its rack the gang would take much longer.
+ */
+START_TEST(gang_waits_for_its_rack_after_leader_change)
+{
+    struct simulator *simulator = simulator_new(27, 8, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct simulator_counts counts;
+    simulator_disconnect_server(simulator, 0, 8500); /* one of the four servers of each rack */
+    simulator_disconnect_server(simulator, 4, 60000);
+    simulator_run(simulator, 500);
+    simple_spec(&spec, "gang", "q1", 4, 8);
+    spec.steps[0].gang = true;
+    spec.steps[0].same_rack = true;
+    spec.steps[0].estimate_ms = 20000;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 5000);
+    simulator_change_leader(simulator, 20);
+    simulator_run(simulator, 2500);
+    simulator_counts(simulator, &counts);
+    ck_assert_uint_eq(counts.starts, 0);
+    simulator_run(simulator, 4000); /* the first rack is complete again */
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    ck_assert_int_eq(simulator_job_phase(simulator, "gang"), MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 placement_cases(void)
 {
     TCase *cases = tcase_create("placement");
+    tcase_add_test(cases, gang_waits_for_its_rack_after_leader_change);
     tcase_add_test(cases, preemptions_spread_over_tasks);
     tcase_add_test(cases, wait_of_gang_counts_over_leader_changes);
     tcase_add_test(cases, gang_leaves_its_rack_soon_while_capacity_is_ample);
