Engine: reserve no capacity that long-running tasks occupy

What callers see: most servers stay idle for good while jobs wait.

Cause: the reserve level counts on all running tasks to end, also on those that run until their job is cancelled. A gang that can never start beside them holds its reservation for good; since the first waiting unit is exempt from the limit on idle reservations, that may be all other servers.

Change: at the reserve level, capacity of long-running tasks is not available.

The regression test failed before: unit_placement.c:273: Assertion 'simulator_job_phase(simulator, id) == MS_PHASE_SUCCEEDED' failed

--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -54,6 +54,7 @@
     }
     ms_resources_add(&available, &server->reserved, -1);
     if (level == MS_LEVEL_RESERVE) {
+        ms_resources_add(&available, &server->lasting, -1);
         return available;
     }
     ms_resources_add(&available, &server->allocated, -1);
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -381,6 +381,7 @@
             MS_CONTAINER_OF(link, struct ms_batch_server, servers_link);
         memset(&server->reserved, 0, sizeof(server->reserved));
         memset(&server->releasing, 0, sizeof(server->releasing));
+        memset(&server->lasting, 0, sizeof(server->lasting));
         server->planned_task_count = 0;
         if (!ms_batch_server_usable(engine, server)) {
             continue;
@@ -389,8 +390,12 @@
         {
             const struct ms_batch_task *task =
                 MS_CONTAINER_OF(task_link, struct ms_batch_task, server_link);
+            const struct ms_step *spec = task->step->spec;
             if (task->state == MS_BATCH_TASK_STOPPING) {
-                ms_resources_add(&server->releasing, &task->step->spec->task_resources, 1);
+                ms_resources_add(&server->releasing, &spec->task_resources, 1);
+            }
+            else if (spec->long_running) {
+                ms_resources_add(&server->lasting, &spec->task_resources, 1);
             }
         }
         g_ptr_array_add(pass->servers, server);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -155,6 +155,7 @@
     uint32_t quarantine_count;    /* since the last success */
     /* Valid within one placement pass only. */
     struct ms_resources reserved;    /* for units that wait */
+    struct ms_resources lasting;     /* of long-running tasks, which do not end by themselves */
     struct ms_resources releasing;   /* freed when the stops in progress are done */
     struct ms_resources preemptible; /* of tasks that the unit being placed may preempt */
     uint32_t planned_task_count;     /* tasks of the unit being placed that are planned here */
--- a/tests/batch/unit_placement.c
+++ b/tests/batch/unit_placement.c
@@ -8,6 +8,7 @@
 
 #include "batch/unit.h"
 #include "batch/simulator.h"
+#include "batch/simulator_private.h"
 
 static const struct simulator_faults no_faults;
 
@@ -241,10 +242,45 @@
 }
 END_TEST
 
+/*
+ * A gang that can never start beside tasks that run until they are cancelled must not keep
+ * most servers idle for good.
+ */
+START_TEST(gang_that_waits_for_long_running_tasks_does_not_starve_others)
+{
+    struct simulator *simulator = simulator_new(32, 16, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "service", "q1", 8, 8);
+    spec.steps[0].long_running = true;
+    spec.steps[0].estimate_ms = 1000000;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 400);
+    for (size_t i = 0; i < simulator->server_count; i++) {
+        if (simulator->servers[i].runs->len > 0) {
+            simulator_stall_runs(simulator, i, 1000000); /* its run does not end */
+        }
+    }
+    simple_spec(&spec, "gang", "q1", 16, 8);
+    spec.steps[0].gang = true;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 3000);
+    submit_single_jobs(simulator, "later", "q1", 8, (struct ms_resources){1000, 1000, 8});
+    simulator_run(simulator, 30000);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    for (int i = 0; i < 8; i++) {
+        char id[MS_JOB_ID_MAX];
+        snprintf(id, sizeof(id), "later%d", i);
+        ck_assert_int_eq(simulator_job_phase(simulator, id), MS_PHASE_SUCCEEDED);
+    }
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 placement_cases(void)
 {
     TCase *cases = tcase_create("placement");
+    tcase_add_test(cases, gang_that_waits_for_long_running_tasks_does_not_starve_others);
     tcase_add_test(cases, gang_waits_for_its_rack_after_leader_change);
     tcase_add_test(cases, preemptions_spread_over_tasks);
     tcase_add_test(cases, wait_of_gang_counts_over_leader_changes);
