Engine: count the wait of a job on the leader's own clock

What callers see: a job accepted by a host whose clock is a minute behind preempts others at once, as if it had waited for a minute.

Cause: "keep the time that a unit has waited over a change of the leader" took the time of acceptance from the job's record, which is on the clock of the accepting host.

Change: each host notes on its own steady clock when it has read the job's record, and a new leader counts from then. A host that has just started counts from its start.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -286,7 +286,7 @@
     job->spec = &stored->spec;
     job->started = stored->started;
     job->phase = ms_stored_job_phase(stored);
-    job->accepted_at = engine->now;
+    job->accepted_at = stored->accepted_read_at > 0 ? stored->accepted_read_at : engine->now;
     job->occurrences = g_ptr_array_new_with_free_func(free_occurrence);
     ms_list_link_init(&job->dirty_link);
     ms_list_link_init(&job->jobs_link);
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -461,20 +461,14 @@
 }
 
 /*
- * Since when STEP, which is ready, has been ready.  That of a step without predecessors does not
- * depend on when this leader learned of it, so that a change of the leader does not reset it.
+ * Since when STEP, which is ready, has been ready.  A first step of a job that is not repeated has
+ * been so since this host learned of the job, also if another host led then.
  */
 static int64_t
 ready_since(const struct ms_engine *engine, const struct ms_batch_step *step)
 {
-    const struct ms_batch_occurrence *occurrence = step->occurrence;
-    const struct ms_batch_spec *spec = occurrence->job->spec;
-    int64_t ready_unix_ms = occurrence->due_ms > 0 ? occurrence->due_ms : spec->accepted_ms;
-    if (step->spec->depends_on_count > 0 || ready_unix_ms == 0) {
-        return engine->now;
-    }
-    int64_t age_ms = engine->unix_ms - engine->limits.start_early_ms - ready_unix_ms;
-    return MAX(engine->now - MAX(age_ms, 0), 1);
+    bool at_once = step->spec->depends_on_count == 0 && step->occurrence->due_ms == 0;
+    return at_once ? step->occurrence->job->accepted_at : engine->now;
 }
 
 /* Whether a member that is still assigned to a server keeps STEP, a gang, from being placed. */
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -98,7 +98,7 @@
     bool removing;                  /* its records are to be removed from the log */
     uint32_t active_count;          /* tasks assigned to a server */
     int64_t ended_at;               /* when the engine learned of its end */
-    int64_t accepted_at;            /* when the engine learned of the job */
+    int64_t accepted_at;            /* when this host learned of the job */
 };
 
 /*
--- a/src/batch/job_table.h
+++ b/src/batch/job_table.h
@@ -47,7 +47,8 @@
     bool started;        /* a task was assigned to a server; from the newest StateRecord */
     GBytes *state;       /* newest StateRecord in its stored form, or NULL */
     /* Set by the owner of the table, on its own clock, not by ms_job_table_apply(). */
-    int64_t state_read_at; /* when `state` was read */
+    int64_t accepted_read_at; /* when its specification was read, 0: not known */
+    int64_t state_read_at;    /* when `state` was read */
 };
 
 /* Kind of a LeadRecord; the numbers are stored. */
--- a/src/entry/log_streams.c
+++ b/src/entry/log_streams.c
@@ -34,6 +34,7 @@
 {
     switch (change) {
     case MS_CHANGED_ACCEPTED:
+        job->accepted_read_at = entry->now;
         ms_requests_record_read(entry, job->id, MS_APPEND_ACCEPT);
         if (entry->engine != NULL) {
             ms_engine_add_job(entry->engine, job, entry->now);
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -424,6 +424,9 @@
     struct ms_stored_job *job = NULL;
     snprintf(key, sizeof(key), "%s%s", prefix, id);
     enum ms_table_change changed = ms_job_table_apply(simulator->table, key, value, length, &job);
+    if (changed == MS_CHANGED_ACCEPTED) {
+        job->accepted_read_at = simulator->now;
+    }
     if (simulator->engine == NULL) {
         return;
     }
--- a/tests/batch/unit_placement.c
+++ b/tests/batch/unit_placement.c
@@ -276,10 +276,39 @@
 }
 END_TEST
 
+/*
+ * A host whose clock is a minute behind accepts a job.  It has waited for a moment only, so it must
+ * not preempt at once what a job that has waited for a minute may preempt.
+ */
+START_TEST(clock_of_accepting_host_does_not_lengthen_wait)
+{
+    struct simulator *simulator = simulator_new(35, 8, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct simulator_counts counts;
+    simulator_run(simulator, 61000);
+    submit_single_jobs(simulator, "small", "q2", 8, (struct ms_resources){1000, 1000, 8});
+    simulator_run(simulator, 100);
+    for (size_t i = 0; i < simulator->server_count; i++) {
+        simulator_stall_runs(simulator, i, 1000000);
+    }
+    simulator_run(simulator, 400);
+    simple_spec(&spec, "gang", "q1", 8, 8);
+    spec.steps[0].gang = true;
+    simulator_submit_job(simulator, &spec);
+    struct ms_stored_job *job = g_hash_table_lookup(simulator->table->jobs, "gang");
+    job->spec.accepted_ms -= 60000;
+    simulator_run(simulator, 800); /* less than half of its slack */
+    simulator_counts(simulator, &counts);
+    ck_assert_uint_eq(counts.stopped, 0);
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 placement_cases(void)
 {
     TCase *cases = tcase_create("placement");
+    tcase_add_test(cases, clock_of_accepting_host_does_not_lengthen_wait);
     tcase_add_test(cases, gang_that_waits_for_long_running_tasks_does_not_starve_others);
     tcase_add_test(cases, gang_waits_for_its_rack_after_leader_change);
     tcase_add_test(cases, preemptions_spread_over_tasks);
