Engine: count the late failure of a lost run beside a later run

What callers could see: a task is started more often than its queue allows.

Cause: the failure of a run that had been declared lost, reported when the next run had been ordered, was acknowledged and not counted.

Change: it counts, and is stored before it is acknowledged, as any end; the later run goes on unless the task has failed too often. It is counted only by the engine that declared the run lost, as an earlier leader may have counted it already.

The regression test failed before: late_failure_counts_beside_later_run: Assertion 'acked <= TASK_FAILURES_MAX' failed: acked == 4, TASK_FAILURES_MAX == 3.

--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -246,6 +246,9 @@
 /* The current run of TASK has ended as HOW says, with CHECKPOINT or "". */
 void ms_batch_task_on_ended(struct ms_engine *engine, struct ms_batch_task *task,
                             enum ms_run_end how, const char *checkpoint);
+/* The lost run RUN of TASK has failed on SERVER; a later run of TASK has been ordered since. */
+void ms_batch_task_on_late_failure(struct ms_engine *engine, struct ms_batch_task *task,
+                                   const struct ms_batch_server *server, uint32_t run);
 /* Work of TASK's current run in core-seconds; an accelerator counts as MS_ACCEL_CORE_EQUIVALENT
  * cores. */
 int64_t ms_batch_task_work_core_s(const struct ms_engine *engine, const struct ms_batch_task *task);
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -174,6 +174,22 @@
                         row->task, row->run, server->id, task->run);
 }
 
+/* ROW is the end of a run whose task has another run now, or none that it belongs to. */
+static void
+process_superseded_end(struct ms_engine *engine, struct ms_batch_server *server,
+                       const struct ms_reported_end *row)
+{
+    struct ms_batch_task *task = ms_engine_find_task(engine, row->task);
+    bool failed_late = task != NULL && row->end == MS_RUN_END_FAILED &&
+                       task->last_lost_run == row->run && task->run > row->run &&
+                       ms_batch_task_job(task)->phase == MS_PHASE_OPEN;
+    if (failed_late) {
+        ms_batch_task_on_late_failure(engine, task, server, row->run);
+        return;
+    }
+    withhold_late_end(engine, server, row);
+}
+
 /* Processes a reported end unless an earlier report contained it. */
 static void
 process_ended_row(struct ms_engine *engine, struct ms_batch_server *server,
@@ -194,7 +210,7 @@
         ms_batch_task_on_ended(engine, task, row->end, row->checkpoint);
     }
     else {
-        withhold_late_end(engine, server, row);
+        process_superseded_end(engine, server, row);
     }
 }
 
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -325,6 +325,19 @@
     }
 }
 
+void
+ms_batch_task_on_late_failure(struct ms_engine *engine, struct ms_batch_task *task,
+                              const struct ms_batch_server *server, uint32_t run)
+{
+    char name[MS_TASK_NAME_MAX];
+    ms_engine_log_event(engine, "event=run_end task=%s run=%u server=%s how=%s later_run=%u",
+                        ms_batch_task_name(task, name), run, server->id,
+                        ms_run_end_name(MS_RUN_END_FAILED), task->run);
+    count_failure(task, server->id);
+    ms_engine_mark_dirty(engine, ms_batch_task_job(task), false);
+    ms_batch_job_update_phase(engine, ms_batch_task_job(task));
+}
+
 /* Marks all tasks of a gang as done: its members succeed together, so one end is enough. */
 static void
 finish_gang(struct ms_engine *engine, struct ms_batch_step *step)
--- a/tests/batch/unit_engine.c
+++ b/tests/batch/unit_engine.c
@@ -5,6 +5,7 @@
 
 #include "batch/unit.h"
 #include "batch/simulator.h"
+#include "batch/simulator_private.h"
 
 static const struct simulator_faults no_faults;
 
@@ -749,10 +750,58 @@
 }
 END_TEST
 
+/* Sets the end of the run on the server that has one, other than SKIP; it ends as failed. */
+static void
+fail_run_at(struct simulator *simulator, const struct simulated_server *skip, int64_t ends_at)
+{
+    for (size_t i = 0; i < simulator->server_count; i++) {
+        const struct simulated_server *server = &simulator->servers[i];
+        if (server != skip && server->runs->len > 0) {
+            struct run *run = &g_array_index(server->runs, struct run, 0);
+            run->ends_at = ends_at;
+            run->will_fail = true;
+        }
+    }
+}
+
+/*
+ * A failure that its server reports late, when the next run of the task has started, must count:
+ * the end is acknowledged, and the task may not be started more often than its queue allows.
+ */
+START_TEST(late_failure_counts_beside_later_run)
+{
+    struct simulator *simulator = simulator_new(34, 3, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    size_t first = 0;
+    simple_spec(&spec, "job", "q1", 1, 8);
+    spec.steps[0].estimate_ms = 100000;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 300);
+    while (simulator->servers[first].runs->len == 0) {
+        first++;
+    }
+    fail_run_at(simulator, NULL, simulator->now + 300);
+    simulator_disconnect_server(simulator, first, 10000);
+    for (int i = 0; i < 1300; i++) { /* the second run goes on until the first server is back */
+        simulator_run(simulator, 10);
+        fail_run_at(simulator, &simulator->servers[first], simulator->now + 500);
+    }
+    for (int i = 0; i < 1000; i++) {
+        simulator_run(simulator, 10);
+        fail_run_at(simulator, NULL, simulator->now);
+    }
+    guint acked = GPOINTER_TO_UINT(g_hash_table_lookup(simulator->acked_failures, "job.0.0.0"));
+    ck_assert_uint_le(acked, TASK_FAILURES_MAX);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 engine_cases(void)
 {
     TCase *cases = tcase_create("engine");
+    tcase_add_test(cases, late_failure_counts_beside_later_run);
     tcase_add_test(cases, gang_runs_before_dependent_step);
     tcase_add_test(cases, top_priority_preempts_lower);
     tcase_add_test(cases, preempted_server_takes_only_top_priority_for_a_while);
