--- a/tests/batch/engine_fuzz.c
+++ b/tests/batch/engine_fuzz.c
@@ -1,7 +1,7 @@
 /*
  * engine_fuzz.c - runs the engine in the simulator with random jobs and faults.
  *
- * usage: batch-fuzz [liveness | starvation | takeovers] FIRST LAST [trace]
+ * usage: batch-fuzz [liveness | starvation | takeovers | frequent] FIRST LAST [trace]
  *
  * Runs the seeds FIRST to LAST; an argument after them, whatever it is, prints a trace.  The
  * seed determines the jobs and the faults.  No invariant of the simulator may be violated, and
@@ -14,6 +14,9 @@
  * has to run.  "starvation" runs the same scenarios, and counts capacity that runs of a lower
  * priority use as available.  In "takeovers" more servers are lost, and the leader is lost in
  * series until the end, which is no excuse for jobs that wait for a server lost long before.
+ *
+ * "frequent" runs the scenarios without a mode, each with a takeover every 1.7 s and servers
+ * whose answers are lost for seconds.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -71,7 +74,7 @@
 
 /* Runs one seed and adds its counts to TOTALS; returns whether it passed. */
 static bool
-run_seed(uint64_t seed, struct simulator_counts *totals, FILE *trace)
+run_seed(uint64_t seed, bool frequent_takeovers, struct simulator_counts *totals, FILE *trace)
 {
     uint64_t random_state = seed * 77777u + 5;
     struct simulator_faults faults = {
@@ -96,7 +99,7 @@
     if (simulator_random(&random_state, 4) == 0) {
         faults.run_stall = 2;
     }
-    if (seed % FREQUENT_TAKEOVERS_EVERY == 0) {
+    if (frequent_takeovers || seed % FREQUENT_TAKEOVERS_EVERY == 0) {
         faults.leader_change = 60;
         faults.server_silence = 5;
     }
@@ -235,13 +238,15 @@
 main(int argc, char **argv)
 {
     const struct liveness_mode *mode = argc > 1 ? find_mode(argv[1]) : NULL;
-    if (mode != NULL) {
+    bool frequent_takeovers = argc > 1 && strcmp(argv[1], "frequent") == 0;
+    if (mode != NULL || frequent_takeovers) {
         argc--;
         argv++;
     }
     if (argc != 3 && argc != 4) {
         fprintf(stderr,
-                "usage: batch-fuzz [liveness | starvation | takeovers] FIRST LAST [trace]\n");
+                "usage: batch-fuzz [liveness | starvation | takeovers | frequent] FIRST LAST"
+                " [trace]\n");
         return 2;
     }
     uint64_t first = strtoull(argv[1], NULL, 10);
@@ -251,7 +256,7 @@
     struct simulator_counts totals = {0, 0, 0, 0, 0, 0};
     for (uint64_t seed = first; seed <= last; seed++) {
         bool passed = mode != NULL ? run_liveness_seed(seed, mode, &totals, trace)
-                                   : run_seed(seed, &totals, trace);
+                                   : run_seed(seed, frequent_takeovers, &totals, trace);
         failed += !passed;
     }
     printf("starts=%u done=%u failed=%u stopped=%u take_overs=%u\n", totals.starts, totals.done,
