--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -7,15 +7,14 @@
 #include "batch/engine_placement.h"
 
 /*
- * When a unit may preempt, and at what cost in core-seconds.  The limit on the cost grows with
- * the wait once a unit has waited for PATIENCE_SLACK_FRACTION of its slack.  A unit of the top
- * priority that is within its account's guarantee has no limit.
+ * When a unit may preempt, and at what cost in core-seconds.  A unit of the top priority
+ * that is within its account's guarantee has no limit on the cost.
  */
-#define PREEMPT_TOP_WAIT_MS 0       /* wait of a unit of the top priority */
-#define PREEMPT_EQUAL_WAIT_MS 1000  /* its wait before it preempts others of the top priority */
-#define PATIENCE_SLACK_FRACTION 0.4 /* wait of a unit of a lower priority, as part of its slack */
-#define PREEMPT_TOP_COST_MAX 2500   /* for a unit of the top priority */
-#define PREEMPT_COST_MAX 600        /* for a unit of a lower priority */
+#define PREEMPT_TOP_WAIT_MS 0        /* wait of a unit of the top priority */
+#define PREEMPT_EQUAL_WAIT_MS 1000   /* its wait before it preempts others of the top priority */
+#define LONG_WAIT_SLACK_FRACTION 0.4 /* of its slack; a unit of a lower priority waits for it */
+#define PREEMPT_TOP_COST_MAX 2500    /* for a unit of the top priority */
+#define PREEMPT_COST_MAX 600         /* for a unit of a lower priority */
 
 /*
  * While capacity is ample, a unit waits no longer than this for its rack, or because of
@@ -25,8 +24,8 @@
 #define RESERVE_WAIT_MS 300 /* wait of a unit before it is tried at the reserve level */
 #define RESERVATIONS_MAX 6  /* units that get a reservation at that level in one pass */
 /*
- * Of all servers that reservations may leave idle.  The first unit in order is exempt once it
- * has run out of patience: it could otherwise wait for as long as other work arrives.
+ * Of all servers that reservations may leave idle.  The first unit that gets one is exempt after a
+ * long wait (long_wait_ms()): it could otherwise wait for as long as other work arrives.
  */
 #define RESERVED_IDLE_PERCENT_MAX 12
 #define WAITING_UNITS_MAX 24 /* units not within a guarantee tried beyond the free level */
@@ -159,24 +158,25 @@
     return queue->target_ms + (int64_t)(stretch * (double)step->spec->estimate_ms);
 }
 
-/* How long the current unit waits before it preempts others or may leave many servers idle. */
+/*
+ * After this wait the current unit may preempt tasks of a lower priority, and leave more servers
+ * idle than other units may.
+ */
 static int64_t
-patience_ms(const struct ms_placement_pass *pass)
+long_wait_ms(const struct ms_placement_pass *pass)
 {
-    return MAX((int64_t)(PATIENCE_SLACK_FRACTION * (double)slack_ms(pass->unit->step)), 1);
+    return MAX((int64_t)(LONG_WAIT_SLACK_FRACTION * (double)slack_ms(pass->unit->step)), 1);
 }
 
-/* The highest cost in core-seconds at which the current unit, after WAITED_MS, may preempt. */
+/* The highest cost in core-seconds at which the current unit may preempt tasks. */
 static int64_t
-preempt_cost_max(const struct ms_placement_pass *pass, int64_t waited_ms)
+preempt_cost_max(const struct ms_placement_pass *pass)
 {
     bool top_priority = ms_batch_job_priority(pass->unit->step->occurrence->job) == 0;
     if (top_priority && pass->within_guarantee) {
         return INT64_MAX;
     }
-    int64_t cost_max = top_priority ? PREEMPT_TOP_COST_MAX : PREEMPT_COST_MAX;
-    int64_t patience = patience_ms(pass);
-    return cost_max * MAX(waited_ms, patience) / patience;
+    return top_priority ? PREEMPT_TOP_COST_MAX : PREEMPT_COST_MAX;
 }
 
 /* Whether a unit that has waited for WAITED_MS may preempt tasks at a cost of COST core-seconds. */
@@ -184,8 +184,8 @@
 may_preempt(const struct ms_placement_pass *pass, int64_t waited_ms, int64_t cost)
 {
     bool top_priority = ms_batch_job_priority(pass->unit->step->occurrence->job) == 0;
-    int64_t wait_ms = top_priority ? PREEMPT_TOP_WAIT_MS : patience_ms(pass);
-    return waited_ms >= wait_ms && cost <= preempt_cost_max(pass, waited_ms);
+    int64_t wait_ms = top_priority ? PREEMPT_TOP_WAIT_MS : long_wait_ms(pass);
+    return waited_ms >= wait_ms && cost <= preempt_cost_max(pass);
 }
 
 /* Whether the step has the top priority and its account requests no more than its guarantee. */
@@ -207,7 +207,7 @@
 {
     int64_t idle = pass->reserved_idle;
     int64_t idle_max = 0;
-    bool exempt = pass->reservation_count == 0 && waited_ms >= patience_ms(pass);
+    bool exempt = pass->reservation_count == 0 && waited_ms >= long_wait_ms(pass);
     for (guint i = 0; i < pass->servers->len; i++) {
         const struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
         idle += ms_capacity_reserved_idle(pass, server);
@@ -294,7 +294,7 @@
         ms_capacity_update_preemptible(pass);
         bool planned = ms_plan_unit(pass, MS_LEVEL_PREEMPT) != MS_NO_PLAN;
         outcomes->preempt_cost = engine->plan_cost;
-        outcomes->preempt_cost_max = preempt_cost_max(pass, waited_ms);
+        outcomes->preempt_cost_max = preempt_cost_max(pass);
         if (planned && may_preempt(pass, waited_ms, engine->plan_cost)) {
             outcomes->by_level[MS_LEVEL_PREEMPT] = MS_OUTCOME_GRANTED;
             preempt_for_unit(pass);
