--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -1,5 +1,5 @@
 /*
- * unit.h - test cases of stored jobs, and the helper that they share.
+ * unit.h - test cases of stored jobs, and the helpers that they share.
  */
 #ifndef MS_TEST_BATCH_UNIT_H
 #define MS_TEST_BATCH_UNIT_H
@@ -7,6 +7,7 @@
 #include <check.h>
 
 #include "batch/job_spec.h"
+#include "batch/simulator.h"
 
 /*
  * Fills SPEC with a job of account "account" that has one step of COUNT tasks with ACCELS
@@ -15,12 +16,16 @@
 void simple_spec(struct ms_batch_spec *spec, const char *id, const char *queue, uint32_t count,
                  int64_t accels);
 
+/* Asserts that no invariant was violated and that job ID is in PHASE. */
+void expect_phase(struct simulator *simulator, const char *id, enum ms_phase phase);
+
 TCase *engine_cases(void);
 TCase *retention_cases(void);
 TCase *advice_cases(void);
 TCase *log_cases(void);
 TCase *placement_cases(void);
 TCase *server_cases(void);
+TCase *lease_cases(void);
 TCase *health_cases(void);
 
 #endif
--- /dev/null
+++ b/tests/batch/unit_lease.c
@@ -0,0 +1,155 @@
+/*
+ * unit_lease.c - tests of the leases of backend servers, in the simulator.
+ */
+#include "batch/unit.h"
+#include "batch/simulator.h"
+
+static const struct simulator_faults no_faults;
+
+/* Tasks of a server that is unreachable for less than its lease (8 s) must not be started again. */
+START_TEST(runs_survive_disconnect_within_lease)
+{
+    struct simulator *simulator = simulator_new(4, 2, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct simulator_counts counts;
+    simple_spec(&spec, "job", "q1", 4, 4);
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 300);
+    simulator_disconnect_server(simulator, 0, 5500);
+    simulator_run(simulator, 12000);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_counts(simulator, &counts);
+    ck_assert_uint_eq(counts.starts, 4);
+    simulator_free(simulator);
+}
+END_TEST
+
+/*
+ * The directory entry of a draining server expires while the server is unreachable.  It may
+ * still run its tasks, so they must not be started elsewhere before its lease ends.
+ */
+START_TEST(runs_survive_unlisting_of_draining_server)
+{
+    struct simulator *simulator = simulator_new(13, 2, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct simulator_counts counts;
+    simple_spec(&spec, "job", "q1", 16, 1);
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 300);
+    simulator_drain_and_unlist_server(simulator, 0, 3000);
+    simulator_run(simulator, 3200);
+    simulator_relist_server(simulator, 0);
+    simulator_run(simulator, 3000);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_counts(simulator, &counts);
+    ck_assert_uint_eq(counts.starts, 16);
+    simulator_free(simulator);
+}
+END_TEST
+
+/* A server that never answers again must not delay its tasks beyond the end of its lease. */
+START_TEST(tasks_of_lost_server_are_placed_again)
+{
+    struct simulator *simulator = simulator_new(5, 4, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "job", "q1", 4, 8);
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 300);
+    simulator_disconnect_server(simulator, 0, 1000000);
+    simulator_run(simulator, 16000);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
+/*
+ * A gang with a member on a server that never answers again waits until that server's lease
+ * has certainly expired; further changes of the leader must not start this wait anew.
+ */
+START_TEST(leader_changes_do_not_prolong_wait_for_lost_server)
+{
+    struct simulator *simulator = simulator_new(21, 4, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "job", "q1", 3, 8);
+    spec.steps[0].gang = true;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 300);
+    simulator_lose_server(simulator, 0);
+    simulator_change_leader(simulator, 1000);
+    simulator_run(simulator, 8000);
+    simulator_change_leader(simulator, 1000);
+    simulator_run(simulator, 6000); /* 14 s: the wait of 11.2 s, and the run of 1.5 s */
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
+/* A simulator with a long run on server 0, which does not stall by its estimate. */
+static struct simulator *
+simulator_with_long_run(void)
+{
+    struct simulator *simulator = simulator_new(22, 3, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "job", "q1", 2, 8);
+    spec.steps[0].estimate_ms = 100000;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 300);
+    simulator_stall_runs(simulator, 0, 1000000);
+    return simulator;
+}
+
+/*
+ * Renewals whose answers are lost are carried out: had the second leader extended the lease
+ * that the first one stored as frozen, the run would still be there when the third one places
+ * it again.
+ */
+START_TEST(frozen_lease_is_not_extended_by_next_leader)
+{
+    struct simulator *simulator = simulator_with_long_run();
+    struct simulator_counts counts;
+    simulator_silence_server(simulator, 0, 1000000);
+    simulator_change_leader(simulator, 1000);
+    simulator_run(simulator, 8000);
+    simulator_change_leader(simulator, 1000);
+    simulator_run(simulator, 1500);
+    simulator_change_leader(simulator, 1000);
+    simulator_run(simulator, 8500);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    simulator_counts(simulator, &counts);
+    ck_assert_uint_eq(counts.starts, 3); /* the lost run was placed again once */
+    simulator_free(simulator);
+}
+END_TEST
+
+/*
+ * A server answers while the log stores nothing: the stored record still says that its lease
+ * is frozen, so the lease must not be extended, or the next leader would start a second run.
+ */
+START_TEST(frozen_lease_is_not_extended_before_record_is_replaced)
+{
+    struct simulator *simulator = simulator_with_long_run();
+    simulator_silence_server(simulator, 0, 4000);
+    simulator_change_leader(simulator, 1000);
+    simulator_run(simulator, 3000);
+    simulator_stop_log(simulator, 6000);
+    simulator_run(simulator, 4900); /* the server answers for about 4 s of it */
+    simulator_disconnect_server(simulator, 0, 1000000);
+    simulator_change_leader(simulator, 1000);
+    simulator_run(simulator, 15000);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
+TCase *
+lease_cases(void)
+{
+    TCase *cases = tcase_create("lease");
+    tcase_add_test(cases, runs_survive_disconnect_within_lease);
+    tcase_add_test(cases, runs_survive_unlisting_of_draining_server);
+    tcase_add_test(cases, tasks_of_lost_server_are_placed_again);
+    tcase_add_test(cases, leader_changes_do_not_prolong_wait_for_lost_server);
+    tcase_add_test(cases, frozen_lease_is_not_extended_by_next_leader);
+    tcase_add_test(cases, frozen_lease_is_not_extended_before_record_is_replaced);
+    return cases;
+}
