Wait for the lease that an earlier leader granted to a draining server

What callers would see: a server begins to drain around a takeover, answers the new leader once and is then cut off. Its tasks start on another server up to 3.5 s before the runs on it have ended: the rule TWICE is broken.

Cause: once a server has answered a leader, ms_batch_server_lease_end() counted only the deadlines of this leader, 4.5 s for a draining server. An earlier leader may have granted 8 s just before, when the server was not draining, and a deadline never becomes shorter on the server.

Evidence: the new test earlier_lease_of_draining_server_is_waited_for failed with simulator_violation(simulator) == "two runs at the same time: job.0.0.0 at 7967"

Mend: with the first answer to a leader, lease_deadline_max becomes at least the clock in that answer plus a full lease. No leader grants more than that, and orders of earlier leaders that arrive after the answer are refused by the fence, or have an older deadline. A frozen lease is exempt: frozen_until is the bound until the records are replaced, and the same step follows then.

Ruled out: to wait until the time by which all leases of earlier leaders have expired, as for a server that has not answered; that is 11.2 s from the last sign of the earlier leader, longer than a lease from the answer.

Cost: a draining server that is cut off after its first answer and before its second is waited for up to 8 s instead of 4.5 s from that answer. This also holds where no earlier leader has granted a lease.

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -108,15 +108,24 @@
     ms_engine_log_event(engine, "event=lease_thawed server=%s", server->id);
 }
 
+/*
+ * Counts the leases that earlier leaders may have granted to SERVER until its last answer: they
+ * never end later than a full lease after it, but may end later than those of this leader.
+ */
+static void
+include_earlier_leases(const struct ms_engine *engine, struct ms_batch_server *server)
+{
+    server->lease_deadline_max =
+        MAX(server->lease_deadline_max, server->clock_ms + engine->limits.lease_ms);
+}
+
 void
 ms_batch_server_finish_thaw(struct ms_engine *engine, struct ms_batch_server *server)
 {
     server->lease_state = MS_LEASE_NORMAL;
     server->thaw_storing = false;
     server->frozen_until = 0;
-    /* No leader has granted more than this. */
-    server->lease_deadline_max =
-        MAX(server->lease_deadline_max, server->clock_ms + engine->limits.lease_ms);
+    include_earlier_leases(engine, server);
     server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
     engine->placement_due = true;
 }
@@ -493,7 +502,8 @@
         renewal_failed(engine, server);
         return;
     }
-    if (!server->fence_confirmed || server->unresponsive) {
+    bool first_answer = !server->fence_confirmed;
+    if (first_answer || server->unresponsive) {
         ms_engine_log_event(
             engine, "event=server_held server=%s epoch=%" G_GUINT64_FORMAT " running=%zu ended=%zu",
             server->id, engine->epoch, report->running_count, report->ended_count);
@@ -509,6 +519,9 @@
     if (server->lease_state == MS_LEASE_FROZEN) {
         begin_thaw(engine, server);
     }
+    else if (first_answer) {
+        include_earlier_leases(engine, server);
+    }
     ms_batch_server_on_report(engine, server, report, sent_at);
     ms_batch_server_update_speed(engine, server);
     schedule_renewal(engine, server);
--- a/tests/batch/unit_lease.c
+++ b/tests/batch/unit_lease.c
@@ -2,7 +2,7 @@
  * unit_lease.c - tests of the leases of backend servers, in the simulator.
  */
 #include "batch/unit.h"
-#include "batch/simulator.h"
+#include "batch/simulator_private.h"
 
 static const struct simulator_faults no_faults;
 
@@ -47,6 +47,31 @@
 }
 END_TEST
 
+/*
+ * An earlier leader has extended the lease of a server by 8 s; it drains now, and this leader
+ * extends it by 4.5 s only.  If it is cut off then, its runs end with the earlier, longer lease.
+ */
+START_TEST(earlier_lease_of_draining_server_is_waited_for)
+{
+    struct simulator *simulator = simulator_new(31, 3, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "job", "q1", 3, 8);
+    spec.steps[0].estimate_ms = 100000;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 300);
+    simulator_stall_runs(simulator, 0, 1000000);
+    simulator_run(simulator, 1500);
+    simulator->servers[0].entry.draining = true;
+    simulator->servers[0].entry.shutdown_in_ms = 100000;
+    simulator_change_leader(simulator, 100);
+    simulator_run(simulator, 150);
+    simulator_disconnect_server(simulator, 0, 1000000);
+    simulator_run(simulator, 15000);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
 /* A server that never answers again must not delay its tasks beyond the end of its lease. */
 START_TEST(tasks_of_lost_server_are_placed_again)
 {
@@ -147,6 +172,7 @@
     TCase *cases = tcase_create("lease");
     tcase_add_test(cases, runs_survive_disconnect_within_lease);
     tcase_add_test(cases, runs_survive_unlisting_of_draining_server);
+    tcase_add_test(cases, earlier_lease_of_draining_server_is_waited_for);
     tcase_add_test(cases, tasks_of_lost_server_are_placed_again);
     tcase_add_test(cases, leader_changes_do_not_prolong_wait_for_lost_server);
     tcase_add_test(cases, frozen_lease_is_not_extended_by_next_leader);
