Store frozen leases without delay

What callers would see: a gang has a member on a server that is gone. A leader that is gone again within 100 ms of its start, or of freezing the lease of that server, made the next leader wait for the lease anew, 11.2 s from its last sign.

Cause: the record of a frozen lease was stored as a change that is not urgent, up to 100 ms later (STORE_DELAY_MS). The next leader relies only on a record of its immediate predecessor.

Evidence: the new test short_term_does_not_prolong_wait_for_lost_server failed with simulator_job_phase(simulator, id) == 0, phase == 1 With the delay removed only where the record is restored, this one passes and leader_lost_after_freezing_does_not_prolong_wait_for_lost_server fails with the same line; with the delay removed only where the lease is frozen, the other way round.

Mend: both places mark the state as to be stored without delay, as the place where the records are replaced did already. What is stored does not change, only when. A term shorter than the store itself (6 ms in the simulator) still makes the next leader wait.

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -68,14 +68,14 @@
     server->frozen_until = MAX(server->frozen_until, until);
 }
 
-/* Marks the states of all jobs that have tasks on SERVER as to be stored. */
+/* Marks the states of all jobs that have tasks on SERVER as to be stored without delay. */
 static void
-mark_jobs_dirty(struct ms_engine *engine, struct ms_batch_server *server, bool urgent)
+mark_jobs_dirty(struct ms_engine *engine, struct ms_batch_server *server)
 {
     MS_LIST_FOREACH(link, &server->tasks)
     {
         const struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
-        ms_engine_mark_dirty(engine, ms_batch_task_job(task), urgent);
+        ms_engine_mark_dirty(engine, ms_batch_task_job(task), true);
     }
 }
 
@@ -93,7 +93,7 @@
         return;
     }
     ms_batch_server_freeze_lease(server, lease_end);
-    mark_jobs_dirty(engine, server, false);
+    mark_jobs_dirty(engine, server);
     ms_engine_log_event(engine, "event=lease_frozen server=%s left_ms=%" G_GINT64_FORMAT,
                         server->id, lease_end - engine->now);
 }
@@ -104,7 +104,7 @@
 {
     server->lease_state = MS_LEASE_THAWING;
     server->thaw_storing = false;
-    mark_jobs_dirty(engine, server, true);
+    mark_jobs_dirty(engine, server);
     ms_engine_log_event(engine, "event=lease_thawed server=%s", server->id);
 }
 
@@ -259,7 +259,7 @@
         /* Its kept tasks, if any, may run under the lease of the new incarnation. */
         ms_batch_server_freeze_lease(server, ms_batch_server_lease_end(engine, server));
         server->frozen_deadline = 0;
-        mark_jobs_dirty(engine, server, true);
+        mark_jobs_dirty(engine, server);
     }
 }
 
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -201,7 +201,8 @@
 /*
  * Freezes the lease of SERVER, the server of a task of JOB, if the leader of the epoch before
  * has done so, for this incarnation of it: only then has nobody extended it since.  FIELDS
- * (enum server_field) was read at READ_AT.  The state is stored again, for the next leader.
+ * (enum server_field) was read at READ_AT.  The state is stored again without delay, as the next
+ * leader relies on it only if this one has written it.
  */
 static void
 restore_frozen_lease(struct ms_engine *engine, struct ms_batch_job *job,
@@ -216,7 +217,7 @@
     }
     ms_batch_server_freeze_lease(server,
                                  read_at + g_ascii_strtoll(fields[SERVER_LEASE_LEFT_MS], NULL, 10));
-    ms_engine_mark_dirty(engine, job, false);
+    ms_engine_mark_dirty(engine, job, true);
 }
 
 /* Assigns TASK to the server SERVER_REF of its record, which was read at READ_AT. */
--- a/tests/batch/unit_lease.c
+++ b/tests/batch/unit_lease.c
@@ -4,6 +4,10 @@
 #include "batch/unit.h"
 #include "batch/simulator_private.h"
 
+#define TAKEOVER_MS 1000 /* from the loss of a leader until the next one starts */
+#define FREEZE_MS 1010   /* from then until it freezes the lease of a server that is gone */
+#define SHORT_TERM_MS 10 /* shorter than the delay of a store that is not urgent */
+
 static const struct simulator_faults no_faults;
 
 /* Tasks of a server that is unreachable for less than its lease (8 s) must not be started again. */
@@ -87,11 +91,9 @@
 }
 END_TEST
 
-/*
- * A gang with a member on a server that never answers again waits until that server's lease
- * has certainly expired; further changes of the leader must not start this wait anew.
- */
-START_TEST(leader_changes_do_not_prolong_wait_for_lost_server)
+/* A simulator with a gang that has lost a server, and, at the same time, its leader. */
+static struct simulator *
+simulator_with_gang_on_lost_server(void)
 {
     struct simulator *simulator = simulator_new(21, 4, &no_faults, NULL);
     struct ms_batch_spec spec;
@@ -100,15 +102,51 @@
     simulator_submit_job(simulator, &spec);
     simulator_run(simulator, 300);
     simulator_lose_server(simulator, 0);
-    simulator_change_leader(simulator, 1000);
+    simulator_change_leader(simulator, TAKEOVER_MS);
+    return simulator;
+}
+
+/*
+ * A gang with a member on a server that never answers again waits until that server's lease
+ * has certainly expired; further changes of the leader must not start this wait anew.
+ */
+START_TEST(leader_changes_do_not_prolong_wait_for_lost_server)
+{
+    struct simulator *simulator = simulator_with_gang_on_lost_server();
     simulator_run(simulator, 8000);
-    simulator_change_leader(simulator, 1000);
+    simulator_change_leader(simulator, TAKEOVER_MS);
     simulator_run(simulator, 6000); /* 14 s: the wait of 11.2 s, and the run of 1.5 s */
     expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
     simulator_free(simulator);
 }
 END_TEST
 
+/* A leader that is gone soon must not make the next one wait for the server's lease anew. */
+START_TEST(short_term_does_not_prolong_wait_for_lost_server)
+{
+    struct simulator *simulator = simulator_with_gang_on_lost_server();
+    simulator_run(simulator, 7000);
+    simulator_change_leader(simulator, TAKEOVER_MS);
+    simulator_run(simulator, TAKEOVER_MS + SHORT_TERM_MS);
+    simulator_change_leader(simulator, TAKEOVER_MS);
+    simulator_run(simulator, 7000);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
+/* The same for a leader that is gone just after its first renewal for the server timed out. */
+START_TEST(leader_lost_after_freezing_does_not_prolong_wait_for_lost_server)
+{
+    struct simulator *simulator = simulator_with_gang_on_lost_server();
+    simulator_run(simulator, TAKEOVER_MS + FREEZE_MS + SHORT_TERM_MS);
+    simulator_change_leader(simulator, TAKEOVER_MS);
+    simulator_run(simulator, 14000 - TAKEOVER_MS - FREEZE_MS - SHORT_TERM_MS);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
 /* A simulator with a long run on server 0, which does not stall by its estimate. */
 static struct simulator *
 simulator_with_long_run(void)
@@ -175,6 +213,8 @@
     tcase_add_test(cases, earlier_lease_of_draining_server_is_waited_for);
     tcase_add_test(cases, tasks_of_lost_server_are_placed_again);
     tcase_add_test(cases, leader_changes_do_not_prolong_wait_for_lost_server);
+    tcase_add_test(cases, short_term_does_not_prolong_wait_for_lost_server);
+    tcase_add_test(cases, leader_lost_after_freezing_does_not_prolong_wait_for_lost_server);
     tcase_add_test(cases, frozen_lease_is_not_extended_by_next_leader);
     tcase_add_test(cases, frozen_lease_is_not_extended_before_record_is_replaced);
     return cases;
