Tests: which records of frozen leases count, and what is counted after them

Two properties of a frozen lease were guarded by no test; with either removed all tests passed. Callers would see two runs of a task at the same time. Both hold; the tests fail without them:

A record of a frozen lease counts only if the immediate predecessor has written it. Without the comparison of epochs in restore_frozen_lease(), frozen_lease_of_earlier_predecessor_is_ignored fails with simulator_violation(simulator) == "two runs at the same time: job.0.0.0 at 12712" The leader in between that extends the lease and keeps the record is only imitated: the test raises the epoch and the deadline of the server.

When the records are replaced, a full lease from the last answer counts, as an earlier leader may have granted it. Without that in ms_batch_server_finish_thaw(), lease_granted_before_freezing_is_waited_for_after_unfreezing fails with simulator_violation(simulator) == "two runs at the same time: job.0.0.0 at 8666"

--- a/tests/batch/unit_lease.c
+++ b/tests/batch/unit_lease.c
@@ -204,6 +204,52 @@
 }
 END_TEST
 
+/*
+ * The leader that froze the lease is followed by one that does not know such records, as of an
+ * earlier version: it extends the lease and leaves the record as it is.  The next one must not
+ * rely on the record, or it would start a second run.
+ */
+START_TEST(frozen_lease_of_earlier_predecessor_is_ignored)
+{
+    struct simulator *simulator = simulator_with_long_run();
+    struct simulator_counts counts;
+    simulator_silence_server(simulator, 0, 1000000);
+    simulator_change_leader(simulator, TAKEOVER_MS);
+    simulator_run(simulator, 8000);
+    simulator->epoch++;
+    simulator->servers[0].lease_deadline = simulator->now + SIMULATOR_LEASE_MS;
+    simulator_disconnect_server(simulator, 0, 1000000);
+    simulator_change_leader(simulator, TAKEOVER_MS);
+    simulator_run(simulator, 16000);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_counts(simulator, &counts);
+    ck_assert_uint_eq(counts.starts, 3); /* the lost run was placed again once */
+    simulator_free(simulator);
+}
+END_TEST
+
+/*
+ * A leader extends the lease of a server by 8 s, has no answer and freezes the lease.  The server
+ * drains then and answers the next leader, which extends the lease by 4.5 s only.  If the server
+ * is cut off then, its runs end with the earlier, longer lease.
+ */
+START_TEST(lease_granted_before_freezing_is_waited_for_after_unfreezing)
+{
+    struct simulator *simulator = simulator_with_long_run();
+    simulator_silence_server(simulator, 0, TAKEOVER_MS + 1200);
+    simulator_change_leader(simulator, TAKEOVER_MS);
+    simulator_run(simulator, TAKEOVER_MS + 1200); /* the renewal times out after 1000 ms */
+    simulator->servers[0].entry.draining = true;
+    simulator->servers[0].entry.shutdown_in_ms = 100000;
+    simulator_change_leader(simulator, 100);
+    simulator_run(simulator, 150); /* the next leader stores the state without the frozen lease */
+    simulator_disconnect_server(simulator, 0, 1000000);
+    simulator_run(simulator, 15000);
+    expect_phase(simulator, "job", MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 lease_cases(void)
 {
@@ -217,5 +263,7 @@
     tcase_add_test(cases, leader_lost_after_freezing_does_not_prolong_wait_for_lost_server);
     tcase_add_test(cases, frozen_lease_is_not_extended_by_next_leader);
     tcase_add_test(cases, frozen_lease_is_not_extended_before_record_is_replaced);
+    tcase_add_test(cases, frozen_lease_of_earlier_predecessor_is_ignored);
+    tcase_add_test(cases, lease_granted_before_freezing_is_waited_for_after_unfreezing);
     return cases;
 }
