Engine: lease code in a file of its own, plainer names

The condition of freeze_if_silent() is now needs_freezing(). "Thaw" is now "unfreeze"; the event lease_thawed, logged when this begins, is now lease_unfreezing.

A new incarnation also clears unfreeze_storing: a store in progress that was begun for the earlier one no longer extends the lease that the reset has frozen. No fault of this was seen. Apart from this, and the name of the event, the behaviour is as before: batch-fuzz 1 1000 prints the same before and after, totals of starts, ends and takeovers included.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -351,8 +351,8 @@
             server->ends_stored = server->ends_storing;
             server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
         }
-        if (server->thaw_storing) {
-            ms_batch_server_finish_thaw(engine, server);
+        if (server->unfreeze_storing) {
+            ms_batch_server_finish_unfreeze(engine, server);
         }
     }
     MS_LIST_FOREACH(link, &engine->jobs)
--- /dev/null
+++ b/src/batch/engine_lease.c
@@ -0,0 +1,160 @@
+/*
+ * engine_lease.c - leases of backend servers: deadlines, when they have expired, freezing.
+ *
+ * A server ends its runs when its lease expires.  The lease deadline is a time on the
+ * server's own clock, which may run 2 % slow.  For an unresponsive server, the engine
+ * computes from the last clock reading by when the lease has certainly expired; the
+ * server's tasks are placed again only after that.
+ */
+#include "batch/engine_private.h"
+
+#define DRAINING_LEASE_MS 4500  /* maximum lease of a draining server */
+#define CLOCK_DRIFT_FACTOR 1.03 /* for a server's clock that may run 2 % slow */
+#define LEASE_MARGIN_MS 100     /* added to the computed end of a lease */
+
+int64_t
+ms_batch_server_new_deadline(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    if (server->lease_state != MS_LEASE_NORMAL) {
+        return server->frozen_deadline;
+    }
+    /* A call to an unresponsive server may still arrive and must not extend its lease. */
+    if (server->unresponsive && server->lease_deadline_max > 0 &&
+        !ms_list_is_empty(&server->tasks)) {
+        return server->lease_deadline_max;
+    }
+    int64_t clock_ms = server->clock_ms + (engine->now - server->last_answer_at);
+    int64_t lease_ms = engine->limits.lease_ms;
+    if (server->entry.draining) {
+        /* It may shut down without notice; this bounds the wait until its runs are placed again. */
+        lease_ms = MIN(lease_ms, DRAINING_LEASE_MS);
+    }
+    int64_t deadline = clock_ms + lease_ms;
+    server->lease_deadline_max = MAX(server->lease_deadline_max, deadline);
+    return deadline;
+}
+
+int64_t
+ms_batch_server_lease_end(const struct ms_engine *engine, const struct ms_batch_server *server)
+{
+    double remaining_ms =
+        (double)(server->lease_deadline_max - server->clock_ms) * CLOCK_DRIFT_FACTOR;
+    int64_t lease_end = server->last_answer_at + (int64_t)MAX(remaining_ms, 0.0) + LEASE_MARGIN_MS;
+    if (server->lease_state != MS_LEASE_NORMAL) {
+        return MAX(lease_end, server->frozen_until);
+    }
+    return server->fence_confirmed ? lease_end : MAX(lease_end, engine->earlier_leases_until);
+}
+
+void
+ms_batch_server_freeze_lease(struct ms_batch_server *server, int64_t until)
+{
+    server->lease_state = MS_LEASE_FROZEN;
+    server->unfreeze_storing = false;
+    server->frozen_deadline = server->lease_deadline_max;
+    server->frozen_until = MAX(server->frozen_until, until);
+}
+
+/* Marks the states of all jobs that have tasks on SERVER as to be stored without delay. */
+static void
+mark_jobs_dirty(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    MS_LIST_FOREACH(link, &server->tasks)
+    {
+        const struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
+        ms_engine_mark_dirty(engine, ms_batch_task_job(task), true);
+    }
+}
+
+/*
+ * Whether the lease of SERVER is to be frozen: it runs tasks of an earlier leader until its lease
+ * expires, has not answered this leader, and is not expected to.
+ */
+static bool
+needs_freezing(const struct ms_engine *engine, const struct ms_batch_server *server)
+{
+    bool answered = server->fence_confirmed || server->last_report_at != 0;
+    bool may_answer = server->listed && !server->unresponsive;
+    bool expired = engine->now >= ms_batch_server_lease_end(engine, server);
+    return server->lease_state == MS_LEASE_NORMAL && !answered && !may_answer && !expired &&
+           !ms_list_is_empty(&server->tasks);
+}
+
+/* From now on every deadline sent to SERVER is the one sent before, also if it answers. */
+static void
+freeze_lease_until_end(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    int64_t lease_end = ms_batch_server_lease_end(engine, server);
+    ms_batch_server_freeze_lease(server, lease_end);
+    mark_jobs_dirty(engine, server);
+    ms_engine_log_event(engine, "event=lease_frozen server=%s left_ms=%" G_GINT64_FORMAT,
+                        server->id, lease_end - engine->now);
+}
+
+/* SERVER, whose lease is FROZEN, has answered: the states that rely on it have to be replaced. */
+static void
+begin_unfreeze(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    server->lease_state = MS_LEASE_UNFREEZING;
+    server->unfreeze_storing = false;
+    mark_jobs_dirty(engine, server);
+    ms_engine_log_event(engine, "event=lease_unfreezing server=%s", server->id);
+}
+
+/*
+ * Counts the leases that earlier leaders may have granted to SERVER until its last answer: they
+ * never end later than a full lease after it, but may end later than those of this leader.
+ */
+static void
+include_earlier_leases(const struct ms_engine *engine, struct ms_batch_server *server)
+{
+    server->lease_deadline_max =
+        MAX(server->lease_deadline_max, server->clock_ms + engine->limits.lease_ms);
+}
+
+void
+ms_batch_server_finish_unfreeze(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    server->lease_state = MS_LEASE_NORMAL;
+    server->unfreeze_storing = false;
+    server->frozen_until = 0;
+    include_earlier_leases(engine, server);
+    server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
+    engine->placement_due = true;
+}
+
+void
+ms_batch_server_lease_on_answer(struct ms_engine *engine, struct ms_batch_server *server,
+                                bool first_answer)
+{
+    if (server->lease_state == MS_LEASE_FROZEN) {
+        begin_unfreeze(engine, server);
+    }
+    else if (first_answer) {
+        include_earlier_leases(engine, server);
+    }
+}
+
+void
+ms_batch_server_lease_on_reset(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    if (server->lease_state == MS_LEASE_NORMAL) {
+        return;
+    }
+    /* Its kept tasks, if any, may run under the lease of the new incarnation. */
+    ms_batch_server_freeze_lease(server, ms_batch_server_lease_end(engine, server));
+    server->frozen_deadline = 0;
+    mark_jobs_dirty(engine, server);
+}
+
+void
+ms_batch_server_lease_tick(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    if (needs_freezing(engine, server)) {
+        freeze_lease_until_end(engine, server);
+    }
+    if (server->lease_state == MS_LEASE_UNFREEZING && !engine->store_pending &&
+        ms_list_is_empty(&engine->dirty)) {
+        ms_batch_server_finish_unfreeze(engine, server);
+    }
+}
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -109,7 +109,7 @@
 enum ms_lease_state {
     MS_LEASE_NORMAL = 0, /* each renewal extends it */
     MS_LEASE_FROZEN,     /* not extended: a stored record relies on it, or will do so */
-    MS_LEASE_THAWING,    /* not extended: the server has answered; these records are replaced */
+    MS_LEASE_UNFREEZING, /* not extended: the server has answered; these records are replaced */
 };
 
 /*
@@ -135,7 +135,7 @@
     int64_t frozen_deadline;          /* lease not NORMAL: deadline of all renewals, 0: none */
     int64_t frozen_until;             /* lease not NORMAL: by then it has certainly expired */
     enum ms_lease_state lease_state;
-    bool thaw_storing;         /* THAWING: the store in progress replaces the last such record */
+    bool unfreeze_storing;     /* UNFREEZING: the store in progress replaces the last such record */
     uint64_t ends_seen;        /* last end reported */
     uint64_t ends_storing;     /* ends up to here are stored when the store in progress is */
     uint64_t ends_stored;      /* ends up to here are stored */
@@ -272,15 +272,6 @@
  */
 void ms_batch_server_reset(struct ms_engine *engine, struct ms_batch_server *server, bool restarted,
                            const char *reason);
-/* The lease deadline to send to SERVER, on its clock; recorded in lease_deadline_max. */
-int64_t ms_batch_server_new_deadline(struct ms_engine *engine, struct ms_batch_server *server);
-/* From now on the lease of SERVER is not extended; it has certainly expired by UNTIL. */
-void ms_batch_server_freeze_lease(struct ms_batch_server *server, int64_t until);
-/* All records that rely on the lease of SERVER, which is THAWING, are replaced: it is NORMAL. */
-void ms_batch_server_finish_thaw(struct ms_engine *engine, struct ms_batch_server *server);
-/* When all runs on SERVER have certainly ended if it stays unresponsive. */
-int64_t ms_batch_server_lease_end(const struct ms_engine *engine,
-                                  const struct ms_batch_server *server);
 /* Why SERVER may not be given tasks, or MS_SERVER_USABLE. */
 enum ms_server_exclusion ms_batch_server_exclusion(const struct ms_engine *engine,
                                                    const struct ms_batch_server *server);
@@ -291,6 +282,24 @@
 /* Runs the timers of SERVER and its tasks; declares its runs lost if its lease has expired. */
 void ms_batch_server_tick(struct ms_engine *engine, struct ms_batch_server *server);
 
+/* engine_lease.c */
+/* The lease deadline to send to SERVER, on its clock; recorded in lease_deadline_max. */
+int64_t ms_batch_server_new_deadline(struct ms_engine *engine, struct ms_batch_server *server);
+/* When all runs on SERVER have certainly ended if it stays unresponsive. */
+int64_t ms_batch_server_lease_end(const struct ms_engine *engine,
+                                  const struct ms_batch_server *server);
+/* From now on the lease of SERVER is not extended; it has certainly expired by UNTIL. */
+void ms_batch_server_freeze_lease(struct ms_batch_server *server, int64_t until);
+/* All records that rely on the lease of SERVER, which is UNFREEZING, are replaced: it is NORMAL. */
+void ms_batch_server_finish_unfreeze(struct ms_engine *engine, struct ms_batch_server *server);
+/* SERVER has answered a renewal; FIRST_ANSWER: its first one to this leader. */
+void ms_batch_server_lease_on_answer(struct ms_engine *engine, struct ms_batch_server *server,
+                                     bool first_answer);
+/* SERVER has a new incarnation: if its lease was not NORMAL, it stays frozen or is frozen again. */
+void ms_batch_server_lease_on_reset(struct ms_engine *engine, struct ms_batch_server *server);
+/* Freezes the lease of SERVER, or extends it again, if this is due. */
+void ms_batch_server_lease_tick(struct ms_engine *engine, struct ms_batch_server *server);
+
 /* engine_advice.c */
 /* Whether the advice service, if the queue has one, lets tasks of STEP run on SERVER. */
 bool ms_advice_allows(const struct ms_engine *engine, const struct ms_batch_step *step,
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -1,10 +1,5 @@
 /*
- * engine_server.c - backend servers: directory, leases, renewals, loss of servers.
- *
- * A server ends its runs when its lease expires.  The lease deadline is a time on the
- * server's own clock, which may run 2 % slow.  For an unresponsive server, the engine
- * computes from the last clock reading by when the lease has certainly expired; the
- * server's tasks are placed again only after that.
+ * engine_server.c - backend servers: directory, renewals, loss of servers.
  */
 #include <string.h>
 
@@ -16,119 +11,12 @@
 #define YOUNG_RUN_MS 700
 #define TOP_PRIORITY_WAIT_MS 700 /* while it has a run of the top priority */
 
-#define DRAINING_LEASE_MS 4500 /* maximum lease of a draining server */
-#define FAST_RETRY_MS 300      /* between the first FAST_RETRIES_MAX unanswered renewals */
+#define FAST_RETRY_MS 300 /* between the first FAST_RETRIES_MAX unanswered renewals */
 #define FAST_RETRIES_MAX 5
 #define SLOW_RETRY_MS 1000       /* between later ones, and for a confirmed server without tasks */
 #define WITHHELD_INTERVAL_MS 500 /* between renewals while an end is withheld (engine_report.c) */
 #define UNKNOWN_RUNS_INTERVAL_MS 200 /* between renewals while unknown runs are being stopped */
-#define STORE_WAIT_MS 300       /* maximum wait for reported ends to be stored before a renewal */
-#define CLOCK_DRIFT_FACTOR 1.03 /* for a server's clock that may run 2 % slow */
-#define LEASE_MARGIN_MS 100     /* added to the computed end of a lease */
-
-int64_t
-ms_batch_server_new_deadline(struct ms_engine *engine, struct ms_batch_server *server)
-{
-    if (server->lease_state != MS_LEASE_NORMAL) {
-        return server->frozen_deadline;
-    }
-    /* A call to an unresponsive server may still arrive and must not extend its lease. */
-    if (server->unresponsive && server->lease_deadline_max > 0 &&
-        !ms_list_is_empty(&server->tasks)) {
-        return server->lease_deadline_max;
-    }
-    int64_t clock_ms = server->clock_ms + (engine->now - server->last_answer_at);
-    int64_t lease_ms = engine->limits.lease_ms;
-    if (server->entry.draining) {
-        /* It may shut down without notice; this bounds the wait until its runs are placed again. */
-        lease_ms = MIN(lease_ms, DRAINING_LEASE_MS);
-    }
-    int64_t deadline = clock_ms + lease_ms;
-    server->lease_deadline_max = MAX(server->lease_deadline_max, deadline);
-    return deadline;
-}
-
-int64_t
-ms_batch_server_lease_end(const struct ms_engine *engine, const struct ms_batch_server *server)
-{
-    double remaining_ms =
-        (double)(server->lease_deadline_max - server->clock_ms) * CLOCK_DRIFT_FACTOR;
-    int64_t lease_end = server->last_answer_at + (int64_t)MAX(remaining_ms, 0.0) + LEASE_MARGIN_MS;
-    if (server->lease_state != MS_LEASE_NORMAL) {
-        return MAX(lease_end, server->frozen_until);
-    }
-    return server->fence_confirmed ? lease_end : MAX(lease_end, engine->earlier_leases_until);
-}
-
-void
-ms_batch_server_freeze_lease(struct ms_batch_server *server, int64_t until)
-{
-    server->lease_state = MS_LEASE_FROZEN;
-    server->frozen_deadline = server->lease_deadline_max;
-    server->frozen_until = MAX(server->frozen_until, until);
-}
-
-/* Marks the states of all jobs that have tasks on SERVER as to be stored without delay. */
-static void
-mark_jobs_dirty(struct ms_engine *engine, struct ms_batch_server *server)
-{
-    MS_LIST_FOREACH(link, &server->tasks)
-    {
-        const struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
-        ms_engine_mark_dirty(engine, ms_batch_task_job(task), true);
-    }
-}
-
-/*
- * Freezes the lease of SERVER if it runs tasks of an earlier leader and has not answered this
- * one.  From now on every deadline sent to it is the one sent before, also if it answers.
- */
-static void
-freeze_if_silent(struct ms_engine *engine, struct ms_batch_server *server)
-{
-    int64_t lease_end = ms_batch_server_lease_end(engine, server);
-    if (server->lease_state != MS_LEASE_NORMAL || server->fence_confirmed ||
-        server->last_report_at != 0 || (server->listed && !server->unresponsive) ||
-        engine->now >= lease_end || ms_list_is_empty(&server->tasks)) {
-        return;
-    }
-    ms_batch_server_freeze_lease(server, lease_end);
-    mark_jobs_dirty(engine, server);
-    ms_engine_log_event(engine, "event=lease_frozen server=%s left_ms=%" G_GINT64_FORMAT,
-                        server->id, lease_end - engine->now);
-}
-
-/* SERVER, whose lease is FROZEN, has answered: the states that rely on it have to be replaced. */
-static void
-begin_thaw(struct ms_engine *engine, struct ms_batch_server *server)
-{
-    server->lease_state = MS_LEASE_THAWING;
-    server->thaw_storing = false;
-    mark_jobs_dirty(engine, server);
-    ms_engine_log_event(engine, "event=lease_thawed server=%s", server->id);
-}
-
-/*
- * Counts the leases that earlier leaders may have granted to SERVER until its last answer: they
- * never end later than a full lease after it, but may end later than those of this leader.
- */
-static void
-include_earlier_leases(const struct ms_engine *engine, struct ms_batch_server *server)
-{
-    server->lease_deadline_max =
-        MAX(server->lease_deadline_max, server->clock_ms + engine->limits.lease_ms);
-}
-
-void
-ms_batch_server_finish_thaw(struct ms_engine *engine, struct ms_batch_server *server)
-{
-    server->lease_state = MS_LEASE_NORMAL;
-    server->thaw_storing = false;
-    server->frozen_until = 0;
-    include_earlier_leases(engine, server);
-    server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
-    engine->placement_due = true;
-}
+#define STORE_WAIT_MS 300 /* maximum wait for reported ends to be stored before a renewal */
 
 bool
 ms_batch_server_has_label(const struct ms_batch_server *server, const char *label)
@@ -255,12 +143,7 @@
     else {
         lose_all_tasks(engine, server, reason);
     }
-    if (server->lease_state != MS_LEASE_NORMAL) {
-        /* Its kept tasks, if any, may run under the lease of the new incarnation. */
-        ms_batch_server_freeze_lease(server, ms_batch_server_lease_end(engine, server));
-        server->frozen_deadline = 0;
-        mark_jobs_dirty(engine, server);
-    }
+    ms_batch_server_lease_on_reset(engine, server);
 }
 
 /* See ms_engine_get_or_add_server(). */
@@ -516,12 +399,7 @@
     server->clock_ms = report->clock_ms;
     server->last_report_at = engine->now;
     server->ends_acked = MAX(server->ends_acked, renewal->ack_position);
-    if (server->lease_state == MS_LEASE_FROZEN) {
-        begin_thaw(engine, server);
-    }
-    else if (first_answer) {
-        include_earlier_leases(engine, server);
-    }
+    ms_batch_server_lease_on_answer(engine, server, first_answer);
     ms_batch_server_on_report(engine, server, report, sent_at);
     ms_batch_server_update_speed(engine, server);
     schedule_renewal(engine, server);
@@ -568,11 +446,7 @@
     {
         tick_task(engine, MS_CONTAINER_OF(link, struct ms_batch_task, server_link));
     }
-    freeze_if_silent(engine, server);
-    if (server->lease_state == MS_LEASE_THAWING && !engine->store_pending &&
-        ms_list_is_empty(&engine->dirty)) {
-        ms_batch_server_finish_thaw(engine, server);
-    }
+    ms_batch_server_lease_tick(engine, server);
     renew_if_due(engine, server);
 }
 
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -194,7 +194,7 @@
         struct ms_batch_server *server =
             MS_CONTAINER_OF(server_link, struct ms_batch_server, servers_link);
         server->ends_storing = server->ends_seen;
-        server->thaw_storing = server->lease_state == MS_LEASE_THAWING;
+        server->unfreeze_storing = server->lease_state == MS_LEASE_UNFREEZING;
     }
 }
 
