Freeze the lease of a silent server as soon as a renewal has failed

Cause: the lease was frozen in the next scan of the servers, up to 200 ms after the renewal had failed (SCAN_INTERVAL_MAX_MS); in the simulator the renewal failed at 3304 and the lease was frozen at 3462.

Evidence: the new test lease_is_frozen_as_soon_as_renewal_has_failed failed with counts.starts == 2, 3 == 3

Mend: a failed renewal checks at once whether the lease is to be frozen, by the same condition. The scan still does so for servers that are not in the directory.

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -293,6 +293,7 @@
     }
     server->unresponsive = true;
     server->renewal_failure_count++;
+    ms_batch_server_lease_tick(engine, server);
     bool busy = !ms_list_is_empty(&server->tasks);
     if (!busy && !server->listed) {
         server->next_renewal_at = INT64_MAX;
--- a/tests/batch/unit_lease.c
+++ b/tests/batch/unit_lease.c
@@ -161,6 +161,26 @@
     return simulator;
 }
 
+/*
+ * A leader that is gone just after its renewal for a silent server timed out, before its next
+ * scan of the servers, must not make the next one wait for the lease anew.
+ */
+START_TEST(lease_is_frozen_as_soon_as_renewal_has_failed)
+{
+    struct simulator *simulator = simulator_with_long_run();
+    struct simulator_counts counts;
+    simulator_silence_server(simulator, 0, 1000000);
+    simulator_change_leader(simulator, TAKEOVER_MS);
+    simulator_run(simulator, TAKEOVER_MS + FREEZE_MS + SHORT_TERM_MS);
+    simulator_change_leader(simulator, TAKEOVER_MS);
+    simulator_run(simulator, 11700 - TAKEOVER_MS - FREEZE_MS - SHORT_TERM_MS);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    simulator_counts(simulator, &counts);
+    ck_assert_uint_eq(counts.starts, 3); /* the lost run was placed again after 11.2 s */
+    simulator_free(simulator);
+}
+END_TEST
+
 /*
  * Renewals whose answers are lost are carried out: had the second leader extended the lease
  * that the first one stored as frozen, the run would still be there when the third one places
@@ -261,6 +281,7 @@
     tcase_add_test(cases, leader_changes_do_not_prolong_wait_for_lost_server);
     tcase_add_test(cases, short_term_does_not_prolong_wait_for_lost_server);
     tcase_add_test(cases, leader_lost_after_freezing_does_not_prolong_wait_for_lost_server);
+    tcase_add_test(cases, lease_is_frozen_as_soon_as_renewal_has_failed);
     tcase_add_test(cases, frozen_lease_is_not_extended_by_next_leader);
     tcase_add_test(cases, frozen_lease_is_not_extended_before_record_is_replaced);
     tcase_add_test(cases, frozen_lease_of_earlier_predecessor_is_ignored);
