--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -25,22 +25,6 @@
     ck_assert_int_eq(simulator_job_phase(simulator, id), phase);
 }
 
-void
-simple_spec(struct ms_batch_spec *spec, const char *id, const char *queue, uint32_t count,
-            int64_t accels)
-{
-    memset(spec, 0, sizeof(*spec));
-    g_strlcpy(spec->id, id, sizeof(spec->id));
-    g_strlcpy(spec->queue, queue, sizeof(spec->queue));
-    g_strlcpy(spec->account, "account", sizeof(spec->account));
-    spec->payload = g_strdup("payload");
-    spec->step_count = 1;
-    spec->steps = g_new0(struct ms_step, 1);
-    spec->steps[0].task_count = count;
-    spec->steps[0].task_resources = (struct ms_resources){1000, 1000, accels};
-    spec->steps[0].estimate_ms = 1500;
-}
-
 /* ---- records and job table ---- */
 
 START_TEST(spec_round_trip)
