--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -18,13 +18,6 @@
 
 #define TEXT_MAX 256
 
-void
-expect_phase(struct simulator *simulator, const char *id, enum ms_phase phase)
-{
-    ck_assert_str_eq(simulator_violation(simulator), "");
-    ck_assert_int_eq(simulator_job_phase(simulator, id), phase);
-}
-
 /* ---- records and job table ---- */
 
 START_TEST(spec_round_trip)
--- a/tests/batch/unit_specs.c
+++ b/tests/batch/unit_helpers.c
@@ -1,5 +1,5 @@
 /*
- * unit_specs.c - specifications of jobs for tests.
+ * unit_helpers.c - functions that the tests of stored jobs share.
  */
 #include <glib.h>
 #include <string.h>
@@ -21,3 +21,10 @@
     spec->steps[0].task_resources = (struct ms_resources){1000, 1000, accels};
     spec->steps[0].estimate_ms = 1500;
 }
+
+void
+expect_phase(struct simulator *simulator, const char *id, enum ms_phase phase)
+{
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    ck_assert_int_eq(simulator_job_phase(simulator, id), phase);
+}
