Core: let a job probe a server while jobs that have failed wait

What callers see: a job that could probe a server after its quarantine waits until the probe phase has ended unused, as long again as the quarantine (10 s, later up to 600 s), if a job of the same shape that has failed before waits too.

Cause: a pass over the queue remembers the shapes that could not be placed and skips jobs that are as hard to place. A job that has failed may not probe a server, but its shape was remembered as that of any other job, so the jobs behind it were skipped although they may probe. Jobs that avoid a server are left out, but on a single server the avoidance is lifted for the retry.

Evidence: the new test failed before the change:

tests/unit/health.c:98:F:core-health: job_that_has_not_failed_probes_while_failed_jobs_wait:0: Assertion 'was_started(sched, "alpha/late")' failed

As a trace: f1 to f3 fail on s1 at 100, `late` is submitted at 200, a tick at 10200 starts nothing and one at 20300 starts it. After the change it starts at 10200.

Why it works: whether the job has failed is now part of the shape, as its class is. A shape of a job that has failed stands for such jobs only; a shape of one that has not failed stands for both.

What remains: a pass tries 64 waiting jobs of an account, so more jobs than that which may not probe still hide the server from those behind them.

--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -23,6 +23,7 @@
     enum ms_adjacency adjacency;
     bool preemptible;
     bool urgent;
+    bool failed_before;  /* a job that has failed may not probe a server, others may */
     int64_t expected_ms; /* run time, which decides whether reserved servers may be used */
 };
 
@@ -45,13 +46,14 @@
         return false;
     }
     bool urgent = job->spec.job_class == MS_CLASS_URGENT;
+    bool failed_before = job->failed_attempts_total > 0;
     int64_t expected = ms_job_expected_run_ms(job);
     for (size_t i = 0; i < pass->failed_count; i++) {
         const struct failed_shape *shape = &pass->failed[i];
         if (job->spec.tasks >= shape->tasks && job->spec.accels >= shape->accels &&
             job->spec.adjacency == shape->adjacency &&
             (shape->preemptible || !ms_job_preemptible(job)) && (shape->urgent || !urgent) &&
-            expected >= shape->expected_ms) {
+            (!shape->failed_before || failed_before) && expected >= shape->expected_ms) {
             return true;
         }
     }
@@ -74,6 +76,7 @@
         .adjacency = job->spec.adjacency,
         .preemptible = ms_job_preemptible(job),
         .urgent = job->spec.job_class == MS_CLASS_URGENT,
+        .failed_before = job->failed_attempts_total > 0,
         .expected_ms = ms_job_expected_run_ms(job),
     };
 }
--- /dev/null
+++ b/tests/unit/health.c
@@ -0,0 +1,110 @@
+/*
+ * health.c - unit tests of the decision core: what keeps a live backend server from
+ * waiting jobs, and for how long.
+ *
+ * The events are lines of traces, as "mustardspread replay" reads them.
+ */
+#include <string.h>
+
+#include "mustardspread/mustardspread.h"
+#include "unit/unit.h"
+
+#define ERROR_MAX 256
+#define PAYLOAD_MAX 64
+
+/* Applies the events of LINES, which end with NULL. */
+static void
+apply_events(struct ms_sched *sched, const char *const *lines)
+{
+    for (; *lines != NULL; lines++) {
+        struct ms_event event;
+        int64_t now = 0;
+        uint8_t payload[PAYLOAD_MAX];
+        char error[ERROR_MAX];
+        ck_assert_int_eq(
+            ms_trace_parse(*lines, &event, &now, payload, sizeof(payload), error, sizeof(error)),
+            MS_OK);
+        ck_assert_int_eq(ms_sched_step(sched, &event, now), MS_OK);
+    }
+}
+
+/* Applies the event of LINE. */
+static void
+apply_event(struct ms_sched *sched, const char *line)
+{
+    apply_events(sched, (const char *const[]){line, NULL});
+}
+
+/* Returns a scheduler that knows the client account alpha and the server s1. */
+static struct ms_sched *
+sched_with_server(void)
+{
+    struct ms_sched *sched = ms_sched_new("dc-1", NULL, NULL);
+    apply_event(sched, "0 rule kind=account name=alpha");
+    apply_event(sched, "0 server_up name=s1 rack=r1 slots=8 accels=8");
+    return sched;
+}
+
+/* Whether the last event started the single task of job ID. */
+static bool
+was_started(const struct ms_sched *sched, const char *id)
+{
+    for (size_t i = 0; i < ms_sched_action_count(sched); i++) {
+        const struct ms_action *action = ms_sched_action(sched, i);
+        if (action->kind == MS_ACTION_TASK && action->task.op == MS_OP_START &&
+            strcmp(action->id, id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static uint32_t
+quarantined_servers(const struct ms_sched *sched)
+{
+    struct ms_sched_stats stats;
+    ms_sched_stats(sched, &stats);
+    return stats.quarantined;
+}
+
+/* Three jobs, f1 to f3, fail on s1 at 100 ms, which quarantines it for 10 s. */
+static void
+quarantine_s1(struct ms_sched *sched)
+{
+    static const char *const failures[] = {
+        "20 submit account=alpha key=f1 idempotent=1 accels=1",
+        "20 submit account=alpha key=f2 idempotent=1 accels=1",
+        "20 submit account=alpha key=f3 idempotent=1 accels=1",
+        "21 started server=s1 id=alpha/f1",
+        "21 started server=s1 id=alpha/f2",
+        "21 started server=s1 id=alpha/f3",
+        "100 ended server=s1 id=alpha/f1 result=failed",
+        "100 ended server=s1 id=alpha/f2 result=failed",
+        "100 ended server=s1 id=alpha/f3 result=failed",
+        NULL,
+    };
+    apply_events(sched, failures);
+    ck_assert_uint_eq(quarantined_servers(sched), 1);
+}
+
+/* Waiting jobs that may not probe the server kept it from one that may. */
+START_TEST(job_that_has_not_failed_probes_while_failed_jobs_wait)
+{
+    struct ms_sched *sched = sched_with_server();
+    quarantine_s1(sched);
+    apply_event(sched, "200 submit account=alpha key=late idempotent=1 accels=1");
+    ck_assert(!was_started(sched, "alpha/late"));
+    apply_event(sched, "10200 tick");
+    ck_assert(was_started(sched, "alpha/late"));
+    ck_assert(!was_started(sched, "alpha/f1"));
+    ms_sched_free(sched);
+}
+END_TEST
+
+TCase *
+core_health_cases(void)
+{
+    TCase *cases = tcase_create("core-health");
+    tcase_add_test(cases, job_that_has_not_failed_probes_while_failed_jobs_wait);
+    return cases;
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -12,6 +12,7 @@
 #include "config/settings.h"
 #include "logstate/logstate.h"
 #include "membership/claim.h"
+#include "unit/unit.h"
 #include "wire/convert.h"
 #include "wire/frame.h"
 
@@ -355,6 +356,7 @@
     tcase_add_test(cases, request_body_errors_name_the_field);
     tcase_add_test(cases, trace_lines_round_trip_and_core_frees_all_memory);
     suite_add_tcase(suite, cases);
+    suite_add_tcase(suite, core_health_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
