Core: do not renew a quarantine for runs that started before it

What callers see: a server that has served its quarantine gets nothing for another one, twice as long (20 s, later up to 600 s), because a run from before the quarantine fails.

Cause: in the probe phase every failure on the server counted as that of the probe. Runs that were on the server when it was quarantined go on and may fail then.

Evidence: two of the three new tests failed before the change:

tests/unit/health.c:113:F:core-health: quarantine_is_not_renewed_by_run_started_before_it:0: Assertion 'quarantined_servers(sched) == 0' failed: quarantined_servers(sched) == 1, 0 == 0

tests/unit/health.c:132:F:core-health: probe_phase_ends_with_last_run_started_before_it:0: Assertion 'was_started(sched, "alpha/f1")' failed

The third holds what the probe is for: a probe that fails quarantines the server for twice as long. It passed before as well.

Why it works: nothing is placed on a server in quarantine, so a job that was placed before the probe phase was placed before the quarantine. Jobs store the time of their placement for this, as started_at moves with the confirmation. It makes the timers run, as the time for an unused probe may have passed while the run was on the server; without that the second test fails.

What remains: the failure of such a run during the quarantine, not the probe phase, still counts against its job.

--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -119,6 +119,7 @@
     ms_backfill_release_job(sched, job);
     job->attempt++;
     job->may_have_run_earlier = job->may_have_run;
+    job->placed_at = sched->now;
     job->started_at = sched->now;
     job->abort_action = MS_ABORT_RETRY;
     if (preempted_work_ended(job)) {
--- a/src/core/health.c
+++ b/src/core/health.c
@@ -38,23 +38,28 @@
     return false;
 }
 
+/* Removes the failure on SERVER from the record of JOB, if there is one. */
+static void
+retract_failure(struct ms_job *job, const struct ms_server *server)
+{
+    for (uint32_t i = 0; i < job->failed_server_count; i++) {
+        if (strcmp(job->failed_servers[i], server->name) != 0) {
+            continue;
+        }
+        job->failed_server_count--;
+        job->failed_attempts -= MIN(job->failed_attempts, 1);
+        memmove(job->failed_servers[i], job->failed_servers[job->failed_server_count], MS_NAME_MAX);
+        return;
+    }
+}
+
 /* Removes the failure on SERVER from the record of every job that has not ended. */
 static void
 retract_failures(struct ms_sched *sched, const struct ms_server *server)
 {
     MS_LIST_FOREACH(link, &sched->jobs)
     {
-        struct ms_job *job = MS_CONTAINER_OF(link, struct ms_job, link);
-        for (uint32_t i = 0; i < job->failed_server_count; i++) {
-            if (strcmp(job->failed_servers[i], server->name) != 0) {
-                continue;
-            }
-            job->failed_server_count--;
-            job->failed_attempts -= MIN(job->failed_attempts, 1);
-            memmove(job->failed_servers[i], job->failed_servers[job->failed_server_count],
-                    MS_NAME_MAX);
-            break;
-        }
+        retract_failure(MS_CONTAINER_OF(link, struct ms_job, link), server);
     }
 }
 
@@ -92,6 +97,22 @@
     }
 }
 
+/*
+ * Handles the failure of a task of JOB on SERVER, which is PROBING.  Only a job placed
+ * in that phase is a probe.  The failure of an earlier one belongs to the cause of the
+ * past quarantine, and counts neither against SERVER nor against JOB.
+ */
+static void
+record_failure_while_probing(struct ms_sched *sched, struct ms_server *server, struct ms_job *job)
+{
+    if (job->placed_at < server->probe_at) {
+        retract_failure(job, server);
+        ms_set_timer(sched, sched->now); /* the time for an unused probe may have passed */
+        return;
+    }
+    quarantine(sched, server);
+}
+
 /* Records the failure of a task of JOB on SERVER; may quarantine SERVER. */
 void
 ms_health_record_failure(struct ms_sched *sched, struct ms_server *server, struct ms_job *job)
@@ -101,7 +122,7 @@
         job->failed_server_count++;
     }
     if (server->state == MS_SERVER_PROBING) {
-        quarantine(sched, server);
+        record_failure_while_probing(sched, server, job);
         return;
     }
     if (server->state != MS_SERVER_UP || failure_recorded(server, job->id)) {
--- a/src/core/sched.h
+++ b/src/core/sched.h
@@ -61,7 +61,7 @@
                                        and the same for accelerators */
     uint32_t reports_pending;       /* SYNCING: TASK_REPORTED events not yet received */
     int64_t leases_end_at;          /* LOST: when the leases of its tasks have expired */
-    int64_t probe_at;               /* QUARANTINED: when PROBING begins */
+    int64_t probe_at;               /* QUARANTINED, PROBING: when PROBING begins or began */
     int64_t quarantine_length_ms;   /* length of the last quarantine, doubled by the next;
                                        0: none since the last successful probe */
     uint32_t failed_job_count;      /* entries of failed_jobs */
@@ -150,6 +150,7 @@
     int64_t submitted_at;               /* when it became known to this scheduler */
     int64_t retry_at;                   /* WAITING: earliest start after a backoff */
     int64_t state_deadline;             /* deadline of the present state, or INT64_MAX */
+    int64_t placed_at;                  /* placement of the last attempt made here, 0: none */
     int64_t started_at;                 /* placement, then confirmed start, of this attempt */
     enum ms_abort_action abort_action;  /* ABORTING: what follows */
     enum ms_outcome_code outcome_code;  /* ABORTING: the outcome, for MS_ABORT_FINISH */
--- a/tests/unit/health.c
+++ b/tests/unit/health.c
@@ -101,10 +101,68 @@
 }
 END_TEST
 
+/* A run from before the quarantine that failed in the probe phase doubled the quarantine. */
+START_TEST(quarantine_is_not_renewed_by_run_started_before_it)
+{
+    struct ms_sched *sched = sched_with_server();
+    apply_event(sched, "10 submit account=alpha key=old idempotent=1 accels=1");
+    apply_event(sched, "11 started server=s1 id=alpha/old");
+    quarantine_s1(sched);
+    apply_event(sched, "10200 tick");
+    apply_event(sched, "10500 ended server=s1 id=alpha/old result=failed");
+    ck_assert_uint_eq(quarantined_servers(sched), 0);
+    apply_event(sched, "20000 submit account=alpha key=late idempotent=1 accels=1");
+    ck_assert(was_started(sched, "alpha/late"));
+    ms_sched_free(sched);
+}
+END_TEST
+
+/* A server whose probe phase ended during such a run is used again when the run has failed. */
+START_TEST(probe_phase_ends_with_last_run_started_before_it)
+{
+    struct ms_sched *sched = sched_with_server();
+    apply_event(sched, "10 submit account=alpha key=old accels=1");
+    apply_event(sched, "11 token id=alpha/old attempt=1 answer=granted");
+    apply_event(sched, "12 started server=s1 id=alpha/old");
+    quarantine_s1(sched);
+    apply_event(sched, "10200 tick");
+    apply_event(sched, "20300 tick");
+    ck_assert(!was_started(sched, "alpha/f1"));
+    apply_event(sched, "25000 ended server=s1 id=alpha/old result=failed");
+    ck_assert(was_started(sched, "alpha/f1"));
+    ms_sched_free(sched);
+}
+END_TEST
+
+/* A probe that fails shows that the server is still at fault. */
+START_TEST(quarantine_is_renewed_by_failed_probe)
+{
+    struct ms_sched *sched = sched_with_server();
+    quarantine_s1(sched);
+    apply_event(sched, "10200 tick");
+    apply_event(sched, "10300 cancel id=alpha/f1");
+    apply_event(sched, "10300 cancel id=alpha/f2");
+    apply_event(sched, "10300 cancel id=alpha/f3");
+    apply_event(sched, "10400 submit account=alpha key=probe idempotent=1 accels=1");
+    ck_assert(was_started(sched, "alpha/probe"));
+    apply_event(sched, "10401 started server=s1 id=alpha/probe");
+    apply_event(sched, "10500 ended server=s1 id=alpha/probe result=failed");
+    ck_assert_uint_eq(quarantined_servers(sched), 1);
+    apply_event(sched, "30499 tick");
+    ck_assert_uint_eq(quarantined_servers(sched), 1);
+    apply_event(sched, "30500 tick");
+    ck_assert_uint_eq(quarantined_servers(sched), 0);
+    ms_sched_free(sched);
+}
+END_TEST
+
 TCase *
 core_health_cases(void)
 {
     TCase *cases = tcase_create("core-health");
     tcase_add_test(cases, job_that_has_not_failed_probes_while_failed_jobs_wait);
+    tcase_add_test(cases, quarantine_is_not_renewed_by_run_started_before_it);
+    tcase_add_test(cases, probe_phase_ends_with_last_run_started_before_it);
+    tcase_add_test(cases, quarantine_is_renewed_by_failed_probe);
     return cases;
 }
