Core: end the doubling of quarantines when a task succeeds

What callers see: a server that was quarantined once and returned without a probe is quarantined for twice as long the next time, and so on up to 600 s, whatever it has run in between.

Cause: only a success in the probe phase set the length of the quarantine back. When no job comes for the probe, the server returns to service with the length kept, and successes on a server in service did not set it back.

Evidence: the new test (an unused probe, a job that succeeds, then three that fail; the server has to be probed again after 10 s) failed before the change:

tests/unit/health.c:187:F:core-health: quarantine_has_first_length_again_after_success:0: Assertion 'quarantined_servers(sched) == 0' failed: quarantined_servers(sched) == 1, 0 == 0

Why it works: a success on a server in service shows what a successful probe shows. A success during the quarantine changes nothing, as the length is in use then. A server that fails again with no success in between still gets the longer quarantine.

--- a/include/mustardspread/mustardspread.h
+++ b/include/mustardspread/mustardspread.h
@@ -310,7 +310,7 @@
     uint32_t server_fail_jobs; /* a server on which this many distinct jobs fail in a row is
                                   quarantined */
     int64_t quarantine_ms;     /* first quarantine of a server; doubled by each further one, up
-                                  to 600 s, until a probe succeeds */
+                                  to 600 s, until a task succeeds there after it */
     int64_t backfill_wait_ms;  /* wait after which a gang gets servers reserved */
     uint32_t queue_max;        /* waiting jobs of one client account */
     uint32_t recent_max;       /* final outcomes kept to answer repeated submissions */
--- a/src/core/health.c
+++ b/src/core/health.c
@@ -11,7 +11,7 @@
 
 #include "sched.h"
 
-/* Upper bound of the time in quarantine, which doubles until a probe succeeds. */
+/* Upper bound of the time in quarantine, which doubles until a task succeeds after it. */
 #define QUARANTINE_MAX_MS 600000
 
 /* Whether job ID is in the failure record of SERVER already. */
@@ -64,7 +64,7 @@
 }
 
 /*
- * Quarantines SERVER, twice as long as the last time if no probe has succeeded since,
+ * Quarantines SERVER, twice as long as the last time if no task has succeeded since,
  * unbinds its cells and retracts the failures of jobs on it.
  */
 static void
@@ -135,14 +135,19 @@
     }
 }
 
-/* Records the success of a task on SERVER; ends the probing of SERVER. */
+/*
+ * Records the success of a task on SERVER; ends the probing of SERVER.  Unless SERVER
+ * is in quarantine, its next quarantine is as short as the first.
+ */
 void
 ms_health_record_success(struct ms_sched *sched, struct ms_server *server)
 {
     server->failed_job_count = 0;
+    if (server->state != MS_SERVER_QUARANTINED) {
+        server->quarantine_length_ms = 0;
+    }
     if (server->state == MS_SERVER_PROBING) {
         server->state = MS_SERVER_UP;
-        server->quarantine_length_ms = 0;
         sched->cells_dirty = true;
         sched->queue_dirty = true;
     }
--- a/src/core/sched.h
+++ b/src/core/sched.h
@@ -63,7 +63,7 @@
     int64_t leases_end_at;          /* LOST: when the leases of its tasks have expired */
     int64_t probe_at;               /* QUARANTINED, PROBING: when PROBING begins or began */
     int64_t quarantine_length_ms;   /* length of the last quarantine, doubled by the next;
-                                       0: none since the last successful probe */
+                                       0: none since a task last succeeded */
     uint32_t failed_job_count;      /* entries of failed_jobs */
     /* Distinct jobs that failed here since the last success or quarantine. */
     char failed_jobs[MS_FAILURE_HISTORY_MAX][MS_ID_MAX];
--- a/tests/unit/health.c
+++ b/tests/unit/health.c
@@ -156,6 +156,39 @@
 }
 END_TEST
 
+/* The next quarantine was doubled, whatever the server had done since an unused probe. */
+START_TEST(quarantine_has_first_length_again_after_success)
+{
+    static const char *const success_then_failures[] = {
+        "10200 tick",
+        "20200 tick", /* the probe was not used */
+        "20300 submit account=alpha key=good idempotent=1 accels=1",
+        "20301 started server=s1 id=alpha/good",
+        "20400 ended server=s1 id=alpha/good result=ok",
+        "30000 submit account=alpha key=g1 idempotent=1 accels=1",
+        "30000 submit account=alpha key=g2 idempotent=1 accels=1",
+        "30000 submit account=alpha key=g3 idempotent=1 accels=1",
+        "30001 started server=s1 id=alpha/g1",
+        "30001 started server=s1 id=alpha/g2",
+        "30001 started server=s1 id=alpha/g3",
+        "30100 ended server=s1 id=alpha/g1 result=failed",
+        "30100 ended server=s1 id=alpha/g2 result=failed",
+        "30100 ended server=s1 id=alpha/g3 result=failed",
+        NULL,
+    };
+    struct ms_sched *sched = sched_with_server();
+    quarantine_s1(sched);
+    apply_event(sched, "200 cancel id=alpha/f1");
+    apply_event(sched, "200 cancel id=alpha/f2");
+    apply_event(sched, "200 cancel id=alpha/f3");
+    apply_events(sched, success_then_failures);
+    ck_assert_uint_eq(quarantined_servers(sched), 1);
+    apply_event(sched, "40100 tick");
+    ck_assert_uint_eq(quarantined_servers(sched), 0);
+    ms_sched_free(sched);
+}
+END_TEST
+
 TCase *
 core_health_cases(void)
 {
@@ -164,5 +197,6 @@
     tcase_add_test(cases, quarantine_is_not_renewed_by_run_started_before_it);
     tcase_add_test(cases, probe_phase_ends_with_last_run_started_before_it);
     tcase_add_test(cases, quarantine_is_renewed_by_failed_probe);
+    tcase_add_test(cases, quarantine_has_first_length_again_after_success);
     return cases;
 }
