Core: end a reservation when one of its servers leaves or is quarantined

What callers see: a live, empty server gets no work for as long as a gang waits that cannot start there.

Cause: a gang that has waited for long gets a set of servers reserved. When one of them is lost, the reservations are cancelled and made anew; when one is to leave or is quarantined they stayed, although nothing new can start there. The other servers of the set stayed closed to most jobs, and the gang got no other set, as it had one.

Evidence: two of the three new tests (a gang for one rack with two servers reserved; one of them is to leave, or is quarantined; a job that fits on the other one is submitted) failed before the change:

tests/unit/health.c:250:F:core-health: reservation_ends_when_one_of_its_servers_leaves:0: Assertion 'long_job_starts_on_s2(sched)' failed

tests/unit/health.c:266:F:core-health: reservation_ends_when_one_of_its_servers_is_quarantined:0: Assertion 'long_job_starts_on_s2(sched)' failed

The third holds that a reservation with all its servers in service still keeps that job off. It passed before as well.

Why it works: all three cases now cancel the reservations, and the next pass over the queue reserves servers that accept the gang.

--- a/src/core/backfill.c
+++ b/src/core/backfill.c
@@ -20,8 +20,8 @@
  * Cancels all reservations.  Gangs that still wait get new ones in the next pass
  * over the queue.
  */
-void
-ms_backfill_release_all(struct ms_sched *sched)
+static void
+release_all(struct ms_sched *sched)
 {
     MS_LIST_FOREACH(link, &sched->servers)
     {
@@ -35,6 +35,18 @@
     sched->queue_dirty = true;
 }
 
+/*
+ * Called when SERVER takes no new tasks any more.  Cancels all reservations if it is
+ * reserved, as the gang cannot start on the servers that it has reserved.
+ */
+void
+ms_backfill_server_unusable(struct ms_sched *sched, const struct ms_server *server)
+{
+    if (server->reserved_for != NULL) {
+        release_all(sched);
+    }
+}
+
 /* Cancels the reservation of JOB, if it has one. */
 void
 ms_backfill_release_job(struct ms_sched *sched, struct ms_job *job)
--- a/src/core/health.c
+++ b/src/core/health.c
@@ -65,7 +65,7 @@
 
 /*
  * Quarantines SERVER, twice as long as the last time if no task has succeeded since,
- * unbinds its cells and retracts the failures of jobs on it.
+ * unbinds its cells, cancels reservations and retracts the failures of jobs on it.
  */
 static void
 quarantine(struct ms_sched *sched, struct ms_server *server)
@@ -81,6 +81,7 @@
     server->failed_job_count = 0;
     ms_set_timer(sched, server->probe_at);
     ms_guarantee_unbind_server(sched, server);
+    ms_backfill_server_unusable(sched, server);
     sched->cells_dirty = true;
     retract_failures(sched, server);
 }
--- a/src/core/sched.c
+++ b/src/core/sched.c
@@ -315,9 +315,7 @@
     server->leases_end_at = sched->now + sched->limits.lease_ms;
     ms_set_timer(sched, server->leases_end_at);
     ms_guarantee_unbind_server(sched, server);
-    if (server->reserved_for != NULL) {
-        ms_backfill_release_all(sched);
-    }
+    ms_backfill_server_unusable(sched, server);
     ms_gang_server_lost(sched, server);
     sched->queue_dirty = true;
     sched->cells_dirty = true;
@@ -333,6 +331,7 @@
     }
     server->state = MS_SERVER_LEAVING;
     ms_guarantee_unbind_server(sched, server);
+    ms_backfill_server_unusable(sched, server);
     sched->cells_dirty = true;
     sched->queue_dirty = true;
 }
--- a/src/core/sched.h
+++ b/src/core/sched.h
@@ -297,7 +297,7 @@
 
 /* backfill.c: servers reserved for gangs that have waited long. */
 bool ms_backfill_try_reserve(struct ms_sched *sched, struct ms_job *job);
-void ms_backfill_release_all(struct ms_sched *sched);
+void ms_backfill_server_unusable(struct ms_sched *sched, const struct ms_server *server);
 void ms_backfill_release_job(struct ms_sched *sched, struct ms_job *job);
 bool ms_backfill_allows_job(const struct ms_sched *sched, const struct ms_server *server,
                             const struct ms_job *job);
--- a/tests/unit/health.c
+++ b/tests/unit/health.c
@@ -189,6 +189,85 @@
 }
 END_TEST
 
+/*
+ * Two racks of two servers, each of which runs a job, l1 to l4.  A gang has s1 and s2
+ * reserved, as their jobs should end first, and f1 to f3 run on s1 too.
+ */
+static struct ms_sched *
+sched_with_reservation(void)
+{
+    static const char *const reservation[] = {
+        "1 submit account=alpha key=l1 idempotent=1 accels=4 declared_ms=60000",
+        "2 started server=s1 id=alpha/l1",
+        "3 submit account=alpha key=f1 idempotent=1 accels=1 declared_ms=60000",
+        "3 submit account=alpha key=f2 idempotent=1 accels=1 declared_ms=60000",
+        "3 submit account=alpha key=f3 idempotent=1 accels=1 declared_ms=60000",
+        "4 started server=s1 id=alpha/f1",
+        "4 started server=s1 id=alpha/f2",
+        "4 started server=s1 id=alpha/f3",
+        "5 server_up name=s2 rack=r1 slots=8 accels=8",
+        "6 submit account=alpha key=l2 idempotent=1 accels=8 declared_ms=60000",
+        "7 started server=s2 id=alpha/l2",
+        "8 server_up name=s3 rack=r2 slots=8 accels=8",
+        "9 submit account=alpha key=l3 idempotent=1 accels=8 declared_ms=600000",
+        "10 started server=s3 id=alpha/l3",
+        "11 server_up name=s4 rack=r2 slots=8 accels=8",
+        "12 submit account=alpha key=l4 idempotent=1 accels=8 declared_ms=600000",
+        "13 started server=s4 id=alpha/l4",
+        "20 submit account=alpha key=gang tasks=2 accels=8 adjacent=rack idempotent=1",
+        "2100 tick",
+        NULL,
+    };
+    struct ms_sched *sched = sched_with_server();
+    apply_events(sched, reservation);
+    return sched;
+}
+
+/* Whether a job that should run longer than the gang has to wait starts on free server s2. */
+static bool
+long_job_starts_on_s2(struct ms_sched *sched)
+{
+    apply_event(sched, "3000 ended server=s2 id=alpha/l2 result=ok");
+    apply_event(sched, "3100 submit account=alpha key=long idempotent=1 accels=8"
+                       " declared_ms=100000");
+    return was_started(sched, "alpha/long");
+}
+
+/* The reserved servers of a rack stay free for the gang while all of them can be used. */
+START_TEST(reservation_keeps_other_jobs_off_its_servers)
+{
+    struct ms_sched *sched = sched_with_reservation();
+    ck_assert(!long_job_starts_on_s2(sched));
+    ms_sched_free(sched);
+}
+END_TEST
+
+/* A reservation that a leaving server made useless kept the rest of its servers empty. */
+START_TEST(reservation_ends_when_one_of_its_servers_leaves)
+{
+    struct ms_sched *sched = sched_with_reservation();
+    apply_event(sched, "2200 server_leaving name=s1");
+    ck_assert(long_job_starts_on_s2(sched));
+    ms_sched_free(sched);
+}
+END_TEST
+
+/* The same with a server that was quarantined. */
+START_TEST(reservation_ends_when_one_of_its_servers_is_quarantined)
+{
+    struct ms_sched *sched = sched_with_reservation();
+    apply_event(sched, "2200 ended server=s1 id=alpha/f1 result=failed");
+    apply_event(sched, "2200 ended server=s1 id=alpha/f2 result=failed");
+    apply_event(sched, "2200 ended server=s1 id=alpha/f3 result=failed");
+    ck_assert_uint_eq(quarantined_servers(sched), 1);
+    apply_event(sched, "2300 cancel id=alpha/f1");
+    apply_event(sched, "2300 cancel id=alpha/f2");
+    apply_event(sched, "2300 cancel id=alpha/f3");
+    ck_assert(long_job_starts_on_s2(sched));
+    ms_sched_free(sched);
+}
+END_TEST
+
 TCase *
 core_health_cases(void)
 {
@@ -198,5 +277,8 @@
     tcase_add_test(cases, probe_phase_ends_with_last_run_started_before_it);
     tcase_add_test(cases, quarantine_is_renewed_by_failed_probe);
     tcase_add_test(cases, quarantine_has_first_length_again_after_success);
+    tcase_add_test(cases, reservation_keeps_other_jobs_off_its_servers);
+    tcase_add_test(cases, reservation_ends_when_one_of_its_servers_leaves);
+    tcase_add_test(cases, reservation_ends_when_one_of_its_servers_is_quarantined);
     return cases;
 }
