Revert "Core: do not quarantine every server on which a job fails that fails everywhere"

A job that fails without its fault is worse for its caller than a wait, so the mend needs another way to tell a bad job from a bad server.

--- a/include/mustardspread/mustardspread.h
+++ b/include/mustardspread/mustardspread.h
@@ -308,8 +308,7 @@
     uint32_t attempts_max; /* a job that fails in this many attempts has failed */
     uint32_t job_fail_servers; /* a job that fails on this many distinct servers has failed */
     uint32_t server_fail_jobs; /* a server on which this many distinct jobs fail in a row is
-                                  quarantined; a job counts in its first job_fail_servers
-                                  failures */
+                                  quarantined */
     int64_t quarantine_ms;     /* first quarantine of a server; doubled by each further one, up
                                   to 600 s, until a task succeeds there after it */
     int64_t backfill_wait_ms;  /* wait after which a gang gets servers reserved */
--- a/src/core/health.c
+++ b/src/core/health.c
@@ -3,8 +3,7 @@
  *
  * A server on which server_fail_jobs distinct jobs fail with no success in between
  * is quarantined, and later gets one job as a probe.  A job that fails on
- * job_fail_servers distinct servers is at fault itself.  Once a job has failed that
- * often, its further failures do not count against servers.  When a server is
+ * job_fail_servers distinct servers is at fault itself.  When a server is
  * quarantined, the failures on it no longer count against the jobs that have not
  * ended yet.
  */
@@ -115,17 +114,6 @@
     quarantine(sched, server);
 }
 
-/*
- * Whether JOB, whose present failure is counted already, has failed too often for that
- * failure to show that the server is at fault.  Retracted failures count here: jobs that
- * fail everywhere would otherwise have every server on which they run quarantined.
- */
-static bool
-fails_everywhere(const struct ms_sched *sched, const struct ms_job *job)
-{
-    return job->failed_attempts_total > sched->limits.job_fail_servers;
-}
-
 /* Records the failure of a task of JOB on SERVER; may quarantine SERVER. */
 void
 ms_health_record_failure(struct ms_sched *sched, struct ms_server *server, struct ms_job *job)
@@ -138,8 +126,7 @@
         record_failure_while_probing(sched, server, job);
         return;
     }
-    if (server->state != MS_SERVER_UP || fails_everywhere(sched, job) ||
-        failure_recorded(server, job->id)) {
+    if (server->state != MS_SERVER_UP || failure_recorded(server, job->id)) {
         return;
     }
     g_strlcpy(server->failed_jobs[server->failed_job_count], job->id, MS_ID_MAX);
