--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -1,6 +1,6 @@
 /*
  * engine_placement.h - state and functions of one placement pass, shared by
- * engine_capacity.c, engine_plan.c, engine_place.c and engine_explain.c.
+ * engine_collect.c, engine_capacity.c, engine_plan.c, engine_place.c and engine_explain.c.
  *
  * A pass places units: a gang, or the waiting tasks of one step that are
  * interchangeable.  Units are tried in order of their queue's priority, then of
@@ -8,12 +8,12 @@
  * until one succeeds:
  *
  *     free        it fits into free capacity: it starts
+ *     idle        it fits into idle capacity, reserved or not: it starts there if it has
+ *                 waited for a while although capacity is ample
  *     releasing   it fits once the stops that are already ordered have finished:
  *                 it waits and the capacity is reserved for it
  *     preempt     it fits if tasks of lower priority are stopped: the stops are
  *                 ordered and the capacity is reserved for it
- *     idle        it fits into idle capacity, reserved or not: it starts there if it has
- *                 waited for a while although capacity is ample
  *     reserve     it fits once running tasks have ended: capacity is reserved for
  *                 it, so that smaller units do not starve it
  */
@@ -28,9 +28,9 @@
 
 enum ms_placement_level {
     MS_LEVEL_FREE = 0,
+    MS_LEVEL_IDLE,
     MS_LEVEL_RELEASING,
     MS_LEVEL_PREEMPT,
-    MS_LEVEL_IDLE,
     MS_LEVEL_RESERVE
 };
 
@@ -69,6 +69,14 @@
     int64_t allocated; /* to its tasks */
 };
 
+/* engine_collect.c */
+
+/* Resets the per-pass fields of all servers and collects the usable ones, also by rack. */
+void ms_collect_servers(struct ms_placement_pass *pass);
+
+/* Collects in STEPS the steps with tasks ready to be placed, in the order of the pass. */
+void ms_collect_steps(struct ms_placement_pass *pass, GPtrArray *steps);
+
 /* engine_capacity.c: capacity of servers, and the cost of using it. */
 
 /* Priority of JOB's queue; UINT32_MAX (the lowest) if the policy no longer has the queue. */
