--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -241,6 +241,13 @@
     return MS_OUTCOME_GRANTED;
 }
 
+/* Whether the current unit is tried beyond the free level, which takes the pass much time. */
+static bool
+may_try_other_levels(const struct ms_placement_pass *pass)
+{
+    return pass->within_guarantee || pass->waiting_unit_count < WAITING_UNITS_MAX;
+}
+
 /* Starts the current unit at the idle level if it has waited long enough for that. */
 static bool
 start_in_ample_capacity(const struct ms_placement_pass *pass)
@@ -270,9 +277,10 @@
     struct ms_level_outcomes *outcomes = &pass->outcomes;
     int64_t waited_ms = engine->now - unit->step->ready_since;
     engine->units_waiting++;
-    if (!pass->within_guarantee && pass->waiting_unit_count++ >= WAITING_UNITS_MAX) {
+    if (!may_try_other_levels(pass)) {
         return;
     }
+    pass->waiting_unit_count += !pass->within_guarantee;
     if (ms_plan_unit(pass, MS_LEVEL_RELEASING) != MS_NO_PLAN) {
         outcomes->by_level[MS_LEVEL_RELEASING] = MS_OUTCOME_GRANTED;
         reserve_unit(pass);
@@ -319,7 +327,7 @@
     if (!remaining.gang) {
         remaining.count = 1; /* capacity is freed for one task at a time */
     }
-    if (start_in_ample_capacity(pass)) {
+    if (may_try_other_levels(pass) && start_in_ample_capacity(pass)) {
         pass->unit = NULL;
         return;
     }
