HTTP loop: do not count stalls of its own thread towards time limits

Cause: libcurl's timeouts run while the thread that would read the answers does not: the host is paused, suspended or out of CPU time. All exchanges in flight then fail at once although the answers wait in the sockets; for the leader that means that all its servers are silent, and that all their connections are opened again.

Change: the loop enforces the limits itself, after it has handled the events that were pending, and adds its own stalls of 50 ms and more. One exchange gains 10 s at most.

Tests: answer_that_arrived_during_a_stall_is_read and stall_does_not_use_up_the_timeout failed before (CURLE_OPERATION_TIMEDOUT); server_without_an_answer_times_out and connection_that_does_not_open_times_out hold the limits.

--- a/src/entry/forwarder.c
+++ b/src/entry/forwarder.c
@@ -73,7 +73,7 @@
     char *version = g_strdup_printf("%" G_GUINT64_FORMAT, forward->config_version);
     char *timeout = g_strdup_printf("%" G_GINT64_FORMAT, forward->timeout_ms);
     ms_http_prepare(http, url, NULL, (long)forward->timeout_ms, false);
-    curl_easy_setopt(http->curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+    ms_http_set_connect_timeout(http, CONNECT_TIMEOUT_MS);
     if (forward->method == MS_METHOD_POST) {
         gsize length = 0;
         const void *body = g_bytes_get_data(forward->body, &length);
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -36,6 +36,7 @@
         g_free(http);
         return NULL;
     }
+    ms_list_link_init(&http->loop_link);
     http->response_body = g_byte_array_new();
     http->default_headers = curl_slist_append(NULL, "Content-Type: application/json");
     /* An empty value keeps libcurl from sending the header. */
@@ -74,8 +75,9 @@
     curl_easy_setopt(http->curl, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(http->curl, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(http->curl, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(http->curl, CURLOPT_CONNECTTIMEOUT_MS, MS_CONNECT_TIMEOUT_MS);
+    http->timeout_ms = timeout_ms;
     curl_easy_setopt(http->curl, CURLOPT_TIMEOUT_MS, timeout_ms);
+    ms_http_set_connect_timeout(http, MS_CONNECT_TIMEOUT_MS);
     curl_easy_setopt(http->curl, CURLOPT_FRESH_CONNECT, fresh_connection ? 1L : 0L);
     curl_easy_setopt(http->curl, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(http->curl, CURLOPT_WRITEDATA, http->response_body);
@@ -92,6 +94,13 @@
     curl_easy_setopt(http->curl, CURLOPT_POSTFIELDSIZE, (long)http->request_length);
 }
 
+void
+ms_http_set_connect_timeout(struct ms_http *http, long timeout_ms)
+{
+    http->connect_timeout_ms = timeout_ms;
+    curl_easy_setopt(http->curl, CURLOPT_CONNECTTIMEOUT_MS, timeout_ms);
+}
+
 void
 ms_http_set_raw_body(struct ms_http *http, const void *body, size_t length)
 {
--- a/src/platform/http.h
+++ b/src/platform/http.h
@@ -14,6 +14,8 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "core/list.h"
+
 /* Time limit for setting up a connection, unless the caller sets another one. */
 #define MS_CONNECT_TIMEOUT_MS 500L
 
@@ -27,7 +29,14 @@
     struct curl_slist *conditional_headers; /* headers of a conditional request, or NULL */
     struct curl_slist *request_headers;     /* default and added headers, NULL if none was added */
     char etag[64];                          /* of the response, "" when it has none */
-    void *user_data;                        /* not used by this module */
+    int64_t timeout_ms;                     /* for the whole exchange */
+    int64_t connect_timeout_ms;             /* until the request is sent */
+    /* Used by the loop (http_loop.c) in which the exchange takes place. */
+    struct ms_list_link loop_link;
+    int64_t loop_added_at;   /* when the exchange began */
+    int64_t loop_stalled_ms; /* total of the loop's stalls at that time */
+    bool loop_request_sent;  /* the connection is open and the request was sent */
+    void *user_data;         /* not used by this module */
 };
 
 /* Creates a handle; NULL when libcurl fails. */
@@ -42,6 +51,9 @@
 void ms_http_prepare(struct ms_http *http, const char *url, json_t *body, long timeout_ms,
                      bool fresh_connection);
 
+/* Sets the time limit for setting up a connection for the prepared request. */
+void ms_http_set_connect_timeout(struct ms_http *http, long timeout_ms);
+
 /* Makes the prepared request a POST with the bytes of BODY, which are copied. */
 void ms_http_set_raw_body(struct ms_http *http, const void *body, size_t length);
 
--- a/src/platform/http_loop.c
+++ b/src/platform/http_loop.c
@@ -8,6 +8,11 @@
  * the next exchange on the same connection.  The socket stays registered with epoll
  * in between, which saves two system calls per exchange.  It is removed when it
  * is closed, or when an event arrives for it that libcurl does not wait for.
+ *
+ * libcurl's own timeouts are switched off, as they end exchanges whose answers have
+ * arrived while the thread was stalled.  The loop notices a stall by the time between two
+ * calls of epoll_wait(), or by one that returns late, and allows each exchange that much
+ * more time.  An exchange only times out after the events that were pending are handled.
  */
 #include <string.h>
 #include <sys/epoll.h>
@@ -16,7 +21,11 @@
 #include "obs/clock.h"
 #include "platform/http_loop.h"
 
-#define EPOLL_EVENTS 64 /* events per call of epoll_wait() */
+#define EPOLL_EVENTS 64                /* events per call of epoll_wait() */
+#define TIMEOUT_CHECK_INTERVAL_MS 100  /* between two searches for exchanges that timed out */
+#define STALL_MIN_MS 50                /* shorter delays are not counted as stalls */
+#define CURL_CONNECT_TIMEOUT_MS 60000L /* libcurl's own, which is never reached */
+#define STALLED_MAX_MS 10000 /* of one exchange: it times out at the latest this much later */
 
 /* A socket of libcurl, registered with epoll or not. */
 struct watched_socket {
@@ -28,8 +37,12 @@
     CURLM *multi;
     int epoll_fd;
     int wake_fd;
-    GArray *sockets;         /* struct watched_socket, indexed by file descriptor */
-    int64_t curl_timeout_at; /* when libcurl's timeout expires, INT64_MAX: none is set */
+    GArray *sockets;               /* struct watched_socket, indexed by file descriptor */
+    int64_t curl_timeout_at;       /* when libcurl's timeout expires, INT64_MAX: none is set */
+    struct ms_list_link exchanges; /* struct ms_http that were added and have not ended */
+    int64_t timeouts_checked_at;   /* last search for exchanges that timed out */
+    int64_t polled_at;             /* when epoll_wait() returned last, 0: never */
+    int64_t stalled_ms;            /* total of all stalls */
     ms_http_done_callback *done;
     void *opaque;
 };
@@ -108,6 +121,7 @@
     loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
     loop->wake_fd = wake_fd;
     loop->curl_timeout_at = INT64_MAX;
+    ms_list_link_init(&loop->exchanges);
     loop->done = done;
     loop->opaque = opaque;
     if (loop->multi == NULL || loop->epoll_fd < 0 ||
@@ -125,6 +139,12 @@
     return loop;
 }
 
+void
+ms_http_loop_limit_connections(struct ms_http_loop *loop, long max_connections)
+{
+    curl_multi_setopt(loop->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, max_connections);
+}
+
 void
 ms_http_loop_free(struct ms_http_loop *loop)
 {
@@ -146,12 +166,22 @@
 {
     curl_easy_setopt(http->curl, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
     curl_easy_setopt(http->curl, CURLOPT_CLOSESOCKETDATA, loop);
+    curl_easy_setopt(http->curl, CURLOPT_TIMEOUT_MS, 0L);
+    curl_easy_setopt(http->curl, CURLOPT_CONNECTTIMEOUT_MS, CURL_CONNECT_TIMEOUT_MS);
+    http->loop_added_at = ms_clock_monotonic_ms();
+    http->loop_stalled_ms = loop->stalled_ms;
+    http->loop_request_sent = false;
+    if (ms_list_is_empty(&loop->exchanges)) {
+        loop->polled_at = 0; /* the time without exchanges was no stall */
+    }
+    ms_list_append(&loop->exchanges, &http->loop_link);
     curl_multi_add_handle(loop->multi, http->curl);
 }
 
 void
 ms_http_loop_remove(struct ms_http_loop *loop, struct ms_http *http)
 {
+    ms_list_remove(&http->loop_link);
     curl_multi_remove_handle(loop->multi, http->curl);
 }
 
@@ -180,33 +210,113 @@
         CURLcode code = info->data.result;
         struct ms_http *http = NULL;
         curl_easy_getinfo(easy, CURLINFO_PRIVATE, &http);
-        curl_multi_remove_handle(loop->multi, easy);
+        ms_http_loop_remove(loop, http);
         loop->done(loop->opaque, http, code);
     }
 }
 
-/* Waits for events up to MAX_MS or libcurl's timeout, and handles them. */
+/* Whether the request of HTTP was sent. */
+static bool
+is_request_sent(struct ms_http *http)
+{
+    if (!http->loop_request_sent) {
+        long request_size = 0;
+        curl_easy_getinfo(http->curl, CURLINFO_REQUEST_SIZE, &request_size);
+        http->loop_request_sent = request_size > 0;
+    }
+    return http->loop_request_sent;
+}
+
+/* Whether HTTP has reached one of its time limits. */
+static bool
+has_timed_out(const struct ms_http_loop *loop, struct ms_http *http, int64_t now)
+{
+    int64_t stalled_ms = MIN(loop->stalled_ms - http->loop_stalled_ms, STALLED_MAX_MS);
+    int64_t elapsed_ms = now - http->loop_added_at - stalled_ms;
+    if (elapsed_ms >= http->timeout_ms) {
+        return true;
+    }
+    return elapsed_ms >= http->connect_timeout_ms && !is_request_sent(http);
+}
+
+/* Ends the exchanges that have timed out, if that is due. */
 static void
+end_timed_out(struct ms_http_loop *loop)
+{
+    int64_t now = ms_clock_monotonic_ms();
+    GPtrArray *timed_out = NULL;
+    if (now - loop->timeouts_checked_at < TIMEOUT_CHECK_INTERVAL_MS) {
+        return;
+    }
+    loop->timeouts_checked_at = now;
+    MS_LIST_FOREACH(link, &loop->exchanges)
+    {
+        struct ms_http *http = MS_CONTAINER_OF(link, struct ms_http, loop_link);
+        if (has_timed_out(loop, http, now)) {
+            timed_out = timed_out != NULL ? timed_out : g_ptr_array_new();
+            g_ptr_array_add(timed_out, http);
+        }
+    }
+    for (guint i = 0; timed_out != NULL && i < timed_out->len; i++) {
+        ms_http_loop_remove(loop, g_ptr_array_index(timed_out, i));
+    }
+    /* The callbacks come last, as they may add exchanges. */
+    for (guint i = 0; timed_out != NULL && i < timed_out->len; i++) {
+        loop->done(loop->opaque, g_ptr_array_index(timed_out, i), CURLE_OPERATION_TIMEDOUT);
+    }
+    if (timed_out != NULL) {
+        g_ptr_array_unref(timed_out);
+    }
+}
+
+/* Adds DELAY_MS, by which the thread was late, to the stalls unless it is short. */
+static void
+note_delay(struct ms_http_loop *loop, int64_t delay_ms)
+{
+    if (delay_ms >= STALL_MIN_MS) {
+        loop->stalled_ms += delay_ms;
+    }
+}
+
+/* Passes the EVENTS of a socket to libcurl. */
+static void
+handle_event(struct ms_http_loop *loop, curl_socket_t fd, uint32_t events)
+{
+    struct watched_socket *socket = get_socket(loop, fd);
+    int running = 0;
+    if (!socket->wanted) {
+        set_events(loop, socket, fd, 0);
+        return;
+    }
+    int flags = ((events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
+                ((events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
+                ((events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+    curl_multi_socket_action(loop->multi, fd, flags, &running);
+}
+
+/*
+ * Waits for events up to MAX_MS, libcurl's timeout or the next search for exchanges that
+ * timed out, and handles them.  Returns false if more events may be pending.
+ */
+static bool
 wait_events(struct ms_http_loop *loop, int64_t max_ms)
 {
     struct epoll_event events[EPOLL_EVENTS];
-    int64_t timeout_ms = MIN(max_ms, MAX(loop->curl_timeout_at - ms_clock_monotonic_ms(), 0));
-    int running = 0;
+    int64_t now = ms_clock_monotonic_ms();
+    int64_t timeout_ms = MIN(max_ms, MAX(loop->curl_timeout_at - now, 0));
+    if (!ms_list_is_empty(&loop->exchanges)) {
+        timeout_ms = MIN(timeout_ms, TIMEOUT_CHECK_INTERVAL_MS);
+    }
+    note_delay(loop, loop->polled_at != 0 ? now - loop->polled_at : 0);
     int count = epoll_wait(loop->epoll_fd, events, EPOLL_EVENTS, (int)timeout_ms);
+    loop->polled_at = ms_clock_monotonic_ms();
+    note_delay(loop, loop->polled_at - now - timeout_ms);
     for (int i = 0; i < count; i++) {
-        if (events[i].data.fd == loop->wake_fd) {
-            continue;
+        if (events[i].data.fd != loop->wake_fd) {
+            handle_event(loop, events[i].data.fd, events[i].events);
         }
-        struct watched_socket *socket = get_socket(loop, events[i].data.fd);
-        if (!socket->wanted) {
-            set_events(loop, socket, events[i].data.fd, 0);
-            continue;
-        }
-        int flags = ((events[i].events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
-                    ((events[i].events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
-                    ((events[i].events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
-        curl_multi_socket_action(loop->multi, events[i].data.fd, flags, &running);
     }
+    return count < EPOLL_EVENTS;
 }
 
 void
@@ -214,7 +324,10 @@
 {
     run_expired_timeout(loop);
     report_finished(loop);
-    wait_events(loop, max_ms);
+    bool all_handled = wait_events(loop, max_ms);
     run_expired_timeout(loop);
     report_finished(loop);
+    if (all_handled) {
+        end_timed_out(loop);
+    }
 }
--- a/src/platform/http_loop.h
+++ b/src/platform/http_loop.h
@@ -1,5 +1,9 @@
 /*
  * http_loop.h - event loop (epoll) for many concurrent HTTP exchanges in one thread.
+ *
+ * The loop enforces the time limits of its exchanges itself.  Time in which its thread did
+ * not run, as the host was suspended, paused or out of CPU time, does not count towards
+ * them: the server may have answered in the meantime.
  */
 #ifndef MS_HTTP_LOOP_H
 #define MS_HTTP_LOOP_H
@@ -20,6 +24,8 @@
  */
 struct ms_http_loop *ms_http_loop_new(long max_idle_connections, long max_per_server, int wake_fd,
                                       ms_http_done_callback *done, void *opaque);
+/* Sets how many connections may be open at a time, to all servers; further exchanges wait. */
+void ms_http_loop_limit_connections(struct ms_http_loop *loop, long max_connections);
 /* Frees LOOP.  Exchanges that have not ended must have been removed before.  NULL is allowed. */
 void ms_http_loop_free(struct ms_http_loop *loop);
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -357,6 +357,7 @@
     tcase_add_test(cases, trace_lines_round_trip_and_core_frees_all_memory);
     suite_add_tcase(suite, cases);
     suite_add_tcase(suite, core_health_cases());
+    suite_add_tcase(suite, http_loop_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -9,4 +9,7 @@
 /* health.c: quarantine, probes and reservations of the decision core. */
 TCase *core_health_cases(void);
 
+/* http_loop.c: timeouts of HTTP exchanges when the loop's thread is delayed. */
+TCase *http_loop_cases(void);
+
 #endif
