Order sender: open few connections at a time, servers with tasks first

Cause: after a takeover all renewals were given to libcurl at once; opening 2,996 connections takes longer than a renewal may take, so all failed together and were tried again together. The limit of 2,000 kept connections made each further exchange close the oldest idle one.

Change: renewals that have to open a connection wait in a queue, 16 are opened in a round of the loop, and answers are handled in between. How many connections a host opens and accepts follows from the new setting descriptors_max.

--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -72,7 +72,8 @@
     int64_t queue_wait_ms; /* START: from when the task was ready until it was placed */
     /* RENEW_LEASE: how long the server may wait for a run to end before it answers. */
     int64_t long_poll_ms;
-    GPtrArray *records; /* STORE: ms_store_record */
+    bool server_has_tasks; /* RENEW_LEASE: tasks are assigned to the server */
+    GPtrArray *records;    /* STORE: ms_store_record */
 };
 
 struct ms_engine;
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -342,6 +342,7 @@
     action->deadline_ms = ms_batch_server_new_deadline(engine, server);
     action->ack_position = ack_position(server);
     action->long_poll_ms = may_wait ? renewal_wait_ms(engine, server) : 0;
+    action->server_has_tasks = !ms_list_is_empty(&server->tasks);
     server->renewal_pending = true;
     server->next_renewal_at = INT64_MAX;
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -244,7 +244,8 @@
     }
     entry->unfenced_appender = ms_appender_start(log, entry->message_ring, false);
     entry->fenced_appender = ms_appender_start(log, entry->message_ring, true);
-    entry->order_sender = ms_order_sender_start(entry->message_ring);
+    entry->order_sender = ms_order_sender_start(entry->message_ring,
+                                                ms_entry_server_connections_max(entry->settings));
     entry->forwarder = ms_forwarder_start(entry->message_ring);
     return entry->unfenced_appender != NULL && entry->fenced_appender != NULL &&
            entry->order_sender != NULL && entry->forwarder != NULL;
--- a/src/entry/http_frontend.c
+++ b/src/entry/http_frontend.c
@@ -19,7 +19,6 @@
 #include "ports/caller_api.h"
 
 #define BODY_MAX (1u << 20)            /* bytes of a request body */
-#define CONNECTIONS_MAX 3000u          /* of callers */
 #define IDLE_TIMEOUT_S 120u            /* then an idle connection is closed */
 #define CALLER_TIMEOUT_DEFAULT_MS 3000 /* when the caller names none */
 #define CALLER_TIMEOUT_MAX_MS 60000
@@ -290,7 +289,8 @@
     const char *address = settings->caller_address;
     frontend->counters = counters;
     frontend->ring = ring;
-    frontend->caller_daemon = listen_at(frontend, address, handle_request, CONNECTIONS_MAX);
+    frontend->caller_daemon =
+        listen_at(frontend, address, handle_request, ms_entry_caller_connections_max(settings));
     if (frontend->caller_daemon == NULL) {
         goto fail;
     }
--- a/src/entry/order_sender.c
+++ b/src/entry/order_sender.c
@@ -3,8 +3,14 @@
  *
  * START and STOP orders to one server share a few connections.  They are queued here,
  * and not in libcurl, until a connection is free, so that the timeout of an order begins
- * when it is sent.  Lease renewals are not queued.  Queries to the advice service are
- * treated like orders to one more server.
+ * when it is sent.  Queries to the advice service are treated like orders to one more
+ * server.
+ *
+ * Lease renewals are sent at once to a server that answered the last one.  All others have
+ * to open a connection first.  After a takeover or a cut these are thousands, which take
+ * longer to open than a renewal may take.  Only a few are therefore opened in each round of
+ * the loop, which handles the answers that have arrived before it opens the next ones.
+ * Servers that run tasks come first, as these tasks end with the lease.
  */
 #include <pthread.h>
 #include <stdatomic.h>
@@ -15,10 +21,10 @@
 #include "ports/servers.h"
 
 #define RING_SLOTS 8192
-#define CONNECTIONS_MAX 2000 /* idle connections kept open, to all servers together */
 #define PER_SERVER_MAX 4 /* connections to one server: one for renewals, the others for orders */
 #define ORDERS_PER_SERVER_MAX (PER_SERVER_MAX - 1)
 #define IDLE_EXCHANGES_MAX 256 /* kept for reuse */
+#define OPENED_PER_ROUND 16    /* renewals that open a connection, per round of the loop */
 #define SLEEP_MAX_MS 1000      /* longest sleep of the thread */
 #define STATUS_OK 200
 
@@ -45,9 +51,13 @@
     struct ms_ring *commands; /* struct command */
     struct ms_ring *answers;  /* owned by the caller of ms_order_sender_start() */
     struct ms_http_loop *loop;
-    GPtrArray *idle;            /* exchange, for reuse; owned */
-    GHashTable *in_flight;      /* set of exchange */
-    GHashTable *queues;         /* address of a server -> server_queue */
+    GPtrArray *idle;       /* exchange, for reuse; owned */
+    GHashTable *in_flight; /* set of exchange */
+    GHashTable *queues;    /* address of a server -> server_queue */
+    GHashTable *connected; /* set of addresses: these servers answered the last renewal */
+    /* Renewals (struct command) of servers that are not in `connected`. */
+    GQueue *opening_with_tasks; /* the server runs tasks: sent first */
+    GQueue *opening_without_tasks;
     _Atomic uint64_t min_epoch; /* orders of lower epochs are dropped */
     pthread_t thread;
     atomic_bool stopping;
@@ -189,6 +199,18 @@
     return message;
 }
 
+/* A renewal was ANSWERED or has failed. */
+static void
+note_renewal(struct ms_order_sender *sender, const struct ms_engine_action *renewal, bool answered)
+{
+    if (!answered) {
+        g_hash_table_remove(sender->connected, renewal->address);
+    }
+    else if (!g_hash_table_contains(sender->connected, renewal->address)) {
+        g_hash_table_add(sender->connected, g_strdup(renewal->address));
+    }
+}
+
 /* Called when an exchange has ended: passes the answer to the decision thread. */
 static void
 exchange_done(void *opaque, struct ms_http *http, CURLcode code)
@@ -199,7 +221,10 @@
     struct ms_entry_message *message = read_answer(http, code, order);
     message->order_sent_at = exchange->sent_at;
     put_exchange(sender, exchange);
-    if (order->kind != MS_ENGINE_RENEW_LEASE) {
+    if (order->kind == MS_ENGINE_RENEW_LEASE) {
+        note_renewal(sender, order, code == CURLE_OK);
+    }
+    else {
         finish_order(sender, order);
     }
     while (!ms_ring_push(sender->answers, message) && !atomic_load(&sender->stopping)) {
@@ -207,6 +232,39 @@
     }
 }
 
+/* Sends the renewal in COMMAND, or queues it if a connection has to be opened for it. */
+static void
+send_or_queue_renewal(struct ms_order_sender *sender, struct command *command)
+{
+    if (g_hash_table_contains(sender->connected, command->order->address)) {
+        send_command(sender, command);
+    }
+    else if (command->order->server_has_tasks) {
+        g_queue_push_tail(sender->opening_with_tasks, command);
+    }
+    else {
+        g_queue_push_tail(sender->opening_without_tasks, command);
+    }
+}
+
+/* Sends some renewals for which connections have to be opened.  Returns whether any are left. */
+static bool
+open_connections(struct ms_order_sender *sender)
+{
+    int opened = 0;
+    while (opened < OPENED_PER_ROUND) {
+        struct command *command = g_queue_pop_head(sender->opening_with_tasks);
+        if (command == NULL) {
+            command = g_queue_pop_head(sender->opening_without_tasks);
+        }
+        if (command == NULL) {
+            return false;
+        }
+        opened += send_command(sender, command);
+    }
+    return true;
+}
+
 /* Sends the orders that were pushed, or adds them to the queues of their servers. */
 static void
 run_commands(struct ms_order_sender *sender)
@@ -215,7 +273,7 @@
     ms_ring_clear_wakeup(sender->commands);
     while ((command = ms_ring_pop(sender->commands)) != NULL) {
         if (command->order->kind == MS_ENGINE_RENEW_LEASE) {
-            send_command(sender, command);
+            send_or_queue_renewal(sender, command);
             continue;
         }
         struct server_queue *queue = get_queue(sender, command->order);
@@ -230,13 +288,44 @@
     struct ms_order_sender *sender = opaque;
     while (!atomic_load(&sender->stopping)) {
         run_commands(sender);
-        ms_http_loop_run(sender->loop, SLEEP_MAX_MS);
+        bool more_to_open = open_connections(sender);
+        ms_http_loop_run(sender->loop, more_to_open ? 0 : SLEEP_MAX_MS);
     }
     return NULL;
 }
 
+/* Frees SENDER, whose thread does not run, and all orders that it holds. */
+static void
+free_sender(struct ms_order_sender *sender)
+{
+    struct command *command = NULL;
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    while ((command = ms_ring_pop(sender->commands)) != NULL) {
+        free_command(command);
+    }
+    g_hash_table_iter_init(&iterator, sender->in_flight);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        struct exchange *exchange = key;
+        ms_http_loop_remove(sender->loop, exchange->http);
+        free_exchange(exchange);
+    }
+    for (guint i = 0; i < sender->idle->len; i++) {
+        free_exchange(g_ptr_array_index(sender->idle, i));
+    }
+    ms_http_loop_free(sender->loop);
+    ms_ring_free(sender->commands);
+    g_ptr_array_unref(sender->idle);
+    g_hash_table_destroy(sender->in_flight);
+    g_hash_table_destroy(sender->queues);
+    g_hash_table_destroy(sender->connected);
+    g_queue_free_full(sender->opening_with_tasks, free_command);
+    g_queue_free_full(sender->opening_without_tasks, free_command);
+    g_free(sender);
+}
+
 struct ms_order_sender *
-ms_order_sender_start(struct ms_ring *answers)
+ms_order_sender_start(struct ms_ring *answers, long connections_max)
 {
     struct ms_order_sender *sender = g_new0(struct ms_order_sender, 1);
     sender->answers = answers;
@@ -248,15 +337,18 @@
     sender->idle = g_ptr_array_new();
     sender->in_flight = g_hash_table_new(NULL, NULL);
     sender->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_server_queue);
-    sender->loop = ms_http_loop_new(CONNECTIONS_MAX, PER_SERVER_MAX, ms_ring_fd(sender->commands),
+    sender->connected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    sender->opening_with_tasks = g_queue_new();
+    sender->opening_without_tasks = g_queue_new();
+    sender->loop = ms_http_loop_new(connections_max, PER_SERVER_MAX, ms_ring_fd(sender->commands),
                                     exchange_done, sender);
-    if (sender->loop == NULL || pthread_create(&sender->thread, NULL, sender_thread, sender) != 0) {
-        ms_http_loop_free(sender->loop);
-        ms_ring_free(sender->commands);
-        g_ptr_array_unref(sender->idle);
-        g_hash_table_destroy(sender->in_flight);
-        g_hash_table_destroy(sender->queues);
-        g_free(sender);
+    if (sender->loop == NULL) {
+        free_sender(sender);
+        return NULL;
+    }
+    ms_http_loop_limit_connections(sender->loop, connections_max);
+    if (pthread_create(&sender->thread, NULL, sender_thread, sender) != 0) {
+        free_sender(sender);
         return NULL;
     }
     return sender;
@@ -290,25 +382,5 @@
     atomic_store(&sender->stopping, true);
     ms_ring_wake(sender->commands);
     pthread_join(sender->thread, NULL);
-    struct command *command = NULL;
-    while ((command = ms_ring_pop(sender->commands)) != NULL) {
-        free_command(command);
-    }
-    GHashTableIter iterator;
-    gpointer key = NULL;
-    g_hash_table_iter_init(&iterator, sender->in_flight);
-    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
-        struct exchange *exchange = key;
-        ms_http_loop_remove(sender->loop, exchange->http);
-        free_exchange(exchange);
-    }
-    for (guint i = 0; i < sender->idle->len; i++) {
-        free_exchange(g_ptr_array_index(sender->idle, i));
-    }
-    ms_http_loop_free(sender->loop);
-    ms_ring_free(sender->commands);
-    g_ptr_array_unref(sender->idle);
-    g_hash_table_destroy(sender->in_flight);
-    g_hash_table_destroy(sender->queues);
-    g_free(sender);
+    free_sender(sender);
 }
--- a/src/entry/order_sender.h
+++ b/src/entry/order_sender.h
@@ -11,8 +11,11 @@
 
 struct ms_order_sender;
 
-/* Starts the thread; the answers go to ANSWERS.  Returns NULL on failure. */
-struct ms_order_sender *ms_order_sender_start(struct ms_ring *answers);
+/*
+ * Starts the thread; the answers go to ANSWERS.  At most CONNECTIONS_MAX connections are open at
+ * a time, to all servers together.  Returns NULL on failure.
+ */
+struct ms_order_sender *ms_order_sender_start(struct ms_ring *answers, long connections_max);
 
 /*
  * Queues ORDER and takes ownership of it; it comes back with its answer in an
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -26,8 +26,13 @@
     int64_t min;
     int64_t max;
     const char *unit;
+    int64_t fallback; /* when the setting is absent; 0: it must be there */
 };
 
+#define DESCRIPTORS_DEFAULT 4096
+/* Descriptors for files, the log, other entry hosts, metrics and the readiness probe. */
+#define DESCRIPTORS_RESERVED 264
+
 /* Entries of the tables below for settings whose key is the name of their field. */
 #define TEXT(name)                                                                                 \
     {                                                                                              \
@@ -36,7 +41,7 @@
     }
 #define NUMBER(name, min, max, unit)                                                               \
     {                                                                                              \
-#name, offsetof(struct ms_entry_settings, name), min, max, unit                            \
+#name, offsetof(struct ms_entry_settings, name), min, max, unit, 0                         \
     }
 
 static const struct text_key text_keys[] = {
@@ -56,8 +61,11 @@
     NUMBER(gang_start_max_ms, 500, 600000, "milliseconds"),
     NUMBER(stop_grace_ms, 0, 600000, "milliseconds"),
     NUMBER(unknown_after_ms, 100, 600000, "milliseconds"),
-    {"state_kept_s", offsetof(struct ms_entry_settings, ended_retention_s), 1, 1000000, "seconds"},
+    {"state_kept_s", offsetof(struct ms_entry_settings, ended_retention_s), 1, 1000000, "seconds",
+     0},
     NUMBER(shutdown_s, 1, 3600, "seconds"),
+    {"descriptors_max", offsetof(struct ms_entry_settings, descriptors_max), 512, 1000000,
+     "file descriptors", DESCRIPTORS_DEFAULT},
 };
 
 static bool
@@ -104,8 +112,10 @@
     }
     for (size_t i = 0; i < G_N_ELEMENTS(number_keys); i++) {
         const struct number_key *number = &number_keys[i];
-        double parsed = json_number_value(json_object_get(root, number->key));
-        if (!json_is_number(json_object_get(root, number->key)) || parsed < (double)number->min ||
+        const json_t *given = json_object_get(root, number->key);
+        double parsed = given != NULL ? json_number_value(given) : (double)number->fallback;
+        bool missing = given == NULL && number->fallback == 0;
+        if (missing || (given != NULL && !json_is_number(given)) || parsed < (double)number->min ||
             parsed > (double)number->max) {
             snprintf(error, size,
                      "%s: must be a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " %s",
@@ -137,3 +147,16 @@
     json_decref(root);
     return result;
 }
+
+unsigned int
+ms_entry_caller_connections_max(const struct ms_entry_settings *settings)
+{
+    return (unsigned int)((settings->descriptors_max - DESCRIPTORS_RESERVED) / 3);
+}
+
+long
+ms_entry_server_connections_max(const struct ms_entry_settings *settings)
+{
+    return (long)(settings->descriptors_max - DESCRIPTORS_RESERVED) -
+           (long)ms_entry_caller_connections_max(settings);
+}
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -28,6 +28,7 @@
     double cpu_cores;                    /* CPU cores that this host may use; may be a fraction */
     int64_t ended_retention_s;           /* how long the state of an ended job can be queried */
     int64_t shutdown_s;                  /* time allowed for a graceful shutdown */
+    int64_t descriptors_max;             /* file descriptors that this process may open */
 };
 
 /*
@@ -37,4 +38,9 @@
 enum ms_result ms_entry_settings_parse(const char *text, struct ms_entry_settings *settings,
                                        char *error, size_t size);
 
+/* How many connections of callers this host accepts at a time. */
+unsigned int ms_entry_caller_connections_max(const struct ms_entry_settings *settings);
+/* How many connections to backend servers this host opens at a time. */
+long ms_entry_server_connections_max(const struct ms_entry_settings *settings);
+
 #endif
