Engine: do not preempt while servers are about to answer a new leader; odd entries in unit tests

Cause: servers with tasks are contacted first after a takeover.

Change: for 1.5 s after a takeover work is only started in room that is there while a listed server was not heard yet and has not failed to answer.

Test: idle_servers_are_heard_before_work_is_preempted (failed before: one stop), preemption_does_not_wait_long_for_servers_that_do_not_answer.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -62,6 +62,7 @@
     engine->limits = *limits;
     engine->epoch = epoch;
     engine->now = now;
+    engine->created_at = now;
     engine->earlier_leases_until = earlier_leases_until;
     engine->next_retry_at = INT64_MAX;
     engine->jobs_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
--- a/src/batch/engine_collect.c
+++ b/src/batch/engine_collect.c
@@ -6,14 +6,30 @@
 
 #include "batch/engine_placement.h"
 
+/*
+ * After a takeover the servers answer one after the other.  For this long work is only started
+ * where there is room, and none is stopped to make room, while listed servers are still to answer.
+ */
+#define FIRST_ANSWERS_WAIT_MS 1500
+
+/* Whether SERVER is listed and was not heard by this leader, but may answer at any moment. */
+static bool
+is_about_to_answer(const struct ms_batch_server *server)
+{
+    return server->listed && !server->fence_confirmed && !server->unresponsive &&
+           !server->entry.draining;
+}
+
 void
 ms_collect_servers(struct ms_placement_pass *pass)
 {
     struct ms_engine *engine = pass->engine;
+    bool taking_over = engine->now - engine->created_at < FIRST_ANSWERS_WAIT_MS;
     MS_LIST_FOREACH(link, &engine->servers)
     {
         struct ms_batch_server *server =
             MS_CONTAINER_OF(link, struct ms_batch_server, servers_link);
+        pass->awaits_servers |= taking_over && is_about_to_answer(server);
         memset(&server->reserved, 0, sizeof(server->reserved));
         memset(&server->releasing, 0, sizeof(server->releasing));
         memset(&server->lasting, 0, sizeof(server->lasting));
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -288,6 +288,9 @@
     }
     outcomes->by_level[MS_LEVEL_RELEASING] = no_plan_outcome(pass);
     outcomes->by_level[MS_LEVEL_PREEMPT] = MS_OUTCOME_NOT_YET;
+    if (pass->awaits_servers) {
+        return;
+    }
     if (may_preempt(pass, waited_ms, 0)) {
         ms_capacity_update_preemptible(pass);
         bool planned = ms_plan_unit(pass, MS_LEVEL_PREEMPT) != MS_NO_PLAN;
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -166,6 +166,7 @@
     uint64_t epoch;                 /* of this leader */
     int64_t now;                    /* time of the current call, never goes back */
     int64_t unix_ms;                /* time of day, plus limits.start_early_ms */
+    int64_t created_at;             /* when this leader created the engine */
     int64_t earlier_leases_until;   /* runs of earlier leaders may go on until then */
     const struct ms_policy *policy; /* owned by the caller, or NULL */
     GHashTable *dcs_out;            /* names of data centres out of service, or NULL */
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -12,11 +12,13 @@
 #include "batch/job_table.h"
 #include "batch/unit.h"
 #include "entry/settings.h"
+#include "platform/json_list.h"
 #include "ports/caller_api.h"
 #include "ports/operator_records.h"
 #include "ports/servers.h"
 
 #define TEXT_MAX 256
+#define ODD_DEPTH 100000 /* brackets of an odd entry */
 
 /* ---- records and job table ---- */
 
@@ -187,7 +189,7 @@
         "\"/a/\",\"service\":\"s\",\"priority\":2,\"maxAttempts\":3,\"stretch\":1.5,"
         "\"targetLatencyMs\":600},{\"name\":\"long\",\"hostname\":\"h.example\",\"pathPrefix\":"
         "\"/a/b/\",\"service\":\"s\",\"public\":true}],\"tenants\":[{\"name\":\"t\",\"apiKeys\":"
-        "[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":72}}]}";
+        "[\"k1\",\"k2\",7,\"\"],\"guaranteed\":{\"gpu\":72}}]}";
     char error[TEXT_MAX];
     GBytes *bytes = g_bytes_new_static(text, strlen(text));
     struct ms_policy *policy = ms_policy_decode(bytes, error, sizeof(error));
@@ -199,6 +201,7 @@
     ck_assert_ptr_null(ms_policy_find_route(policy, "other", "/a/x"));
     ck_assert_int_eq(ms_policy_find_account_by_key(policy, "k2")->guaranteed_accels, 72);
     ck_assert_ptr_null(ms_policy_find_account_by_key(policy, "k3"));
+    ck_assert_ptr_null(ms_policy_find_account_by_key(policy, ""));
     ms_policy_free(policy);
     g_bytes_unref(bytes);
     bytes = g_bytes_new_static("{\"version\":\"x\"}", 15);
@@ -241,6 +244,104 @@
 }
 END_TEST
 
+/*
+ * Entries of another writer: nested very deeply, with numbers or ports out of range.  None may
+ * describe a server, as sums of capacity would overflow and the address could not be called.
+ */
+START_TEST(odd_directory_entries_are_rejected)
+{
+    static const char format[] = "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
+                                 "\"state\":\"ready\",\"capacity\":{\"cpu\":%s,\"memMb\":2,"
+                                 "\"gpu\":3},\"labels\":[],\"born\":%s}";
+    static const struct {
+        const char *address;
+        const char *cpu;
+        const char *born;
+        bool valid;
+    } cases[] = {
+        {"1.2.3.4:5", "1", "9", true},
+        {"1.2.3.4:65535", "1", "9", true},
+        {"1.2.3.4:0", "1", "9", false},
+        {"1.2.3.4:65536", "1", "9", false},
+        {"1.2.3.4:-1", "1", "9", false},
+        {"1.2.3.4:99999999999999999999", "1", "9", false},
+        {"1.2.3.4:5/path", "1", "9", false},
+        {"1.2.3.4.5:6", "1", "9", false},
+        {"name:5", "1", "9", false},
+        {":5", "1", "9", false},
+        {"1.2.3.4:5", "9223372036854775807", "9", false},
+        {"1.2.3.4:5", "99999999999999999999", "9", false},
+        {"1.2.3.4:5", "-1", "9", false},
+        {"1.2.3.4:5", "1e3", "9", false},
+        {"1.2.3.4:5", "1", "9223372036854775807", false},
+        {"1.2.3.4:5", "1", "-9", false},
+        {"1.2.3.4:5", "1", "\"9\"", false},
+        {"1.2.3.4:5", "1", "1e999", false},
+    };
+    struct ms_directory_entry entry;
+    char error[TEXT_MAX];
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = g_strdup_printf(format, cases[i].address, cases[i].cpu, cases[i].born);
+        GBytes *bytes = g_bytes_new_take(text, strlen(text));
+        ck_assert_msg((ms_directory_decode("i-1", bytes, &entry, error, sizeof(error)) == MS_OK) ==
+                          cases[i].valid,
+                      "%s", text);
+        ck_assert_int_eq(ms_directory_decode("", bytes, &entry, error, sizeof(error)),
+                         MS_E_INVALID);
+        g_bytes_unref(bytes);
+    }
+    GString *deep = g_string_new("{\"service\":");
+    for (int i = 0; i < ODD_DEPTH; i++) {
+        g_string_append_c(deep, '[');
+    }
+    GBytes *bytes = g_string_free_to_bytes(deep);
+    ck_assert_int_eq(ms_directory_decode("i-1", bytes, &entry, error, sizeof(error)), MS_E_INVALID);
+    g_bytes_unref(bytes);
+}
+END_TEST
+
+/*
+ * One odd item of a list must not hide the others: the readers of the list would stop to
+ * follow it.
+ */
+START_TEST(odd_items_of_a_list_are_left_out)
+{
+    GString *deep = g_string_new(NULL);
+    for (int i = 0; i < ODD_DEPTH; i++) {
+        g_string_append(deep, "[{\"a\":");
+    }
+    g_string_append_c(deep, '1');
+    for (int i = 0; i < ODD_DEPTH; i++) {
+        g_string_append(deep, "}]");
+    }
+    const char *const odd_items[] = {
+        deep->str, "99999999999999999999", "1e999", "\"\xff\xfe\"", "\"a\\u0000b\"", "nonsense", "",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_items); i++) {
+        char *text =
+            g_strdup_printf("{ \"end\":7, \"items\" : [ {\"k\":\"a,]}\"},%s, {\"k\":\"\\\"b\"} "
+                            "], \"hasMore\":true}",
+                            odd_items[i]);
+        size_t skipped = 0;
+        json_t *root = ms_json_load_list(text, strlen(text), "items", &skipped);
+        json_t *items = json_object_get(root, "items");
+        ck_assert_uint_eq(skipped, 1);
+        ck_assert_uint_eq(json_array_size(items), 2);
+        ck_assert_str_eq(json_string_value(json_object_get(json_array_get(items, 0), "k")), "a,]}");
+        ck_assert_str_eq(json_string_value(json_object_get(json_array_get(items, 1), "k")), "\"b");
+        ck_assert_int_eq(json_integer_value(json_object_get(root, "end")), 7);
+        ck_assert(json_is_true(json_object_get(root, "hasMore")));
+        json_decref(root);
+        /* An answer that was cut off is not taken for a shorter list. */
+        for (size_t length = 0; length < MIN(strlen(text), 400); length++) {
+            ck_assert_ptr_null(ms_json_load_list(text, length, "items", &skipped));
+        }
+        g_free(text);
+    }
+    g_string_free(deep, TRUE);
+}
+END_TEST
+
 START_TEST(entry_settings_errors_name_the_key)
 {
     struct ms_entry_settings settings;
@@ -271,6 +372,8 @@
     tcase_add_test(cases, malformed_jobs_are_rejected_by_field);
     tcase_add_test(cases, policy_is_decoded);
     tcase_add_test(cases, malformed_directory_entries_are_rejected_by_field);
+    tcase_add_test(cases, odd_directory_entries_are_rejected);
+    tcase_add_test(cases, odd_items_of_a_list_are_left_out);
     tcase_add_test(cases, entry_settings_errors_name_the_key);
     suite_add_tcase(suite, cases);
     suite_add_tcase(suite, engine_cases());
@@ -281,6 +384,7 @@
     suite_add_tcase(suite, server_cases());
     suite_add_tcase(suite, lease_cases());
     suite_add_tcase(suite, health_cases());
+    suite_add_tcase(suite, takeover_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -27,5 +27,6 @@
 TCase *server_cases(void);
 TCase *lease_cases(void);
 TCase *health_cases(void);
+TCase *takeover_cases(void);
 
 #endif
--- /dev/null
+++ b/tests/batch/unit_takeover.c
@@ -0,0 +1,180 @@
+/*
+ * unit_takeover.c - tests of a new leader that has not heard from all servers yet, as after
+ * the loss of all entry hosts: servers that run tasks answer first, idle ones later.
+ *
+ * The engine runs alone with two servers; the test decides when each answers.
+ */
+#include <string.h>
+
+#include "batch/engine.h"
+#include "batch/unit.h"
+
+#define TICK_MS 10
+#define ACCELS 8
+#define SERVER_COUNT 2
+
+struct fixture {
+    struct ms_engine *engine;
+    int64_t now;
+    bool reachable[SERVER_COUNT]; /* the server answers */
+    uint32_t starts[SERVER_COUNT];
+    uint32_t stops;
+    struct ms_stored_job jobs[SERVER_COUNT];
+};
+
+static const char *const server_ids[SERVER_COUNT] = {"busy", "idle"};
+
+static const struct ms_policy *
+two_queue_policy(void)
+{
+    static struct ms_queue_rule queues[] = {
+        {.name = "q0", .service = "service", .priority = 0, .failures_max = 9},
+        {.name = "q1", .service = "service", .priority = 1, .failures_max = 9}};
+    static const struct ms_policy policy = {.version = 1, .queues = queues, .queue_count = 2};
+    return &policy;
+}
+
+static void
+list_server(struct fixture *fixture, size_t index)
+{
+    struct ms_directory_entry entry = {.start_unix_ms = 5000, .clock_ms = fixture->now};
+    entry.capacity = (struct ms_resources){64000, 64000, ACCELS};
+    g_strlcpy(entry.id, server_ids[index], sizeof(entry.id));
+    g_strlcpy(entry.address, "127.0.0.1:1", sizeof(entry.address));
+    g_strlcpy(entry.dc, "dc", sizeof(entry.dc));
+    g_strlcpy(entry.service, "service", sizeof(entry.service));
+    ms_engine_update_server(fixture->engine, &entry, fixture->now);
+}
+
+/* A job of QUEUE whose one task needs all accelerators of a server is read from the log. */
+static void
+add_job(struct fixture *fixture, size_t index, const char *id, const char *queue)
+{
+    struct ms_stored_job *job = &fixture->jobs[index];
+    g_strlcpy(job->id, id, sizeof(job->id));
+    simple_spec(&job->spec, id, queue, 1, ACCELS);
+    job->spec.steps[0].estimate_ms = 20000;
+    job->accepted = true;
+    ms_engine_add_job(fixture->engine, job, fixture->now);
+}
+
+static void
+answer(struct fixture *fixture, const struct ms_engine_action *action)
+{
+    size_t index = strcmp(action->server, server_ids[0]) == 0 ? 0 : 1;
+    struct ms_reported_run run = {.run = 1};
+    struct ms_server_report report = {.start_unix_ms = 5000, .clock_ms = fixture->now};
+    switch (action->kind) {
+    case MS_ENGINE_RENEW_LEASE:
+        if (fixture->reachable[index]) {
+            g_strlcpy(run.task, index == 0 ? "low.0.0.0" : "urgent.0.0.0", sizeof(run.task));
+            report.running = &run;
+            report.running_count = fixture->starts[index] > 0;
+            ms_engine_on_renewal_answer(fixture->engine, action, MS_ORDER_OK, &report, fixture->now,
+                                        fixture->now);
+        }
+        return; /* else its answer is still awaited */
+    case MS_ENGINE_START:
+        fixture->starts[index]++;
+        break;
+    case MS_ENGINE_STOP:
+        fixture->stops++;
+        break;
+    case MS_ENGINE_STORE:
+        ms_engine_on_stored(fixture->engine, fixture->now);
+        return;
+    case MS_ENGINE_QUERY_ADVICE:
+    case MS_ENGINE_STEP_DOWN:
+        return;
+    }
+    ms_engine_on_order_answer(fixture->engine, action, MS_ORDER_OK, fixture->now, fixture->now);
+}
+
+static void
+run(struct fixture *fixture, int64_t ms)
+{
+    int64_t until = fixture->now + ms;
+    for (; fixture->now < until; fixture->now += TICK_MS) {
+        GQueue actions = G_QUEUE_INIT;
+        struct ms_engine_action *action = NULL;
+        ms_engine_tick(fixture->engine, fixture->now, fixture->now);
+        while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
+            g_queue_push_tail(&actions, action);
+        }
+        /* What these answers lead to is queued for the next tick. */
+        while ((action = g_queue_pop_head(&actions)) != NULL) {
+            answer(fixture, action);
+            ms_engine_action_free(action);
+        }
+    }
+}
+
+/* One server runs a task of a low priority, the other has not answered; urgent work waits. */
+static void
+fixture_init(struct fixture *fixture)
+{
+    struct ms_engine_limits limits;
+    memset(fixture, 0, sizeof(*fixture));
+    ms_engine_limits_defaults(&limits);
+    fixture->now = 1000;
+    fixture->engine = ms_engine_new(&limits, 2, 0, fixture->now);
+    ms_engine_set_policy(fixture->engine, two_queue_policy());
+    fixture->reachable[0] = true;
+    list_server(fixture, 0);
+    list_server(fixture, 1);
+    add_job(fixture, 0, "low", "q1");
+    run(fixture, 200);
+    ck_assert_uint_eq(fixture->starts[0], 1);
+    add_job(fixture, 1, "urgent", "q0");
+}
+
+static void
+fixture_clear(struct fixture *fixture)
+{
+    ms_engine_free(fixture->engine);
+    for (size_t i = 0; i < SERVER_COUNT; i++) {
+        ms_batch_spec_clear(&fixture->jobs[i].spec);
+    }
+}
+
+/*
+ * Urgent work must not preempt other work while idle servers are about to answer: it would
+ * stop runs although there is room for both.
+ */
+START_TEST(idle_servers_are_heard_before_work_is_preempted)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    ck_assert_uint_eq(fixture.stops, 0);
+    fixture.reachable[1] = true;
+    run(&fixture, 300); /* the renewal that awaited its answer is answered with the next entry */
+    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE};
+    g_strlcpy(renewal.server, server_ids[1], sizeof(renewal.server));
+    answer(&fixture, &renewal);
+    run(&fixture, 300);
+    ck_assert_uint_eq(fixture.stops, 0);
+    ck_assert_uint_eq(fixture.starts[1], 1);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+/* The wait is short: servers that do not answer may be gone, and urgent work cannot wait. */
+START_TEST(preemption_does_not_wait_long_for_servers_that_do_not_answer)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 2000);
+    ck_assert_uint_eq(fixture.stops, 1);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+TCase *
+takeover_cases(void)
+{
+    TCase *cases = tcase_create("takeover");
+    tcase_add_test(cases, idle_servers_are_heard_before_work_is_preempted);
+    tcase_add_test(cases, preemption_does_not_wait_long_for_servers_that_do_not_answer);
+    return cases;
+}
