Readers: one odd entry of another writer does not hide the others

A peer's port above 65,535 was cut to 16 bits.

Change: ms_json_load_list() leaves such items out, ms_address_parse() replaces four copies, entries are checked for their range; an unusable entry takes its server out of use until the next entry. Log lines tell how many were left out.

--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,9 @@
 $(BUILD)/batch-fuzz: $(BUILD)/tests/batch/engine_fuzz.o $(SIMULATOR_OBJECTS) $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/reader-fuzz: $(BUILD)/tests/fuzz/readers.o $(PLATFORM_OBJECTS) $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bench-policy: $(BUILD)/bench/policy.o $(BUILD)/tests/naive/simulator.o $(BUILD)/tests/naive/simulator_action.o $(BUILD)/tests/naive/simulator_scenario.o $(BUILD)/tests/naive/simulator_server.o $(BUILD)/tests/naive/reference_scheduler.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -104,7 +107,7 @@
 
 .PHONY: run
 
-tests: all $(BUILD)/unit-tests $(BUILD)/differential $(BUILD)/batch-unit $(BUILD)/batch-open-faults $(BUILD)/batch-fuzz $(EXAMPLES)
+tests: all $(BUILD)/unit-tests $(BUILD)/differential $(BUILD)/batch-unit $(BUILD)/batch-open-faults $(BUILD)/batch-fuzz $(BUILD)/reader-fuzz $(EXAMPLES)
 
 check: deps
 	@$(MAKE) --no-print-directory tests
--- a/src/caller/http_server.c
+++ b/src/caller/http_server.c
@@ -4,7 +4,6 @@
  * libmicrohttpd runs one thread.  A connection is suspended while the node
  * processes its call; ms_call_complete() resumes it.
  */
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +14,7 @@
 
 #include "caller/http_server.h"
 #include "caller/job_json.h"
+#include "config/address.h"
 #include "node/message.h"
 #include "obs/log.h"
 
@@ -332,16 +332,14 @@
 ms_http_server_start(const struct ms_settings *settings, struct ms_counters *counters,
                      struct ms_ring *node_ring)
 {
-    char host[MS_ADDRESS_MAX];
-    struct sockaddr_in address = {.sin_family = AF_INET};
+    struct sockaddr_in address;
     struct ms_http_server *http_server = g_new0(struct ms_http_server, 1);
     http_server->counters = counters;
     http_server->node_ring = node_ring;
-    g_strlcpy(host, settings->caller_address, sizeof(host));
-    char *colon = strrchr(host, ':');
-    *colon = '\0';
-    address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
-    inet_pton(AF_INET, host, &address.sin_addr);
+    if (!ms_address_parse(settings->caller_address, &address)) {
+        g_free(http_server);
+        return NULL;
+    }
     http_server->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_request,
         http_server, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -1,7 +1,6 @@
 /*
  * settings.c - parser of the settings file of mustardspreadd.
  */
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +8,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "config/address.h"
 #include "config/settings.h"
 #include "config/toml_json.h"
 
@@ -86,23 +86,6 @@
     LIMIT_U32(recent_max, 4096, 1, 1000000, "outcomes"),
 };
 
-/* Whether TEXT is an IPv4 address and a port. */
-static bool
-is_ip_port(const char *text)
-{
-    char *copy = g_strdup(text);
-    char *colon = strrchr(copy, ':');
-    guint64 port = 0;
-    struct in_addr address;
-    bool valid = colon != NULL && g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL);
-    if (valid) {
-        *colon = '\0';
-        valid = inet_pton(AF_INET, copy, &address) == 1;
-    }
-    g_free(copy);
-    return valid;
-}
-
 /* Reads one setting into its field of SETTINGS. */
 static enum ms_result
 read_text(json_t *root, const struct text_setting *setting, struct ms_settings *settings,
@@ -119,7 +102,8 @@
                  setting->size - 1);
         return MS_E_INVALID;
     }
-    if (setting->is_address && !is_ip_port(field)) {
+    struct sockaddr_in address;
+    if (setting->is_address && !ms_address_parse(field, &address)) {
         snprintf(error, size, "%s: must be IP:PORT, not %s", setting->key, field);
         return MS_E_INVALID;
     }
@@ -212,7 +196,8 @@
                             size)) {
             return MS_E_INVALID;
         }
-        if (!is_ip_port(peer->address)) {
+        struct sockaddr_in address;
+        if (!ms_address_parse(peer->address, &address)) {
             snprintf(error, size, "peer %zu: address: must be IP:PORT", index + 1);
             return MS_E_INVALID;
         }
--- a/src/entry/actions.c
+++ b/src/entry/actions.c
@@ -92,6 +92,7 @@
         else {
             ms_log(MS_LOG_WARNING, "event=directory_entry_unusable server=%s error=\"%s\"",
                    record->key, error);
+            ms_engine_unlist_server(entry->engine, record->key, entry->now);
         }
     }
     if (snapshot) {
--- a/src/entry/http_frontend.c
+++ b/src/entry/http_frontend.c
@@ -4,7 +4,6 @@
  * A connection is suspended while the decision thread handles its call;
  * ms_entry_call_answer() resumes it.
  */
-#include <arpa/inet.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +11,7 @@
 
 #include <microhttpd.h>
 
+#include "config/address.h"
 #include "entry/http_frontend.h"
 #include "entry/forwarder.h"
 #include "obs/clock.h"
@@ -245,32 +245,13 @@
     }
 }
 
-/* Parses "IP:PORT" (IPv4). */
-static bool
-parse_address(const char *text, struct sockaddr_in *address)
-{
-    char *copy = g_strdup(text);
-    char *colon = strrchr(copy, ':');
-    guint64 port = 0;
-    bool valid = colon != NULL && g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL);
-    if (valid) {
-        *colon = '\0';
-        memset(address, 0, sizeof(*address));
-        address->sin_family = AF_INET;
-        address->sin_port = htons((uint16_t)port);
-        valid = inet_pton(AF_INET, copy, &address->sin_addr) == 1;
-    }
-    g_free(copy);
-    return valid;
-}
-
 /* Starts a listener at the address TEXT for up to CONNECTIONS; NULL on failure. */
 static struct MHD_Daemon *
 listen_at(struct ms_http_frontend *frontend, const char *text, MHD_AccessHandlerCallback handler,
           unsigned int connections)
 {
     struct sockaddr_in address;
-    if (!parse_address(text, &address)) {
+    if (!ms_address_parse(text, &address)) {
         return NULL;
     }
     return MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -1,7 +1,6 @@
 /*
  * peer.c - TCP connections between entry hosts.
  */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -13,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "config/address.h"
 #include "node/message.h"
 #include "obs/clock.h"
 #include "obs/log.h"
@@ -75,23 +75,6 @@
     GHashTable *connections; /* set of struct connection, accepted ones without a name too */
 };
 
-/* Parses "IP:PORT". */
-static bool
-parse_address(const char *text, struct sockaddr_in *address)
-{
-    char host[MS_ADDRESS_MAX];
-    memset(address, 0, sizeof(*address));
-    g_strlcpy(host, text, sizeof(host));
-    char *colon = strrchr(host, ':');
-    if (colon == NULL) {
-        return false;
-    }
-    *colon = '\0';
-    address->sin_family = AF_INET;
-    address->sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
-    return inet_pton(AF_INET, host, &address->sin_addr) == 1;
-}
-
 /* Sends the node a message that CONNECTION was opened or closed. */
 static void
 notify_node(struct ms_peers *peers, enum ms_message_kind kind, const struct connection *connection)
@@ -335,7 +318,7 @@
 {
     struct sockaddr_in address;
     peer->next_connect_at = ms_clock_monotonic_ms() + RECONNECT_MS;
-    if (!parse_address(peer->address, &address)) {
+    if (!ms_address_parse(peer->address, &address)) {
         return;
     }
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -474,7 +457,7 @@
 {
     struct sockaddr_in address;
     int enable = 1;
-    if (!parse_address(text, &address)) {
+    if (!ms_address_parse(text, &address)) {
         return -1;
     }
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/platform/platform_client.c
+++ b/src/platform/platform_client.c
@@ -5,12 +5,15 @@
 #include <stdatomic.h>
 #include <string.h>
 
+#include "config/address.h"
 #include "node/message.h"
 #include "obs/clock.h"
 #include "obs/log.h"
 #include "platform/http.h"
+#include "platform/json_list.h"
 #include "platform/platform_client.h"
 
+#define HOST_RESOURCES_MAX 1000000   /* slots and accelerators of one server */
 #define APPEND_RING_SLOTS 8192       /* records that wait to be appended */
 #define APPEND_BATCH_MAX 200         /* records per append call */
 #define APPEND_BATCH_BYTES (1 << 20) /* no more records are added from this size on */
@@ -123,7 +126,17 @@
     return ok;
 }
 
-/* Reads an entry of the host list; returns false when a required member is missing. */
+/* Whether libcurl can call TEXT: its port is in range, for example. */
+static bool
+is_url(const char *text)
+{
+    CURLU *url = curl_url();
+    bool valid = url != NULL && curl_url_set(url, CURLUPART_URL, text, 0) == CURLUE_OK;
+    curl_url_cleanup(url);
+    return valid;
+}
+
+/* Reads an entry of the host list; returns false when it is unusable. */
 static bool
 parse_host(const json_t *entry, struct ms_host_list_entry *host)
 {
@@ -137,11 +150,14 @@
     ms_json_copy_string(entry, "rack", host->rack, sizeof(host->rack));
     ms_json_copy_string(entry, "role", role, sizeof(role));
     ms_json_copy_string(entry, "state", state, sizeof(state));
-    host->slots = (uint32_t)ms_json_get_int(entry, "slots", 0);
-    host->accels = (uint32_t)ms_json_get_int(entry, "accels", 0);
+    host->slots = (uint32_t)CLAMP(ms_json_get_int(entry, "slots", 0), 0, HOST_RESOURCES_MAX);
+    host->accels = (uint32_t)CLAMP(ms_json_get_int(entry, "accels", 0), 0, HOST_RESOURCES_MAX);
     host->is_server = strcmp(role, "server") == 0;
     host->leaving = strcmp(state, "leaving") == 0;
-    return host->name[0] != '\0' && host->dc[0] != '\0' && host->address[0] != '\0';
+    struct sockaddr_in address;
+    bool callable =
+        host->is_server ? is_url(host->address) : ms_address_parse(host->address, &address);
+    return host->name[0] != '\0' && host->dc[0] != '\0' && callable;
 }
 
 /* Reads the host list and sends it to the node if it has changed. */
@@ -152,11 +168,21 @@
     char *url = g_strdup_printf("%s/hosts", platform->settings->platform_url);
     ms_http_prepare(http, url, NULL, REPLY_SLACK_MS, false);
     ms_http_set_if_none_match(http, platform->hosts_etag);
-    json_t *answer = ms_http_run(http, &status);
+    size_t skipped = 0;
+    json_t *answer = NULL;
+    json_decref(ms_http_run(http, &status));
+    if (status == 200) {
+        answer = ms_json_load_list((const char *)http->response_body->data,
+                                   http->response_body->len, "hosts", &skipped);
+    }
     ms_counter_add(platform->counters, MS_COUNT_PLATFORM_BYTES, ms_http_transferred_bytes(http));
-    ms_http_get_etag(http, platform->hosts_etag, sizeof(platform->hosts_etag));
     const json_t *hosts = json_object_get(answer, "hosts");
-    if (status == 200 && json_is_array(hosts)) {
+    if (status == 200 && !json_is_array(hosts)) {
+        ms_log(MS_LOG_WARNING, "event=host_list_unreadable bytes=%u", http->response_body->len);
+    }
+    if (json_is_array(hosts)) {
+        /* Of a list that could be read only: the next read would not return it again. */
+        ms_http_get_etag(http, platform->hosts_etag, sizeof(platform->hosts_etag));
         struct ms_message *message = ms_message_new(MS_MESSAGE_HOST_LIST);
         message->host_list = g_array_new(FALSE, FALSE, sizeof(struct ms_host_list_entry));
         size_t index = 0;
@@ -167,6 +193,12 @@
             if (parse_host(entry, &host)) {
                 g_array_append_val(message->host_list, host);
             }
+            else {
+                skipped++;
+            }
+        }
+        if (skipped > 0) {
+            ms_log(MS_LOG_WARNING, "event=host_list_entries_unusable entries=%zu", skipped);
         }
         ms_message_push(platform->node_ring, &platform->stopping, message);
     }
