Engine: do not count what a run did before a takeover as progress since then

Cause: a new leader counted the progress of a run from 0 and its time from its own first report. A run with 60 percent seemed several times as fast as a sibling with 5, whose server was taken for slow for 8 s and whose run was stopped and started again elsewhere.

Change: the progress in the report that confirms a run which this leader did not see start is its base line, as that of a run from a checkpoint already was.

Test: progress_before_a_takeover_does_not_make_siblings_slow (failed before: one stop).

--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -47,7 +47,7 @@
     int64_t last_answer_at;    /* when the start call ended or the stop was confirmed, 0: not yet */
     int64_t running_since;     /* when the run was seen to have started, 0: not yet */
     uint32_t progress_percent; /* last reported progress */
-    uint32_t resumed_percent;  /* progress restored from a checkpoint */
+    uint32_t resumed_percent;  /* progress from a checkpoint, or from before `running_since` */
     int64_t last_progress_at;  /* when `progress_percent` last changed, or the run began */
     int64_t not_before;        /* WAITING: backoff, not placed before then */
     int64_t waited_ms;         /* from when its step was ready to its latest placement */
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -120,10 +120,12 @@
                     const struct ms_reported_run *row, GHashTable *seen)
 {
     struct ms_batch_task *task = find_assigned_task(engine, server, row->task, row->run);
+    bool ran_before = false; /* this leader did not see the run start */
     if (task == NULL) {
         task = find_lost_task(engine, row->task, row->run);
         if (task != NULL && !task->step->spec->gang) {
             ms_batch_task_recover_run(engine, task, server);
+            ran_before = true;
         }
         else {
             task = NULL;
@@ -144,6 +146,10 @@
         order.run = row->run;
         ms_engine_on_order_answer(engine, &order, MS_ORDER_OK, 0, engine->now);
         task->awaits_report = false;
+        ran_before = true;
+    }
+    if (ran_before) {
+        task->resumed_percent = row->percent;
     }
     if (row->percent != task->progress_percent) {
         if (task->progress_percent == 0 && task->checkpoint[0] != '\0') {
--- a/tests/batch/unit_takeover.c
+++ b/tests/batch/unit_takeover.c
@@ -16,9 +16,12 @@
 struct fixture {
     struct ms_engine *engine;
     int64_t now;
-    bool reachable[SERVER_COUNT]; /* the server answers */
+    bool reachable[SERVER_COUNT];               /* the server answers */
+    char tasks[SERVER_COUNT][MS_TASK_NAME_MAX]; /* the last task that was started there */
+    uint32_t percent[SERVER_COUNT];             /* its progress */
     uint32_t starts[SERVER_COUNT];
     uint32_t stops;
+    GBytes *state; /* the job's state, as stored last */
     struct ms_stored_job jobs[SERVER_COUNT];
 };
 
@@ -58,6 +61,19 @@
     ms_engine_add_job(fixture->engine, job, fixture->now);
 }
 
+/* Keeps the last job state among the records of STORE. */
+static void
+keep_state(struct fixture *fixture, const struct ms_engine_action *store)
+{
+    for (guint i = 0; i < store->records->len; i++) {
+        const struct ms_store_record *record = g_ptr_array_index(store->records, i);
+        if (record->value != NULL) {
+            g_clear_pointer(&fixture->state, g_bytes_unref);
+            fixture->state = g_bytes_ref(record->value);
+        }
+    }
+}
+
 static void
 answer(struct fixture *fixture, const struct ms_engine_action *action)
 {
@@ -67,7 +83,8 @@
     switch (action->kind) {
     case MS_ENGINE_RENEW_LEASE:
         if (fixture->reachable[index]) {
-            g_strlcpy(run.task, index == 0 ? "low.0.0.0" : "urgent.0.0.0", sizeof(run.task));
+            g_strlcpy(run.task, fixture->tasks[index], sizeof(run.task));
+            run.percent = fixture->percent[index];
             report.running = &run;
             report.running_count = fixture->starts[index] > 0;
             ms_engine_on_renewal_answer(fixture->engine, action, MS_ORDER_OK, &report, fixture->now,
@@ -76,11 +93,13 @@
         return; /* else its answer is still awaited */
     case MS_ENGINE_START:
         fixture->starts[index]++;
+        g_strlcpy(fixture->tasks[index], action->task, sizeof(fixture->tasks[index]));
         break;
     case MS_ENGINE_STOP:
         fixture->stops++;
         break;
     case MS_ENGINE_STORE:
+        keep_state(fixture, action);
         ms_engine_on_stored(fixture->engine, fixture->now);
         return;
     case MS_ENGINE_QUERY_ADVICE:
@@ -132,6 +151,7 @@
 fixture_clear(struct fixture *fixture)
 {
     ms_engine_free(fixture->engine);
+    g_clear_pointer(&fixture->state, g_bytes_unref);
     for (size_t i = 0; i < SERVER_COUNT; i++) {
         ms_batch_spec_clear(&fixture->jobs[i].spec);
     }
@@ -170,11 +190,65 @@
 }
 END_TEST
 
+/* A new leader takes over, with the job's state from the log. */
+static void
+take_over(struct fixture *fixture)
+{
+    struct ms_engine_limits limits;
+    ms_engine_free(fixture->engine);
+    ms_engine_limits_defaults(&limits);
+    fixture->engine = ms_engine_new(&limits, 3, fixture->now + 8000, fixture->now);
+    ms_engine_set_policy(fixture->engine, two_queue_policy());
+    list_server(fixture, 0);
+    list_server(fixture, 1);
+    fixture->jobs[0].state = fixture->state;
+    ms_engine_add_job(fixture->engine, &fixture->jobs[0], fixture->now);
+}
+
+/*
+ * What a run had done before the takeover is not progress since then.  It was counted so: a
+ * run with 60 percent seemed to be several times as fast as its sibling with 5 percent, which
+ * was stopped as the run of a slow server.
+ */
+START_TEST(progress_before_a_takeover_does_not_make_siblings_slow)
+{
+    struct fixture fixture;
+    struct ms_engine_limits limits;
+    memset(&fixture, 0, sizeof(fixture));
+    ms_engine_limits_defaults(&limits);
+    fixture.now = 1000;
+    fixture.engine = ms_engine_new(&limits, 2, 0, fixture.now);
+    ms_engine_set_policy(fixture.engine, two_queue_policy());
+    fixture.reachable[0] = fixture.reachable[1] = true;
+    list_server(&fixture, 0);
+    list_server(&fixture, 1);
+    struct ms_stored_job *job = &fixture.jobs[0];
+    g_strlcpy(job->id, "pair", sizeof(job->id));
+    simple_spec(&job->spec, "pair", "q1", SERVER_COUNT, ACCELS);
+    job->spec.steps[0].estimate_ms = 10000;
+    job->accepted = true;
+    ms_engine_add_job(fixture.engine, job, fixture.now);
+    run(&fixture, 300);
+    ck_assert_uint_eq(fixture.starts[0] + fixture.starts[1], SERVER_COUNT);
+    fixture.percent[0] = 60;
+    fixture.percent[1] = 5;
+    take_over(&fixture);
+    for (int i = 0; i < 20; i++) {
+        run(&fixture, 200); /* both make 10 percent in a second */
+        fixture.percent[0] += 2;
+        fixture.percent[1] += 2;
+    }
+    ck_assert_uint_eq(fixture.stops, 0);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 takeover_cases(void)
 {
     TCase *cases = tcase_create("takeover");
     tcase_add_test(cases, idle_servers_are_heard_before_work_is_preempted);
+    tcase_add_test(cases, progress_before_a_takeover_does_not_make_siblings_slow);
     tcase_add_test(cases, preemption_does_not_wait_long_for_servers_that_do_not_answer);
     return cases;
 }
