--- a/tests/batch/unit_takeover.c
+++ b/tests/batch/unit_takeover.c
@@ -61,6 +61,15 @@
     ms_engine_add_job(fixture->engine, job, fixture->now);
 }
 
+static void
+replace_state(struct fixture *fixture, GBytes *state)
+{
+    if (fixture->state != NULL) {
+        g_bytes_unref(fixture->state);
+    }
+    fixture->state = state;
+}
+
 /* Keeps the last job state among the records of STORE. */
 static void
 keep_state(struct fixture *fixture, const struct ms_engine_action *store)
@@ -68,8 +77,7 @@
     for (guint i = 0; i < store->records->len; i++) {
         const struct ms_store_record *record = g_ptr_array_index(store->records, i);
         if (record->value != NULL) {
-            g_clear_pointer(&fixture->state, g_bytes_unref);
-            fixture->state = g_bytes_ref(record->value);
+            replace_state(fixture, g_bytes_ref(record->value));
         }
     }
 }
@@ -151,7 +159,7 @@
 fixture_clear(struct fixture *fixture)
 {
     ms_engine_free(fixture->engine);
-    g_clear_pointer(&fixture->state, g_bytes_unref);
+    replace_state(fixture, NULL);
     for (size_t i = 0; i < SERVER_COUNT; i++) {
         ms_batch_spec_clear(&fixture->jobs[i].spec);
     }
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -109,7 +109,8 @@
         if self.mode == "busy":
             return web.json_response({}, status=503)
         query = request.query
-        if self.delayed_claims and self.delayed_claims in body and "producer" not in query:
+        is_claim = "at" in query and "producer" not in query
+        if is_claim and self.delayed_claims and self.delayed_claims in body:
             asyncio.get_running_loop().call_later(self.claim_delay_s, self.apply_append, query,
                                                   body)
             await asyncio.sleep(self.claim_delay_s)  # by then the caller has timed out
--- a/tests/standins/common.py
+++ b/tests/standins/common.py
@@ -1,6 +1,7 @@
 """Common parts of the stand-ins: fault switches, and starting an aiohttp application."""
 import asyncio
 import time
+import weakref
 
 from aiohttp import web
 
@@ -45,7 +46,7 @@
         """Applies the faults that take effect before a request is carried out."""
         opened = request.transport and request.transport.get_extra_info("opened")
         if opened is None and request.transport is not None:
-            opened = FIRST_SEEN_MS.setdefault(id(request.transport), now_ms())
+            opened = FIRST_SEEN_MS.setdefault(request.transport, now_ms())
         while self.frozen:
             await asyncio.sleep(0.01)
         if self.silent_before and opened is not None and opened < self.silent_before:
@@ -62,9 +63,9 @@
             request.transport.abort()
 
 
-# Time at which each connection was first seen, by id() of its transport.
-# Entries are never removed: connections are few and stay open for long.
-FIRST_SEEN_MS = {}
+# Time at which each connection was first seen, by its transport.  An entry ends with it: a
+# later connection, whose transport may get the same id(), is not taken for the earlier one.
+FIRST_SEEN_MS = weakref.WeakKeyDictionary()
 
 
 class ConnectionTimes:
@@ -72,9 +73,8 @@
 
     @web.middleware
     async def middleware(self, request, handler):
-        key = id(request.transport)
-        if key not in FIRST_SEEN_MS:
-            FIRST_SEEN_MS[key] = now_ms()
+        if request.transport is not None:
+            FIRST_SEEN_MS.setdefault(request.transport, now_ms())
         return await handler(request)
 
 
