--- a/review/standins.py
+++ b/review/standins.py
@@ -633,6 +633,9 @@
     except asyncio.TimeoutError:
         print(f"could not run: not over after {RUN_MAX_S} s")
         status = 2
+    except Exception as error:  # no fault of a case may look like a broken rule
+        print(f"could not run: {error!r}")
+        status = 2
     if os.environ.get("KEEP") is None:
         shutil.rmtree(case.directory, ignore_errors=True)
     sys.stdout.flush()
