A process has at most one term in an epoch

Cause: a host began a term whenever the newest leader record in the log had its name, also when that record was a renewal of a term that had ended, carried out late by the log. Both terms then had the same epoch, and with it the same fencing tokens, writer sequence and answers.

Change: term_epoch is the epoch of the newest term; a record of that epoch starts no takeover once the term is over (event=late_renewal). The host claims the next epoch. This works as everything that is kept across terms is told apart by the epoch: orders, queued appends, late answers to appends and questions.

--- a/src/entry/actions.c
+++ b/src/entry/actions.c
@@ -9,7 +9,7 @@
 ms_actions_log(void *opaque, const char *text)
 {
     struct ms_entry *entry = opaque;
-    ms_log(MS_LOG_INFO, "%s epoch=%" G_GUINT64_FORMAT, text, entry->table->leader.epoch);
+    ms_log(MS_LOG_INFO, "%s epoch=%" G_GUINT64_FORMAT, text, entry->term_epoch);
 }
 
 /* Moves the records of ACTION, which is a STORE, to a fenced append and queues it. */
@@ -17,7 +17,7 @@
 push_job_states(struct ms_entry *entry, struct ms_engine_action *action)
 {
     struct ms_append *append = ms_append_new(MS_APPEND_JOB_STATE);
-    append->epoch = entry->table->leader.epoch;
+    append->epoch = entry->term_epoch;
     append->queued_at = entry->now;
     for (guint i = 0; i < action->records->len; i++) {
         g_ptr_array_add(append->records, g_ptr_array_index(action->records, i));
@@ -42,7 +42,7 @@
             /* fall through */
         case MS_ENGINE_STOP:
         case MS_ENGINE_RENEW_LEASE:
-            if (ms_order_sender_push(entry->order_sender, action, entry->table->leader.epoch)) {
+            if (ms_order_sender_push(entry->order_sender, action, entry->term_epoch)) {
                 continue; /* its answer returns it, in a message */
             }
             ms_log(MS_LOG_WARNING, "event=order_queue_full server=%s", action->server);
@@ -51,7 +51,7 @@
             return;
         case MS_ENGINE_QUERY_ADVICE:
             g_strlcpy(action->address, entry->settings->advice_address, sizeof(action->address));
-            if (ms_order_sender_push(entry->order_sender, action, entry->table->leader.epoch)) {
+            if (ms_order_sender_push(entry->order_sender, action, entry->term_epoch)) {
                 continue;
             }
             ms_engine_on_advice_answer(entry->engine, action, NULL, entry->now);
--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -10,6 +10,11 @@
  * up to which the claimant has read.  A claim that the log carries out late thus
  * fails, because the leader has renewed its epoch in the meantime.
  *
+ * A process has at most one term in an epoch, so the epoch identifies the term.  Fencing
+ * tokens, the sequence numbers of the fenced writer and late answers rely on this.  A leader
+ * that has stepped down may still read renewals of its own, which the log has carried out
+ * late; it does not lead again until it has claimed another epoch.
+ *
  * A takeover has these steps: fence the earlier leader's writer, read all that was
  * written before the fence, create the engine, read the server directory, start to
  * place.  The engine fences each server before it uses it.
@@ -84,7 +89,7 @@
 push_fenced(struct ms_entry *entry, enum ms_append_kind kind, enum ms_leader_record_kind record)
 {
     struct ms_append *append = ms_append_new(kind);
-    append->epoch = entry->table->leader.epoch;
+    append->epoch = entry->term_epoch;
     append->queued_at = entry->now;
     if (kind != MS_APPEND_WRITER_EPOCH) {
         size_t length = 0;
@@ -149,8 +154,9 @@
 {
     ms_counter_add(entry->counters, MS_COUNT_TAKEOVERS, 1);
     entry->last_renewal_at = entry->now;
+    entry->term_epoch = entry->table->leader.epoch;
     set_state(entry, MS_FENCING);
-    ms_appender_set_epoch(entry->fenced_appender, entry->table->leader.epoch);
+    ms_appender_set_epoch(entry->fenced_appender, entry->term_epoch);
     push_fenced(entry, MS_APPEND_WRITER_EPOCH, MS_LEADER_RENEW);
 }
 
@@ -161,7 +167,7 @@
         return;
     }
     ms_log(MS_LOG_NOTICE, "event=lead_end reason=%s epoch=%" G_GUINT64_FORMAT, reason,
-           entry->table->leader.epoch);
+           entry->term_epoch);
     ms_appender_set_epoch(entry->fenced_appender, 0);
     end_term(entry, false);
 }
@@ -170,13 +176,17 @@
 ms_leader_record_applied(struct ms_entry *entry)
 {
     bool is_leader = is_self_leader(entry) && !entry->table->leader.resigned;
+    bool is_term_epoch = entry->table->leader.epoch == entry->term_epoch;
     if (entry->table->leader.epoch != entry->newest_epoch) {
         entry->newest_epoch = entry->table->leader.epoch;
         entry->newest_epoch_since = entry->now;
     }
-    if (entry->leader_state > MS_CLAIMING && !is_leader) {
+    if (entry->leader_state > MS_CLAIMING && !(is_leader && is_term_epoch)) {
         ms_leader_step_down(entry, "another_holder");
     }
+    else if (is_leader && entry->leader_state <= MS_CLAIMING && is_term_epoch) {
+        ms_log(MS_LOG_NOTICE, "event=late_renewal epoch=%" G_GUINT64_FORMAT, entry->term_epoch);
+    }
     else if (is_leader && entry->leader_state <= MS_CLAIMING && !entry->draining) {
         begin_takeover(entry); /* first: it logs the age of the earlier leader's last record */
         entry->last_leader_record_at = entry->now;
@@ -202,13 +212,12 @@
     limits.stop_grace_ms = entry->settings->stop_grace_ms;
     limits.ended_retention_ms =
         (entry->settings->ended_retention_s + ENDED_RETENTION_MARGIN_S) * 1000;
-    int64_t earlier_leases_until = entry->table->leader.epoch > 1 ? entry->earlier_leases_until : 0;
-    entry->engine =
-        ms_engine_new(&limits, entry->table->leader.epoch, earlier_leases_until, entry->now);
+    int64_t earlier_leases_until = entry->term_epoch > 1 ? entry->earlier_leases_until : 0;
+    entry->engine = ms_engine_new(&limits, entry->term_epoch, earlier_leases_until, entry->now);
     ms_engine_set_log(entry->engine, ms_actions_log, entry);
     ms_engine_set_policy(entry->engine, entry->policy);
     ms_engine_set_dcs_out(entry->engine, entry->dcs_out_of_service);
-    ms_order_sender_set_min_epoch(entry->order_sender, entry->table->leader.epoch);
+    ms_order_sender_set_min_epoch(entry->order_sender, entry->term_epoch);
 }
 
 /* The engine has the servers of the directory; it now gets the jobs, and placing starts. */
@@ -237,7 +246,7 @@
         }
         return;
     }
-    if (entry->leader_state <= MS_CLAIMING || append->epoch != entry->table->leader.epoch) {
+    if (entry->leader_state <= MS_CLAIMING || append->epoch != entry->term_epoch) {
         return;
     }
     if (append->result == MS_KEYED_LOG_FENCED) {
--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -76,6 +76,7 @@
 
     /* Leader election and placing. */
     enum ms_leader_state leader_state;
+    uint64_t term_epoch;           /* epoch of our newest term, which may be over; 0: none */
     int64_t last_leader_record_at; /* last record of another leader, or start or end of our term */
     int64_t leader_state_since;    /* when leader_state was entered */
     uint64_t newest_epoch;         /* newest epoch in the log */
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -82,11 +82,24 @@
         self.delayed_claims, self.claim_delay_s = b"", 0.0  # claims with these bytes are delayed
         self.unreadable_topic = None  # calls that read it get status 503
         self.fenced_answer_delay_s = 0.0  # the answers to a leader's appends are late by this
+        self.hanging = None  # a future while no call is answered: see hang()
         self.port = None
 
     def records(self, topic):
         return self.topics.setdefault(topic, [])
 
+    def hang(self):
+        """Answers no call until resume(), which carries out the calls received until then."""
+        self.hanging = asyncio.get_running_loop().create_future()
+
+    def resume(self):
+        self.hanging.set_result(None)
+        self.hanging = None
+
+    async def wait_while_hanging(self):
+        if self.hanging is not None:
+            await asyncio.shield(self.hanging)
+
     def append_record(self, topic, key, value):
         self.records(topic).append((key, value))
         for waiter in self.waiters:
@@ -106,6 +119,7 @@
 
     async def append(self, request):
         body = await request.read()
+        await self.wait_while_hanging()
         if self.mode == "busy":
             return web.json_response({}, status=503)
         query = request.query
@@ -158,6 +172,7 @@
         return None
 
     async def read(self, request):
+        await self.wait_while_hanging()
         if self.is_unreadable(request):
             return web.json_response({}, status=503)
         records, start = self.records(request.query["topic"]), int(request.query["from"])
@@ -166,6 +181,7 @@
             waiter = asyncio.get_running_loop().create_future()
             self.waiters.append(waiter)
             await asyncio.wait([waiter], timeout=wait_end - time.monotonic())
+        await self.wait_while_hanging()
         parts = [struct.pack(">QQ", len(records), 0)]
         for key, value in records[start:start + PAGE_RECORDS]:
             content = bytes([len(key)]) + key.encode() + value
@@ -176,6 +192,7 @@
         return self.mode == "busy" or request.query["topic"] == self.unreadable_topic
 
     async def newest(self, request):
+        await self.wait_while_hanging()
         if self.is_unreadable(request):
             return web.json_response({}, status=503)
         records = self.records(request.query["topic"])
