--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,6 +56,7 @@
 
     lease_max_ms = 10000
     cpu_share = 1
+    advice_address = ""
 
     def __init__(self, soak, index):
         self.soak, self.name, self.process, self.frozen = soak, f"host-{index}", None, False
@@ -78,6 +79,7 @@
                        "gang_start_max_ms = 3000\n"
                        "stop_grace_ms = 900\nunknown_after_ms = 3000\n"
                        f"cpu_share = {self.cpu_share}\n"
+                       f'advice_address = "{self.advice_address}"\n'
                        "state_kept_s = 120\nshutdown_s = 6\n")
         with open(os.path.join(self.soak.directory, f"{self.name}.log"), "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
