Engine: ignore answers to calls of an earlier term of this host

Cause: answers were told apart by the number of incarnations that an engine had counted, which starts at 0 in each. An answer to an earlier term's renewal confirmed the fence of the present one, a refusal of its calls as fenced ended the present term, and a refused start released a task.

Change: each action carries its engine's epoch, and answers to another epoch's actions are ignored (event=late_answer, once a term).

Tests that make a renewal by hand give it the epoch of their engine now.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -118,6 +118,7 @@
 {
     struct ms_engine_action *action = g_new0(struct ms_engine_action, 1);
     action->kind = kind;
+    action->epoch = engine->epoch;
     if (server != NULL) {
         g_strlcpy(action->server, server->id, sizeof(action->server));
         g_strlcpy(action->address, server->entry.address, sizeof(action->address));
@@ -129,6 +130,21 @@
     return action;
 }
 
+bool
+ms_engine_sent_action(struct ms_engine *engine, const struct ms_engine_action *action)
+{
+    if (action->epoch == engine->epoch) {
+        return true;
+    }
+    if (engine->late_answer_count == 0) {
+        ms_engine_log_event(engine,
+                            "event=late_answer server=%s task=%s sent_epoch=%" G_GUINT64_FORMAT,
+                            action->server, action->task, action->epoch);
+    }
+    engine->late_answer_count++;
+    return false;
+}
+
 struct ms_engine_action *
 ms_engine_pop_action(struct ms_engine *engine)
 {
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -54,12 +54,12 @@
 /* An action for the caller to carry out.  It owns all that it points to. */
 struct ms_engine_action {
     enum ms_engine_action_kind kind;
+    uint64_t epoch; /* of the engine, which ignores answers to actions of other epochs */
     char server[MS_NAME_MAX];
     char address[MS_SERVER_ADDRESS_MAX]; /* START, STOP, RENEW_LEASE: of the server */
     /* Incarnation of the server, counted by the engine, which ignores answers to earlier ones. */
     uint32_t incarnation;
-    /* Rises with the epoch and with each incarnation of the server; QUERY_ADVICE: the epoch. */
-    uint64_t fence;
+    uint64_t fence;              /* rises with the epoch and with each incarnation of the server */
     char task[MS_TASK_NAME_MAX]; /* START, STOP: name of the task; QUERY_ADVICE: of the step */
     uint32_t run;                /* START, STOP: number of the run of the task */
     char *payload;               /* START: payload of the job */
@@ -117,6 +117,11 @@
 void ms_engine_begin_directory_snapshot(struct ms_engine *engine);
 void ms_engine_end_directory_snapshot(struct ms_engine *engine, int64_t now);
 
+/*
+ * The answers to actions may also arrive in a later term of the same host: an engine ignores
+ * those to actions of another epoch.
+ */
+
 /*
  * Reports the answer to the START or STOP in ORDER.  CLOCK_MS is the server's clock,
  * 0 when unknown.
--- a/src/batch/engine_advice.c
+++ b/src/batch/engine_advice.c
@@ -147,7 +147,6 @@
     g_snprintf(action->task, sizeof(action->task), "%s.%u.%u", step->occurrence->job->id,
                step->occurrence->index, step->index);
     action->candidates = candidates;
-    action->fence = engine->epoch;
     step->advice_pending = true;
     engine->advice_pending_count++;
     ms_engine_log_event(engine, "event=advice_asked step=%s servers=%u", action->task,
@@ -206,8 +205,8 @@
                            const GArray *rows, int64_t now)
 {
     engine->now = MAX(engine->now, now);
-    if (query->fence != engine->epoch) {
-        return; /* sent by an earlier engine of this host */
+    if (!ms_engine_sent_action(engine, query)) {
+        return;
     }
     engine->advice_pending_count--;
     struct ms_batch_step *step = find_step(engine, query);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -191,6 +191,7 @@
     uint32_t jobs_without_queue;    /* open jobs whose queue the policy does not have */
     uint32_t advice_pending_count;  /* requests to the advice service without an answer */
     uint32_t snapshot_number;       /* number of the latest directory snapshot */
+    uint32_t late_answer_count;     /* answers to actions of earlier terms of this host */
     bool stepped_down;              /* STEP_DOWN was queued */
     GQueue *actions;                /* struct ms_engine_action, oldest first */
     void (*log_callback)(void *opaque, const char *text);
@@ -205,6 +206,8 @@
 struct ms_engine_action *ms_engine_push_action(struct ms_engine *engine,
                                                enum ms_engine_action_kind kind,
                                                const struct ms_batch_server *server);
+/* Whether ACTION was queued by ENGINE; logs the first answer to another one's. */
+bool ms_engine_sent_action(struct ms_engine *engine, const struct ms_engine_action *action);
 /* Marks the state of JOB as to be stored: without delay if URGENT. */
 void ms_engine_mark_dirty(struct ms_engine *engine, struct ms_batch_job *job, bool urgent);
 /* Removes JOB, which must have no active tasks, from the engine and frees it. */
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -139,8 +139,8 @@
     task->seen_in_report = true;
     if (task->state == MS_BATCH_TASK_STARTING) {
         /* The report confirms the start, even if the order was not answered. */
-        struct ms_engine_action order = {.kind = MS_ENGINE_START,
-                                         .incarnation = server->incarnation};
+        struct ms_engine_action order = {
+            .kind = MS_ENGINE_START, .epoch = engine->epoch, .incarnation = server->incarnation};
         g_strlcpy(order.server, server->id, sizeof(order.server));
         g_strlcpy(order.task, row->task, sizeof(order.task));
         order.run = row->run;
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -362,6 +362,9 @@
                             int64_t sent_at, int64_t now)
 {
     engine->now = MAX(engine->now, now);
+    if (!ms_engine_sent_action(engine, renewal)) {
+        return;
+    }
     struct ms_batch_server *server = g_hash_table_lookup(engine->servers_by_id, renewal->server);
     if (server == NULL || server->incarnation != renewal->incarnation) {
         return;
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -484,6 +484,9 @@
                           enum ms_order_result result, int64_t clock_ms, int64_t now)
 {
     engine->now = MAX(engine->now, now);
+    if (!ms_engine_sent_action(engine, order)) {
+        return;
+    }
     struct ms_batch_server *server = g_hash_table_lookup(engine->servers_by_id, order->server);
     bool start = order->kind == MS_ENGINE_START;
     if (result != MS_ORDER_OK) {
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -326,10 +326,11 @@
     }
 }
 
+/* The engine of the next term may be on the same host, which then also gets late answers. */
 static void
 deliver_answer(struct simulator *simulator, struct event *event)
 {
-    if (simulator->engine == NULL || event->generation != simulator->generation) {
+    if (simulator->engine == NULL) {
         return;
     }
     if (event->action->kind == MS_ENGINE_RENEW_LEASE) {
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -385,6 +385,7 @@
     suite_add_tcase(suite, lease_cases());
     suite_add_tcase(suite, health_cases());
     suite_add_tcase(suite, takeover_cases());
+    suite_add_tcase(suite, term_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -28,5 +28,6 @@
 TCase *lease_cases(void);
 TCase *health_cases(void);
 TCase *takeover_cases(void);
+TCase *term_cases(void);
 
 #endif
--- a/tests/batch/unit_engine.c
+++ b/tests/batch/unit_engine.c
@@ -7,6 +7,8 @@
 #include "batch/simulator.h"
 #include "batch/simulator_private.h"
 
+#define EPOCH 1
+
 static const struct simulator_faults no_faults;
 
 START_TEST(gang_runs_before_dependent_step)
@@ -108,7 +110,7 @@
     struct ms_directory_entry two = directory_entry("two");
     uint32_t unlisted = 0;
     ms_engine_limits_defaults(&limits);
-    struct ms_engine *engine = ms_engine_new(&limits, 1, 0, 0);
+    struct ms_engine *engine = ms_engine_new(&limits, EPOCH, 0, 0);
     ms_engine_set_log(engine, count_unlisted_servers, &unlisted);
     ms_engine_begin_directory_snapshot(engine);
     ms_engine_update_server(engine, &one, 0);
@@ -158,7 +160,7 @@
     struct ms_directory_entry entry = directory_entry("one");
     struct ms_engine_limits limits;
     ms_engine_limits_defaults(&limits);
-    struct ms_engine *engine = ms_engine_new(&limits, 1, 0, 0);
+    struct ms_engine *engine = ms_engine_new(&limits, EPOCH, 0, 0);
     ms_engine_set_policy(engine, &policy);
     ms_engine_begin_directory_snapshot(engine);
     ms_engine_update_server(engine, &entry, 0);
@@ -275,7 +277,7 @@
 answer_renewal(struct ms_engine *engine, const char *id, const struct ms_server_report *report,
                int64_t now)
 {
-    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE};
+    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE, .epoch = EPOCH};
     g_strlcpy(renewal.server, id, sizeof(renewal.server));
     ms_engine_on_renewal_answer(engine, &renewal, report != NULL ? MS_ORDER_OK : MS_ORDER_NO_ANSWER,
                                 report, now, now);
@@ -337,7 +339,8 @@
         answer_orders(engine, now, &run);
     }
     ck_assert_uint_eq(run, 1);
-    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE, .server = "one"};
+    struct ms_engine_action renewal = {
+        .kind = MS_ENGINE_RENEW_LEASE, .epoch = EPOCH, .server = "one"};
     report.ended = &reported_end;
     report.ended_count = 1;
     ms_engine_on_renewal_answer(engine, &renewal, MS_ORDER_OK, &report, failed_at, failed_at);
@@ -386,7 +389,8 @@
     }
     report.running = &reported_run;
     report.running_count = 1;
-    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE, .server = "one"};
+    struct ms_engine_action renewal = {
+        .kind = MS_ENGINE_RENEW_LEASE, .epoch = EPOCH, .server = "one"};
     ms_engine_on_renewal_answer(engine, &renewal, MS_ORDER_OK, &report, now, now);
     ck_assert(!succeeded);
     report.running_count = 0;
--- a/tests/batch/unit_health.c
+++ b/tests/batch/unit_health.c
@@ -9,6 +9,7 @@
 #include "batch/unit.h"
 #include "batch/engine.h"
 
+#define EPOCH 1
 #define TICK_MS 10
 #define PLACE_TIMEOUT_MS 2000
 #define SERVER_COUNT 2
@@ -119,7 +120,7 @@
     memset(fixture, 0, sizeof(*fixture));
     ms_engine_limits_defaults(&limits);
     fixture->now = 1000;
-    fixture->engine = ms_engine_new(&limits, 1, 0, fixture->now);
+    fixture->engine = ms_engine_new(&limits, EPOCH, 0, fixture->now);
     ms_engine_set_policy(fixture->engine, one_queue_policy());
     for (size_t i = 0; i < SERVER_COUNT; i++) {
         struct ms_directory_entry entry = {.start_unix_ms = START_UNIX_MS,
@@ -179,7 +180,7 @@
 {
     struct started_run *run = &fixture->runs[index];
     struct ms_reported_end end = {.position = ++fixture->end_count, .run = run->run, .end = how};
-    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE};
+    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE, .epoch = EPOCH};
     g_strlcpy(renewal.server, run->server, sizeof(renewal.server));
     g_strlcpy(end.task, run->task, sizeof(end.task));
     run->ended = true;
--- a/tests/batch/unit_takeover.c
+++ b/tests/batch/unit_takeover.c
@@ -10,6 +10,7 @@
 #include "batch/unit.h"
 
 #define TICK_MS 10
+#define EPOCH 2 /* of the first leader */
 #define ACCELS 8
 #define SERVER_COUNT 2
 
@@ -144,7 +145,7 @@
     memset(fixture, 0, sizeof(*fixture));
     ms_engine_limits_defaults(&limits);
     fixture->now = 1000;
-    fixture->engine = ms_engine_new(&limits, 2, 0, fixture->now);
+    fixture->engine = ms_engine_new(&limits, EPOCH, 0, fixture->now);
     ms_engine_set_policy(fixture->engine, two_queue_policy());
     fixture->reachable[0] = true;
     list_server(fixture, 0);
@@ -177,7 +178,7 @@
     ck_assert_uint_eq(fixture.stops, 0);
     fixture.reachable[1] = true;
     run(&fixture, 300); /* the renewal that awaited its answer is answered with the next entry */
-    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE};
+    struct ms_engine_action renewal = {.kind = MS_ENGINE_RENEW_LEASE, .epoch = EPOCH};
     g_strlcpy(renewal.server, server_ids[1], sizeof(renewal.server));
     answer(&fixture, &renewal);
     run(&fixture, 300);
@@ -205,7 +206,7 @@
     struct ms_engine_limits limits;
     ms_engine_free(fixture->engine);
     ms_engine_limits_defaults(&limits);
-    fixture->engine = ms_engine_new(&limits, 3, fixture->now + 8000, fixture->now);
+    fixture->engine = ms_engine_new(&limits, EPOCH + 1, fixture->now + 8000, fixture->now);
     ms_engine_set_policy(fixture->engine, two_queue_policy());
     list_server(fixture, 0);
     list_server(fixture, 1);
@@ -225,7 +226,7 @@
     memset(&fixture, 0, sizeof(fixture));
     ms_engine_limits_defaults(&limits);
     fixture.now = 1000;
-    fixture.engine = ms_engine_new(&limits, 2, 0, fixture.now);
+    fixture.engine = ms_engine_new(&limits, EPOCH, 0, fixture.now);
     ms_engine_set_policy(fixture.engine, two_queue_policy());
     fixture.reachable[0] = fixture.reachable[1] = true;
     list_server(&fixture, 0);
