--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -216,6 +216,7 @@
              settings->cpu_cores < MS_LOW_CPU_CORES ? MS_LOW_CPU_SUFFIX : "");
     entry->table = ms_job_table_new();
     entry->dcs_out_of_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    entry->refused_jobs = ms_refused_jobs_new();
     entry->calls_awaiting_refresh = g_ptr_array_new();
     entry->pending_appends =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_append_list);
@@ -270,6 +271,7 @@
     ms_policy_free(entry->policy);
     g_hash_table_destroy(entry->dcs_out_of_service);
     g_hash_table_destroy(entry->pending_appends);
+    ms_refused_jobs_free(entry->refused_jobs);
     g_ptr_array_unref(entry->calls_awaiting_refresh);
     ms_ring_free(entry->message_ring);
     g_free(entry);
--- a/src/entry/log_appender.c
+++ b/src/entry/log_appender.c
@@ -70,8 +70,9 @@
 static void
 log_failure(const struct ms_appender *appender, enum ms_keyed_log_result result, guint requests)
 {
-    ms_log(MS_LOG_NOTICE, "event=append_failed writer=%s result=%s requests=%u",
-           appender->fenced ? "placing" : "open", ms_keyed_log_result_name(result), requests);
+    ms_log(MS_LOG_NOTICE, "event=append_failed writer=%s result=%s requests=%u %s",
+           appender->fenced ? "placing" : "open", ms_keyed_log_result_name(result), requests,
+           ms_keyed_log_last_outcome(appender->client));
 }
 
 /*
--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -21,6 +21,7 @@
 #include "entry/stream_reader.h"
 #include "entry/forwarder.h"
 #include "entry/order_sender.h"
+#include "entry/refused_jobs.h"
 
 /* Pause between two reads of the jobs stream: while following, and from the first claim on. */
 #define MS_JOBS_PAUSE_FOLLOWING_MS 500
@@ -98,6 +99,7 @@
     uint32_t forward_count;               /* calls forwarded since the start */
 
     GHashTable *pending_appends; /* job id -> GPtrArray of ms_append of kind ACCEPT or CANCEL */
+    struct ms_refused_jobs *refused_jobs;
     /* ms_entry_call: calls that wait for a read of the jobs stream. */
     GPtrArray *calls_awaiting_refresh;
     uint32_t open_call_count; /* calls not answered yet */
--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -60,6 +60,14 @@
            config_is_current(entry);
 }
 
+/* The job ID that CALL names: the last part of its path. */
+static const char *
+job_id_of(const struct ms_entry_call *call)
+{
+    const char *slash = strrchr(call->path, '/');
+    return slash != NULL ? slash + 1 : call->path;
+}
+
 /* Answers CALL with the HTTP status STATUS; REASON goes to the log and into error bodies. */
 static void
 answer(struct ms_entry *entry, struct ms_entry_call *call, unsigned int status, const char *reason)
@@ -68,6 +76,10 @@
     if (call->may_have_run && status >= STATUS_BAD_REQUEST) {
         status = STATUS_OUTCOME_UNKNOWN;
     }
+    if (call->method == MS_METHOD_POST && status >= STATUS_BAD_REQUEST &&
+        status != STATUS_OUTCOME_UNKNOWN) {
+        ms_refused_jobs_add(entry->refused_jobs, job_id_of(call), status, reason, entry->now);
+    }
     ms_entry_peers_detach_forward(call);
     static const char *const methods[] = {"get", "post", "delete", "other"};
     call->status = status;
@@ -189,6 +201,9 @@
 ms_requests_record_read(struct ms_entry *entry, const char *id, enum ms_append_kind kind)
 {
     GPtrArray *appends = g_hash_table_lookup(entry->pending_appends, id);
+    if (kind == MS_APPEND_ACCEPT) {
+        ms_refused_jobs_stored(entry->refused_jobs, id, entry->now);
+    }
     for (guint i = 0; appends != NULL && i < appends->len; i++) {
         struct ms_append *append = g_ptr_array_index(appends, i);
         if (append->kind == kind && append->call != NULL) {
--- a/src/ports/keyed_log.h
+++ b/src/ports/keyed_log.h
@@ -105,4 +105,10 @@
                                              uint64_t expected_end, int64_t timeout_ms,
                                              uint64_t *end_offset);
 
+/*
+ * How the last call ended, for the log: "status=HTTP_STATUS", or "error=CODE sent=0_OR_1" with
+ * libcurl's code when there was no answer.  Valid until the next call.
+ */
+const char *ms_keyed_log_last_outcome(const struct ms_keyed_log_client *client);
+
 #endif
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/python3
 """Soak test: real entry host processes under random faults.
 
-usage: soak.py [--seed N] [--seconds S] [--hosts N] [--servers N] [--keep DIR]
+usage: soak.py [--seed N] [--seconds S] [--hosts N] [--servers N] [--late] [--keep DIR]
 
 Submits, queries and cancels jobs while it injects faults from outside the hosts: signals,
 also in series that overlap on several hosts, changes of the configuration, a proxy between
@@ -10,11 +10,11 @@
 use their connections to a host that shuts down until it closes them.
 
 Then it stops the faults, submits jobs for CALM_S more, and at last a gang with a task on
-each server.  It checks that jobs make progress (soak_progress.py); that every job ends
-that was accepted, or that exists by a later answer or a start; that no job has run
-which was refused on each try; and that the stand-ins found no violation.  Prints one line
-for each violation and a summary; the exit code is 0 when there was none.  --keep writes the
-hosts' settings and logs to DIR.
+each server.  With --late the log also carries out appends late, and hangs.  It checks that
+jobs make progress (soak_progress.py); that every job ends that was accepted, or that exists
+by a later answer or a start; that no job has run which was refused on each try; and that the
+stand-ins found no violation.  Prints one line for each violation and a summary; the exit code
+is 0 when there was none.  --keep writes the hosts' settings and logs to DIR.
 """
 import argparse
 import asyncio
@@ -36,6 +36,8 @@
 CALM_S = SETTLE_S + 4  # of traffic without faults
 ALL_SERVERS_TIMEOUT_S = 10
 CALL_TIMEOUT_MS = 3000
+HANG_FACTOR = 1.6  # hangs last longer than a leader goes on without a renewal, at times
+LATE_MAX_S = 6.0  # of an append that is carried out late
 DIRECTORY_ENTRY_TIMEOUT_S = 1.5  # when the entry of a server that is cut off expires
 
 
@@ -264,9 +266,20 @@
         self.standins.publish_config(self.random.randint(8, 24))
 
     async def fault_log(self):
-        self.standins.log.mode = self.random.choice(["busy", "lose"])
-        await asyncio.sleep(self.random.uniform(0.3, 3.0))
-        self.standins.log.mode = "ok"
+        log = self.standins.log
+        mode = self.random.choice(["busy", "lose"] + ["late", "hang"] * self.options.late)
+        duration_s = self.random.uniform(0.3, 3.0)
+        if mode == "hang":
+            log.hang()
+            await asyncio.sleep(duration_s * HANG_FACTOR)
+            log.resume()
+            return
+        log.mode = mode
+        await asyncio.sleep(duration_s)
+        log.mode = "ok"
+        if mode == "late":
+            await asyncio.sleep(LATE_MAX_S)
+            self.standins.note_fault()
 
     async def repeat_fault(self, inject, mean_gap_s):
         """Injects one fault after another until the faults stop; several loops overlap."""
@@ -362,6 +375,7 @@
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--servers", type=int, default=8)
+    parser.add_argument("--late", action="store_true")
     parser.add_argument("--keep", default=None)
     soak = Soak(parser.parse_args())
     violations = asyncio.run(soak.run())
