--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -72,8 +72,10 @@
 class Log:
     """The platform's append-only log with keyed topics.
 
-    `mode` is "ok", "busy" (all calls get status 503) or "lose" (40 % of the
-    appends are carried out, but the connection is aborted without an answer).
+    `mode` is "ok", "busy" (all calls get status 503), "lose" (40 % of the
+    appends are carried out, but the connection is aborted without an answer) or "late"
+    (half of the appends get no answer, and are carried out 1 to 6 s later).  In mode "gateway"
+    appends are carried out and answered with status 502, and reads wait until the mode ends.
     """
 
     def __init__(self):
@@ -129,9 +131,16 @@
                                                   body)
             await asyncio.sleep(self.claim_delay_s)  # by then the caller has timed out
             return web.json_response({})
+        if self.mode == "late" and self.random.random() < 0.5:
+            asyncio.get_running_loop().call_later(self.random.uniform(1, 6), self.apply_append,
+                                                  query, body)
+            request.transport.abort()
+            return web.json_response({})
         refusal = self.apply_append(query, body)
         if refusal is not None:
             return refusal
+        if self.mode == "gateway":
+            return web.json_response({}, status=502)
         if self.mode == "lose" and self.random.random() < 0.4:
             request.transport.abort()
         if "producer" in query:
@@ -182,6 +191,8 @@
             self.waiters.append(waiter)
             await asyncio.wait([waiter], timeout=wait_end - time.monotonic())
         await self.wait_while_hanging()
+        while self.mode == "gateway":
+            await asyncio.sleep(0.02)
         parts = [struct.pack(">QQ", len(records), 0)]
         for key, value in records[start:start + PAGE_RECORDS]:
             content = bytes([len(key)]) + key.encode() + value
