--- a/src/batch/job_table.c
+++ b/src/batch/job_table.c
@@ -55,9 +55,41 @@
         g_strlcpy(job->id, id, sizeof(job->id));
         g_hash_table_insert(table->jobs, job->id, job);
     }
+    job->snapshot_number = table->snapshot_number;
     return job;
 }
 
+void
+ms_job_table_begin_snapshot(struct ms_job_table *table)
+{
+    table->snapshot_number++;
+}
+
+static gboolean
+is_missing_job(gpointer id, gpointer value, gpointer opaque)
+{
+    const struct ms_stored_job *job = value;
+    const struct ms_job_table *table = opaque;
+    (void)id;
+    return job->snapshot_number != table->snapshot_number;
+}
+
+static gboolean
+is_missing_host(gpointer name, gpointer value, gpointer opaque)
+{
+    const struct ms_entry_host *host = value;
+    const struct ms_job_table *table = opaque;
+    (void)name;
+    return host->snapshot_number != table->snapshot_number;
+}
+
+guint
+ms_job_table_end_snapshot(struct ms_job_table *table)
+{
+    g_hash_table_foreach_remove(table->hosts, is_missing_host, table);
+    return g_hash_table_foreach_remove(table->jobs, is_missing_job, table);
+}
+
 static enum ms_table_change
 apply_leader(struct ms_job_table *table, const uint8_t *value, size_t length)
 {
@@ -105,6 +137,7 @@
         g_strlcpy(host->name, name, sizeof(host->name));
         g_hash_table_insert(table->hosts, host->name, host);
     }
+    host->snapshot_number = table->snapshot_number;
     g_strlcpy(host->address, record->address, sizeof(host->address));
     g_strlcpy(host->dc, record->dc, sizeof(host->dc));
     g_strlcpy(host->region, record->region, sizeof(host->region));
--- a/src/batch/job_table.h
+++ b/src/batch/job_table.h
@@ -49,6 +49,7 @@
     /* Set by the owner of the table, on its own clock, not by ms_job_table_apply(). */
     int64_t accepted_read_at; /* when its specification was read, 0: not known */
     int64_t state_read_at;    /* when `state` was read */
+    uint32_t snapshot_number; /* newest snapshot, or records after it, that had the job */
 };
 
 /* Kind of a LeadRecord; the numbers are stored. */
@@ -80,12 +81,14 @@
     /* Set by the owner of the table, on its own clock, not by ms_job_table_apply(). */
     int64_t last_seen_at;     /* when its last record was read */
     int64_t no_forward_until; /* no requests are forwarded to it before */
+    uint32_t snapshot_number; /* as that of a job */
 };
 
 struct ms_job_table {
     GHashTable *jobs;  /* id -> ms_stored_job */
     GHashTable *hosts; /* name -> ms_entry_host */
     struct ms_leader leader;
+    uint32_t snapshot_number; /* number of snapshots that were begun */
 };
 
 /* What a record has changed in the table. */
@@ -110,6 +113,14 @@
                                         const uint8_t *value, size_t length,
                                         struct ms_stored_job **job);
 
+/*
+ * Starts a snapshot of all keys, whose records are then applied.  ms_job_table_end_snapshot()
+ * drops the jobs and hosts of which it had no record: their removal was missed.  Returns the
+ * number of jobs that were dropped.
+ */
+void ms_job_table_begin_snapshot(struct ms_job_table *table);
+guint ms_job_table_end_snapshot(struct ms_job_table *table);
+
 /* The job, or NULL; owned by the table. */
 struct ms_stored_job *ms_job_table_find(const struct ms_job_table *table, const char *id);
 
--- a/src/entry/log_streams.c
+++ b/src/entry/log_streams.c
@@ -71,9 +71,24 @@
     host->last_seen_at = entry->now;
 }
 
+/*
+ * A snapshot replaces the table, as this host may have missed removals.  One with unreadable
+ * items does not, as these may be jobs.  Nor does one that is read while this host places
+ * jobs: it has read all that was written before its term, and what it removes itself.
+ */
+static bool
+replaces_table(const struct ms_entry *entry, const struct ms_keyed_log_batch *batch, bool snapshot)
+{
+    return snapshot && batch->complete && entry->engine == NULL;
+}
+
 static void
-apply_jobs(struct ms_entry *entry, const struct ms_keyed_log_batch *batch)
+apply_jobs(struct ms_entry *entry, const struct ms_keyed_log_batch *batch, bool snapshot)
 {
+    bool replace = replaces_table(entry, batch, snapshot);
+    if (replace) {
+        ms_job_table_begin_snapshot(entry->table);
+    }
     for (guint i = 0; i < batch->records->len; i++) {
         const struct ms_keyed_log_record *record =
             &g_array_index(batch->records, struct ms_keyed_log_record, i);
@@ -92,6 +107,11 @@
         }
         handle_change(entry, change, job);
     }
+    if (replace) {
+        guint dropped = ms_job_table_end_snapshot(entry->table);
+        ms_log(MS_LOG_NOTICE, "event=snapshot_applied stream=jobs jobs=%u dropped=%u",
+               g_hash_table_size(entry->table->jobs), dropped);
+    }
     entry->jobs_next_offset = batch->next_offset;
     ms_counter_set(entry->counters, MS_GAUGE_APPLIED_OFFSET, entry->jobs_next_offset);
     ms_counter_add(entry->counters, MS_COUNT_LOG_RECORDS_READ, batch->records->len);
@@ -164,7 +184,7 @@
     set_reachable(entry, message->stream, true, "answer");
     switch (message->stream) {
     case MS_STREAM_JOBS:
-        apply_jobs(entry, message->batch);
+        apply_jobs(entry, message->batch, snapshot);
         entry->jobs_loaded = true;
         entry->jobs_current_at = MAX(entry->jobs_current_at, message->current_at);
         break;
--- a/src/ports/keyed_log.h
+++ b/src/ports/keyed_log.h
@@ -45,6 +45,7 @@
     GArray *records;      /* struct ms_keyed_log_record */
     uint64_t next_offset; /* offset of the record to read next */
     bool at_end;          /* read: the stream had no more records at the time of the answer */
+    bool complete;        /* snapshot: no item was left out as unreadable */
 };
 
 /*
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -138,6 +138,30 @@
 }
 END_TEST
 
+/* A host that missed removals must not take the removed jobs for open ones. */
+START_TEST(snapshot_drops_jobs_that_it_does_not_have)
+{
+    struct ms_job_table *table = ms_job_table_new();
+    struct ms_stored_job *job = NULL;
+    struct ms_batch_spec spec;
+    size_t length = 0;
+    simple_spec(&spec, "job", "q0", 1, 1);
+    uint8_t *bytes = ms_batch_spec_pack(&spec, &length);
+    ms_job_table_apply(table, "j/kept", bytes, length, &job);
+    ms_job_table_apply(table, "j/removed", bytes, length, &job);
+    ms_job_table_begin_snapshot(table);
+    ms_job_table_apply(table, "j/kept", bytes, length, &job);
+    ms_job_table_apply(table, "j/new", bytes, length, &job);
+    ck_assert_uint_eq(ms_job_table_end_snapshot(table), 1);
+    ck_assert_ptr_null(ms_job_table_find(table, "removed"));
+    ck_assert_ptr_nonnull(ms_job_table_find(table, "kept"));
+    ck_assert_ptr_nonnull(ms_job_table_find(table, "new"));
+    g_free(bytes);
+    ms_batch_spec_clear(&spec);
+    ms_job_table_free(table);
+}
+END_TEST
+
 /* ---- decoders of the platform adapter, settings ---- */
 
 START_TEST(jobs_are_decoded)
@@ -368,6 +392,7 @@
     tcase_add_test(cases, task_names_are_parsed);
     tcase_add_test(cases, first_claim_of_epoch_wins);
     tcase_add_test(cases, duplicate_records_change_nothing);
+    tcase_add_test(cases, snapshot_drops_jobs_that_it_does_not_have);
     tcase_add_test(cases, jobs_are_decoded);
     tcase_add_test(cases, malformed_jobs_are_rejected_by_field);
     tcase_add_test(cases, policy_is_decoded);
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -84,6 +84,7 @@
         self.delayed_claims, self.claim_delay_s = b"", 0.0  # claims with these bytes are delayed
         self.unreadable_topic = None  # calls that read it get status 503
         self.fenced_answer_delay_s = 0.0  # the answers to a leader's appends are late by this
+        self.first_kept = 0  # offset of the oldest record that has not expired
         self.hanging = None  # a future while no call is answered: see hang()
         self.port = None
 
@@ -185,6 +186,8 @@
         if self.is_unreadable(request):
             return web.json_response({}, status=503)
         records, start = self.records(request.query["topic"]), int(request.query["from"])
+        if start < self.first_kept and request.query["topic"] == "keyed.jobs":
+            return web.json_response({"first": self.first_kept}, status=410)
         wait_end = time.monotonic() + int(request.query.get("waitMs", 0)) / 1000
         while start >= len(records) and time.monotonic() < wait_end:
             waiter = asyncio.get_running_loop().create_future()
