A cancellation is denied only after a read of the log since it arrived

Cause: the age of the table that a query may be answered from also decided cancellations, for which 410 is a confirmation.

Change: for a cancellation of an unknown job the log is read again; without a read since the call arrived, it is forwarded or refused.

--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -26,6 +26,7 @@
 #define ANSWER_MARGIN_MS 150      /* answers are sent this long before the caller's timeout */
 #define APPEND_FORWARDABLE_MS 350 /* time for appends here while another host can take the call */
 #define REFRESH_WAIT_MAX_MS 300   /* a call waits at most this long for a read of the log */
+#define DENIAL_WAIT_MAX_MS 600    /* the same for one that cancels an unknown job */
 #define CONFIG_AGE_MAX_SHARE 0.85 /* of key_age_max_ms: an older configuration is not used */
 #define JOBS_AGE_MAX_SHARE 0.5    /* of unknown_after_ms: an older table denies no job */
 
@@ -53,6 +54,20 @@
                                      (double)entry->settings->unknown_after_ms * JOBS_AGE_MAX_SHARE;
 }
 
+/*
+ * Whether CALL may be answered that its job does not exist.  A caller takes that answer to a
+ * cancellation for a confirmation, so that the log must have been read since it arrived: the
+ * job may have been accepted just before by another host.
+ */
+static bool
+may_deny_job(const struct ms_entry *entry, const struct ms_entry_call *call)
+{
+    if (call->method == MS_METHOD_DELETE) {
+        return entry->jobs_loaded && entry->jobs_current_at >= call->arrived_at;
+    }
+    return jobs_are_current(entry);
+}
+
 bool
 ms_requests_is_ready(const struct ms_entry *entry)
 {
@@ -267,12 +282,11 @@
          const char *account, const char *id)
 {
     struct ms_stored_job *job = ms_job_table_find(entry->table, id);
-    bool visible = job != NULL && job->accepted &&
-                   (queue->allow_anonymous || strcmp(job->spec.account, account) == 0);
-    if (visible) {
+    bool known = job != NULL && job->accepted;
+    if (known && (queue->allow_anonymous || strcmp(job->spec.account, account) == 0)) {
         return job;
     }
-    if (jobs_are_current(entry)) {
+    if (known || may_deny_job(entry, call)) {
         answer(entry, call, STATUS_GONE, "no_such_job");
     }
     else {
@@ -309,15 +323,33 @@
     return call->refresh_deadline_at == 0 && (job == NULL || open);
 }
 
+/* Makes CALL wait for a read of the log if that may change the answer; see wants_refresh(). */
+static bool
+await_refresh(struct ms_entry *entry, struct ms_entry_call *call, const char *id)
+{
+    struct ms_stream_reader *reader = entry->stream_readers[MS_STREAM_JOBS];
+    int64_t wait_max_ms = REFRESH_WAIT_MAX_MS;
+    if (!wants_refresh(entry, call, id)) {
+        return false;
+    }
+    if (call->method == MS_METHOD_DELETE && entry->reachable[MS_STREAM_JOBS]) {
+        ms_stream_reader_read_again(reader);
+        wait_max_ms = DENIAL_WAIT_MAX_MS;
+    }
+    else if (!ms_stream_reader_read_now(reader)) {
+        return false;
+    }
+    call->refresh_deadline_at = entry->now + wait_max_ms;
+    g_ptr_array_add(entry->calls_awaiting_refresh, call);
+    return true;
+}
+
 /* Handles CALL, a GET or DELETE of the job ID. */
 static void
 handle_job_call(struct ms_entry *entry, struct ms_entry_call *call,
                 const struct ms_queue_rule *queue, const char *account, const char *id)
 {
-    if (wants_refresh(entry, call, id) &&
-        ms_stream_reader_read_now(entry->stream_readers[MS_STREAM_JOBS])) {
-        call->refresh_deadline_at = entry->now + REFRESH_WAIT_MAX_MS;
-        g_ptr_array_add(entry->calls_awaiting_refresh, call);
+    if (await_refresh(entry, call, id)) {
         return;
     }
     const struct ms_stored_job *job = find_job(entry, call, queue, account, id);
--- a/src/entry/stream_reader.c
+++ b/src/entry/stream_reader.c
@@ -24,7 +24,7 @@
     bool on;
     bool restart;  /* switched on again: start over with a snapshot */
     bool pausing;  /* in the pause between two reads */
-    bool read_now; /* PAUSING: end the pause at once */
+    bool read_now; /* end the pause, or leave out the next one */
     atomic_bool stopping;
 };
 
@@ -238,6 +238,15 @@
     return pausing;
 }
 
+void
+ms_stream_reader_read_again(struct ms_stream_reader *reader)
+{
+    g_mutex_lock(&reader->lock);
+    reader->read_now = true;
+    g_cond_signal(&reader->wake);
+    g_mutex_unlock(&reader->lock);
+}
+
 void
 ms_stream_reader_stop(struct ms_stream_reader *reader)
 {
--- a/src/entry/stream_reader.h
+++ b/src/entry/stream_reader.h
@@ -38,6 +38,12 @@
  */
 bool ms_stream_reader_read_now(struct ms_stream_reader *reader);
 
+/*
+ * The same, but if a read is under way, the next one follows it without a pause and does not
+ * wait for records.  So a read that has begun after this call ends soon.
+ */
+void ms_stream_reader_read_again(struct ms_stream_reader *reader);
+
 void ms_stream_reader_stop(struct ms_stream_reader *reader);
 
 #endif
