Shutdown: answer the open calls before the HTTP server is stopped

Cause: libmicrohttpd aborts when it is stopped with suspended connections, and nobody answers these once the decision thread has ended.

Change: at its end the host stops listening, answers the open calls (504, or 503 for queries), refuses new ones, and waits up to 200 ms until the connections are closed.

The soak now counts another exit code than 0 as a violation.

--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -12,6 +12,7 @@
 enum ms_entry_method { MS_METHOD_GET = 0, MS_METHOD_POST, MS_METHOD_DELETE, MS_METHOD_OTHER };
 
 struct ms_forward;
+struct exchange;
 
 /* Times are of ms_clock_boot_ms(). */
 struct ms_entry_call {
@@ -36,6 +37,7 @@
     char *response_body; /* JSON, freed with free(); NULL for a default body */
     const char *reason; /* for the log and, on an error without a body, for the caller; not owned */
     struct MHD_Connection *connection; /* where the answer is sent; suspended until then */
+    struct exchange *exchange;         /* of the HTTP thread, which owns it */
 };
 
 /* Frees CALL with all that it owns; NULL is ignored. */
--- a/src/entry/http_frontend.c
+++ b/src/entry/http_frontend.c
@@ -3,15 +3,21 @@
  *
  * A connection is suspended while the decision thread handles its call;
  * ms_entry_call_answer() resumes it.
+ *
+ * libmicrohttpd aborts the process if it is stopped with suspended connections.  So
+ * ms_http_frontend_stop() stops listening, answers the calls that are still open, refuses new
+ * ones, and gives the answers a short time to be sent.
  */
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <microhttpd.h>
 
 #include "config/address.h"
+#include "core/list.h"
 #include "entry/http_frontend.h"
 #include "entry/forwarder.h"
 #include "obs/clock.h"
@@ -24,6 +30,8 @@
 #define CALLER_TIMEOUT_MAX_MS 60000
 #define RETRY_AFTER_S "1" /* Retry-After header of the statuses 429 and 503 */
 #define METRICS_PATH "/metrics"
+#define FLUSH_MAX_MS 200 /* limit of the wait for answers to be sent, when stopping */
+#define FLUSH_POLL_MS 5
 
 struct ms_http_frontend {
     struct MHD_Daemon *caller_daemon;
@@ -32,21 +40,38 @@
     struct ms_counters *counters;
     struct ms_ring *ring; /* to the decision thread */
     atomic_bool ready;
-    atomic_bool closing; /* answers close their connection */
+    atomic_bool closing;           /* answers close their connection */
+    GMutex lock;                   /* protects the rest */
+    bool stopping;                 /* no more calls are accepted */
+    struct ms_list_link suspended; /* struct exchange: calls without an answer */
 };
 
 /* State of one HTTP exchange between the callbacks of libmicrohttpd. */
 struct exchange {
+    struct ms_http_frontend *frontend;
+    struct ms_list_link suspended_link; /* in frontend->suspended while the call is open */
     GByteArray *body;
     bool too_large;
     bool submitted; /* the call was passed to the decision thread */
     struct ms_entry_call *call;
 };
 
+/* Resumes the connection of EXCHANGE, whose call has its answer; with the lock held. */
+static void
+resume(struct exchange *exchange)
+{
+    ms_list_remove(&exchange->suspended_link);
+    MHD_resume_connection(exchange->call->connection);
+}
+
 void
 ms_entry_call_answer(struct ms_entry_call *call)
 {
-    MHD_resume_connection(call->connection);
+    struct exchange *exchange = call->exchange;
+    struct ms_http_frontend *frontend = exchange->frontend;
+    g_mutex_lock(&frontend->lock);
+    resume(exchange);
+    g_mutex_unlock(&frontend->lock);
 }
 
 /* Sends BODY, which is copied, with the content type TYPE. */
@@ -103,7 +128,7 @@
 /* Returns the call that a complete request makes. */
 static struct ms_entry_call *
 read_call(struct MHD_Connection *connection, const char *url, const char *method,
-          const struct exchange *exchange)
+          struct exchange *exchange)
 {
     struct ms_entry_call *call = g_new0(struct ms_entry_call, 1);
     const char *host =
@@ -115,6 +140,7 @@
         MHD_lookup_connection_value(connection, MHD_HEADER_KIND, ms_api_key_header)));
     call->timeout_ms = read_caller_timeout(connection);
     call->connection = connection;
+    call->exchange = exchange;
     call->raw_body = exchange->body;
     const char *version =
         MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MS_FORWARDED_HEADER);
@@ -127,9 +153,33 @@
     return call;
 }
 
+/* Fills in the answer to CALL, which was not handled, for REASON. */
+static void
+refuse_call(struct ms_entry_call *call, const char *reason)
+{
+    call->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+    call->reason = reason;
+}
+
+/* Sends the answer that was filled in to CALL. */
+static enum MHD_Result
+send_answer(struct ms_http_frontend *frontend, struct MHD_Connection *connection,
+            const struct ms_entry_call *call)
+{
+    if (call->response_body != NULL) {
+        return reply(frontend, connection, call->status, "application/json", call->response_body);
+    }
+    if (call->status >= MHD_HTTP_BAD_REQUEST) {
+        return reply_error(frontend, connection, call->status,
+                           call->reason != NULL ? call->reason : "refused");
+    }
+    return reply(frontend, connection, call->status, "application/json", "{}");
+}
+
 /*
  * Passes the request to the decision thread and suspends CONNECTION, which is resumed
- * when the answer is there; with a full queue it is resumed at once, with a refusal.
+ * when the answer is there; with a full queue it is resumed at once, with a refusal.  While the
+ * frontend stops, the call is refused without that.
  */
 static enum MHD_Result
 submit_call(struct ms_http_frontend *frontend, struct MHD_Connection *connection, const char *url,
@@ -138,34 +188,26 @@
     exchange->call = read_call(connection, url, method, exchange);
     exchange->call->arrived_at = ms_clock_boot_ms();
     exchange->submitted = true;
+    g_mutex_lock(&frontend->lock);
+    if (frontend->stopping) {
+        g_mutex_unlock(&frontend->lock);
+        refuse_call(exchange->call, "stopping");
+        return send_answer(frontend, connection, exchange->call);
+    }
     struct ms_entry_message *message = ms_entry_message_new(MS_ENTRY_CALL);
     message->call = exchange->call;
     MHD_suspend_connection(connection);
+    ms_list_append(&frontend->suspended, &exchange->suspended_link);
     if (!ms_ring_push(frontend->ring, message)) {
         ms_entry_message_free(message);
         ms_counter_add(frontend->counters, MS_COUNT_QUEUE_FULL, 1);
-        exchange->call->status = MHD_HTTP_SERVICE_UNAVAILABLE;
-        exchange->call->reason = "busy";
-        MHD_resume_connection(connection);
+        refuse_call(exchange->call, "busy");
+        resume(exchange);
     }
+    g_mutex_unlock(&frontend->lock);
     return MHD_YES;
 }
 
-/* Sends the answer that the decision thread has filled in. */
-static enum MHD_Result
-send_answer(struct ms_http_frontend *frontend, struct MHD_Connection *connection,
-            const struct ms_entry_call *call)
-{
-    if (call->response_body != NULL) {
-        return reply(frontend, connection, call->status, "application/json", call->response_body);
-    }
-    if (call->status >= MHD_HTTP_BAD_REQUEST) {
-        return reply_error(frontend, connection, call->status,
-                           call->reason != NULL ? call->reason : "refused");
-    }
-    return reply(frontend, connection, call->status, "application/json", "{}");
-}
-
 /*
  * Access handler for callers and readiness probes.  libmicrohttpd calls it for the
  * headers, for each part of the body, at the end of the request, and again when a
@@ -180,6 +222,8 @@
     (void)version;
     if (exchange == NULL) {
         exchange = g_new0(struct exchange, 1);
+        exchange->frontend = frontend;
+        ms_list_link_init(&exchange->suspended_link);
         exchange->body = g_byte_array_new();
         *state = exchange;
         return MHD_YES;
@@ -270,6 +314,8 @@
     const char *address = settings->caller_address;
     frontend->counters = counters;
     frontend->ring = ring;
+    g_mutex_init(&frontend->lock);
+    ms_list_link_init(&frontend->suspended);
     frontend->caller_daemon =
         listen_at(frontend, address, handle_request, ms_entry_caller_connections_max(settings));
     if (frontend->caller_daemon == NULL) {
@@ -306,13 +352,65 @@
     atomic_store(&frontend->closing, true);
 }
 
+/*
+ * Answers the calls that the decision thread, which has ended, has left open.  A submission or
+ * cancellation may have been carried out.
+ */
+static void
+answer_open_calls(struct ms_http_frontend *frontend)
+{
+    g_mutex_lock(&frontend->lock);
+    frontend->stopping = true;
+    while (!ms_list_is_empty(&frontend->suspended)) {
+        struct exchange *exchange =
+            MS_CONTAINER_OF(frontend->suspended.next, struct exchange, suspended_link);
+        struct ms_entry_call *call = exchange->call;
+        refuse_call(call, "stopping");
+        if (call->method != MS_METHOD_GET) {
+            call->status = MHD_HTTP_GATEWAY_TIMEOUT;
+        }
+        ms_log(MS_LOG_NOTICE, "event=call_cut_short path=%s status=%u", call->path, call->status);
+        resume(exchange);
+    }
+    g_mutex_unlock(&frontend->lock);
+}
+
+/* Stops listening, so that callers go to other hosts from now on. */
+static void
+stop_listening(struct ms_http_frontend *frontend)
+{
+    MHD_socket listener = MHD_quiesce_daemon(frontend->caller_daemon);
+    if (listener != MHD_INVALID_SOCKET) {
+        close(listener);
+    }
+}
+
+/*
+ * Waits until all connections are closed, which their next answer does, for a short time at
+ * most: a connection may be idle.
+ */
+static void
+flush_answers(struct ms_http_frontend *frontend)
+{
+    int64_t deadline = ms_clock_boot_ms() + FLUSH_MAX_MS;
+    const union MHD_DaemonInfo *info = NULL;
+    do {
+        g_usleep(FLUSH_POLL_MS * 1000);
+        info = MHD_get_daemon_info(frontend->caller_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    } while (info != NULL && info->num_connections > 0 && ms_clock_boot_ms() < deadline);
+}
+
 void
 ms_http_frontend_stop(struct ms_http_frontend *frontend)
 {
     if (frontend == NULL) {
         return;
     }
+    ms_http_frontend_close_connections(frontend);
     if (frontend->caller_daemon != NULL) {
+        stop_listening(frontend);
+        answer_open_calls(frontend);
+        flush_answers(frontend);
         MHD_stop_daemon(frontend->caller_daemon);
     }
     if (frontend->ready_daemon != NULL) {
@@ -321,5 +419,6 @@
     if (frontend->metrics_daemon != NULL) {
         MHD_stop_daemon(frontend->metrics_daemon);
     }
+    g_mutex_clear(&frontend->lock);
     g_free(frontend);
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -108,6 +108,9 @@
             self.soak.standins.report_violation("a shutdown took over 8 s", self.name)
             self.process.kill()
             await self.process.wait()
+        if number == signal.SIGTERM and self.process.returncode != 0:
+            self.soak.standins.report_violation(
+                f"a shutdown ended with {self.process.returncode}", self.name)
 
 
 class Soak:
