Engine: a late failure counts after a change of the leader as well

Cause: the failure of a run that an earlier leader had given up was acknowledged and not counted, as a new leader did not know whether it had been counted.

Change: the last run that was given up is stored with the state of its job until its failure is counted.

--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -28,9 +28,10 @@
     struct ms_batch_step *step;
     uint32_t index; /* within the step */
     enum ms_batch_task_state state;
-    uint32_t run;                       /* number of the latest run, 0: none */
-    uint32_t failures;                  /* failed runs */
-    uint32_t last_lost_run;             /* latest run that this engine declared lost, 0: none */
+    uint32_t run;      /* number of the latest run, 0: none */
+    uint32_t failures; /* failed runs */
+    /* Latest run that was declared lost, by any leader, and has not failed since; 0: none. */
+    uint32_t last_lost_run;
     char checkpoint[MS_CHECKPOINT_MAX]; /* latest checkpoint, or "" */
     struct ms_batch_server *server;     /* its server; NULL when WAITING or DONE */
     struct ms_list_link server_link;    /* in server->tasks */
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -35,8 +35,8 @@
  * The task of the end in ROW, whose run was declared lost, if the end still counts;
  * else NULL.  It does not count if a later run of the task, or of its gang, is active and
  * may have been ordered; a run that is still being stored is dropped instead.  Only
- * MS_RUN_END_DONE and MS_RUN_END_FAILED count, the latter only if this engine declared
- * the run lost: otherwise an earlier leader may have counted the failure already.
+ * MS_RUN_END_DONE and MS_RUN_END_FAILED count, the latter only if the run was the last one
+ * that was declared lost: otherwise the failure may have been counted already.
  */
 static struct ms_batch_task *
 find_task_of_late_end(struct ms_engine *engine, const struct ms_reported_end *row)
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -64,6 +64,10 @@
     record->status.data[index] = (uint8_t)status;
     record->run[index] = task->run;
     record->failures[index] = task->failures;
+    record->lost_run[index] = task->last_lost_run;
+    if (task->last_lost_run != 0) {
+        record->n_lost_run = record->n_run;
+    }
     if (status != STORED_DONE) {
         record->checkpoint[index] = task->checkpoint;
     }
@@ -92,6 +96,7 @@
     record->run = g_new0(uint32_t, count);
     record->failures = g_new0(uint32_t, count);
     record->server = g_new0(uint32_t, count);
+    record->lost_run = g_new0(uint32_t, count);
     record->checkpoint = g_new0(char *, count);
     size_t index = 0;
     for (size_t s = 0; s < spec->step_count; s++) {
@@ -110,6 +115,7 @@
     g_free(record->run);
     g_free(record->failures);
     g_free(record->server);
+    g_free(record->lost_run);
     g_free(record->checkpoint);
     g_free(record);
 }
@@ -269,6 +275,9 @@
                 task->run = record->run[index];
                 task->failures = record->failures[index];
             }
+            if (index < record->n_lost_run) {
+                task->last_lost_run = record->lost_run[index];
+            }
             if (index < record->n_checkpoint) {
                 g_strlcpy(task->checkpoint, record->checkpoint[index], sizeof(task->checkpoint));
             }
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -306,22 +306,31 @@
     task->avoided_server_count++;
 }
 
+/* Counts the failure of RUN for TASK itself. */
+static void
+count_own_failure(struct ms_batch_task *task, const char *server, uint32_t run)
+{
+    task->failures++;
+    if (task->last_lost_run == run) {
+        task->last_lost_run = 0; /* a later leader must not count it again */
+    }
+    avoid_server(task, server);
+}
+
 /*
- * Counts a failed run of TASK, which avoids SERVER from now on.  A gang fails as a whole:
+ * Counts the failure of RUN of TASK, which avoids SERVER from now on.  A gang fails as a whole:
  * its run counts as one failure of each member, whichever member reports it.
  */
 static void
-count_failure(struct ms_batch_task *task, const char *server)
+count_failure(struct ms_batch_task *task, const char *server, uint32_t run)
 {
     struct ms_batch_step *step = task->step;
     if (!step->spec->gang) {
-        task->failures++;
-        avoid_server(task, server);
+        count_own_failure(task, server, run);
         return;
     }
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        step->tasks[i].failures++;
-        avoid_server(&step->tasks[i], server);
+        count_own_failure(&step->tasks[i], server, run);
     }
 }
 
@@ -333,7 +342,7 @@
     ms_engine_log_event(engine, "event=run_end task=%s run=%u server=%s how=%s later_run=%u",
                         ms_batch_task_name(task, name), run, server->id,
                         ms_run_end_name(MS_RUN_END_FAILED), task->run);
-    count_failure(task, server->id);
+    count_failure(task, server->id, run);
     ms_engine_mark_dirty(engine, ms_batch_task_job(task), false);
     ms_batch_job_update_phase(engine, ms_batch_task_job(task));
 }
@@ -388,7 +397,7 @@
         ms_batch_server_on_failure(engine, server, task);
         ms_batch_task_release(engine, task, MS_BATCH_TASK_WAITING);
         back_off(engine, task, RETRY_BACKOFF_MS);
-        count_failure(task, server->id);
+        count_failure(task, server->id, task->run);
         stop_rest_of_gang(engine, task, "member_failed");
         break;
     case MS_RUN_END_STOPPED:
--- a/src/wire/batch.pb-c.c
+++ b/src/wire/batch.pb-c.c
@@ -665,7 +665,7 @@
   (ProtobufCMessageInit) ms__batch__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ms__batch__occurrence_record__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ms__batch__occurrence_record__field_descriptors[8] =
 {
   {
     "number",
@@ -751,11 +751,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_run",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ms__Batch__OccurrenceRecord, n_lost_run),
+    offsetof(Ms__Batch__OccurrenceRecord, lost_run),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ms__batch__occurrence_record__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
   1,   /* field[1] = complete */
   4,   /* field[4] = failures */
+  7,   /* field[7] = lost_run */
   0,   /* field[0] = number */
   3,   /* field[3] = run */
   5,   /* field[5] = server */
@@ -764,7 +777,7 @@
 static const ProtobufCIntRange ms__batch__occurrence_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ms__batch__occurrence_record__descriptor =
 {
@@ -774,7 +787,7 @@
   "Ms__Batch__OccurrenceRecord",
   "ms.batch",
   sizeof(Ms__Batch__OccurrenceRecord),
-  7,
+  8,
   ms__batch__occurrence_record__field_descriptors,
   ms__batch__occurrence_record__field_indices_by_name,
   1,  ms__batch__occurrence_record__number_ranges,
--- a/src/wire/batch.pb-c.h
+++ b/src/wire/batch.pb-c.h
@@ -113,10 +113,15 @@
    */
   size_t n_checkpoint;
   char **checkpoint;
+  /*
+   * latest run of each task that was given up and whose failure
+   */
+  size_t n_lost_run;
+  uint32_t *lost_run;
 };
 #define MS__BATCH__OCCURRENCE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ms__batch__occurrence_record__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/tests/batch/unit_withheld.c
+++ b/tests/batch/unit_withheld.c
@@ -1,5 +1,6 @@
 /*
- * unit_withheld.c - tests of ends that may not be acknowledged, as their tasks run again.
+ * unit_withheld.c - tests of ends of runs that were given up and whose tasks run again: an end
+ * as done may not be acknowledged, a failure counts.
  *
  * The engine runs alone with two servers.  The first one is cut off while its run ends, so that
  * the task is placed on the second one, where it runs on; then the first one is back.
@@ -28,6 +29,9 @@
     size_t end_count;
     uint64_t acked;        /* position up to which FIRST may forget its ends */
     int64_t last_deadline; /* of the last renewal of FIRST */
+    GBytes *state;         /* of the job, as stored last */
+    bool second_fails;     /* run 2 has failed on SECOND */
+    bool job_failed;       /* the engine has logged that the job failed */
 };
 
 static const char *const server_ids[SERVER_COUNT] = {"first", "second"};
@@ -47,17 +51,33 @@
 }
 
 static void
-fixture_init(struct fixture *fixture)
+note_failure(void *opaque, const char *text)
+{
+    struct fixture *fixture = opaque;
+    fixture->job_failed |=
+        strstr(text, "event=job_end") != NULL && strstr(text, "outcome=failed") != NULL;
+}
+
+/* Creates the engine of the leader of EPOCH.  A task may fail once; the second failure is final. */
+static void
+create_engine(struct fixture *fixture, uint64_t epoch)
 {
     static struct ms_queue_rule queues[] = {
-        {.name = "q0", .service = "service", .failures_max = 9}};
+        {.name = "q0", .service = "service", .failures_max = 2}};
     static const struct ms_policy policy = {.version = 1, .queues = queues, .queue_count = 1};
     struct ms_engine_limits limits;
-    memset(fixture, 0, sizeof(*fixture));
     ms_engine_limits_defaults(&limits);
-    fixture->now = 1000;
-    fixture->engine = ms_engine_new(&limits, 1, 0, fixture->now);
+    fixture->engine = ms_engine_new(&limits, epoch, fixture->now, fixture->now);
     ms_engine_set_policy(fixture->engine, &policy);
+    ms_engine_set_log(fixture->engine, note_failure, fixture);
+}
+
+static void
+fixture_init(struct fixture *fixture)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    fixture->now = 1000;
+    create_engine(fixture, 1);
     g_strlcpy(fixture->job.id, "job", sizeof(fixture->job.id));
     fixture->job.accepted = true;
     simple_spec(&fixture->job.spec, "job", "q0", 1, 1);
@@ -70,17 +90,32 @@
 {
     ms_engine_free(fixture->engine);
     ms_batch_spec_clear(&fixture->job.spec);
+    if (fixture->state != NULL) {
+        g_bytes_unref(fixture->state);
+    }
 }
 
-/* FIRST lists one more end, of RUN of the task NAME. */
+/* Keeps the state of the job, the last one of the records of STORE. */
 static void
-add_end(struct fixture *fixture, const char *name, uint32_t run)
+keep_state(struct fixture *fixture, const struct ms_engine_action *store)
+{
+    const struct ms_store_record *record =
+        g_ptr_array_index(store->records, store->records->len - 1);
+    if (fixture->state != NULL) {
+        g_bytes_unref(fixture->state);
+    }
+    fixture->state = g_bytes_ref(record->value);
+}
+
+/* FIRST lists one more end, of RUN of the task NAME, which ended as HOW says. */
+static void
+add_end(struct fixture *fixture, const char *name, uint32_t run, enum ms_run_end how)
 {
     struct ms_reported_end *end = &fixture->ends[fixture->end_count++];
     ck_assert_uint_le(fixture->end_count, ENDS_MAX);
     end->position = fixture->end_count;
     end->run = run;
-    end->end = MS_RUN_END_DONE;
+    end->end = how;
     g_strlcpy(end->task, name, sizeof(end->task));
 }
 
@@ -100,6 +135,12 @@
         report.ended = fixture->ends + fixture->acked;
         report.ended_count = fixture->end_count - fixture->acked;
     }
+    struct ms_reported_end failure = {
+        .position = 1, .task = TASK, .run = 2, .end = MS_RUN_END_FAILED};
+    if (index == SECOND && fixture->second_fails) {
+        report.ended = &failure;
+        report.ended_count = 1;
+    }
     report.running = &running;
     report.running_count = fixture->run[index] != 0;
     ms_engine_on_renewal_answer(fixture->engine, renewal, MS_ORDER_OK, &report, fixture->now,
@@ -119,6 +160,7 @@
         ms_engine_on_order_answer(fixture->engine, action, MS_ORDER_OK, fixture->now, fixture->now);
         break;
     case MS_ENGINE_STORE:
+        keep_state(fixture, action);
         ms_engine_on_stored(fixture->engine, fixture->now);
         break;
     case MS_ENGINE_STOP:
@@ -155,23 +197,30 @@
     return stats.servers_usable;
 }
 
-/*
- * The task has ended on FIRST behind a cut and runs on SECOND; FIRST is back with its end and
- * LATER_ENDS more.
- */
+/* Run 1 of the task has ended on FIRST, behind a cut, as HOW says; run 2 is on SECOND. */
 static void
-end_behind_cut(struct fixture *fixture, int later_ends)
+run_again_after_cut(struct fixture *fixture, enum ms_run_end how)
 {
     run(fixture, 500);
     ck_assert_uint_eq(fixture->run[FIRST], 1);
     fixture->reachable[FIRST] = false;
     fixture->run[FIRST] = 0;
-    add_end(fixture, TASK, 1);
+    add_end(fixture, TASK, 1, how);
     list_server(fixture, SECOND);
     run(fixture, LEASE_ENDS_MS);
     ck_assert_uint_eq(fixture->run[SECOND], 2);
+}
+
+/*
+ * The task has ended on FIRST behind a cut and runs on SECOND; FIRST is back with its end and
+ * LATER_ENDS more.
+ */
+static void
+end_behind_cut(struct fixture *fixture, int later_ends)
+{
+    run_again_after_cut(fixture, MS_RUN_END_DONE);
     for (int i = 0; i < later_ends; i++) {
-        add_end(fixture, "other.0.0.0", 1);
+        add_end(fixture, "other.0.0.0", 1, MS_RUN_END_DONE);
     }
     list_server(fixture, FIRST);
     run(fixture, 2000);
@@ -224,12 +273,42 @@
 }
 END_TEST
 
+/*
+ * A failure counts although it is reported to a later leader than the one that gave its run
+ * up.  It was acknowledged and not counted: the task ran once more than it may fail.
+ */
+START_TEST(late_failure_counts_after_a_change_of_the_leader)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run_again_after_cut(&fixture, MS_RUN_END_FAILED);
+    run(&fixture, 200); /* the state is stored */
+    for (uint64_t epoch = 2; epoch <= 3; epoch++) {
+        ms_engine_free(fixture.engine);
+        create_engine(&fixture, epoch);
+        list_server(&fixture, FIRST);
+        list_server(&fixture, SECOND);
+        fixture.job.state = fixture.state;
+        ms_engine_add_job(fixture.engine, &fixture.job, fixture.now);
+        fixture.acked = 0; /* the acknowledgement is lost with the leader */
+        run(&fixture, 500);
+        ck_assert(!fixture.job_failed); /* counted once, by the first of these leaders */
+    }
+    fixture.run[SECOND] = 0;
+    fixture.second_fails = true;
+    run(&fixture, 2000);
+    ck_assert(fixture.job_failed);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 withheld_cases(void)
 {
     TCase *cases = tcase_create("withheld");
     tcase_add_test(cases, many_ends_behind_a_withheld_one_are_acknowledged);
     tcase_add_test(cases, withheld_end_is_acknowledged_after_the_lease_has_expired);
+    tcase_add_test(cases, late_failure_counts_after_a_change_of_the_leader);
     tcase_add_test(cases, few_withheld_ends_leave_the_server_in_use);
     return cases;
 }
