Fenced writer: a first sequence number for each process

Both processes set the writer's epoch with sequence number 0, which the log takes for a repetition, so both led.

Change: the first sequence number in an epoch is the start time of the process. The log refuses the second process as out of sequence; it steps down and claims the next epoch.

--- a/src/entry/log_appender.c
+++ b/src/entry/log_appender.c
@@ -36,7 +36,12 @@
     _Atomic uint64_t epoch; /* FENCED: the only epoch whose requests are appended */
     uint64_t writer_epoch;  /* FENCED: epoch that `sequence` belongs to */
     uint64_t sequence;      /* FENCED: sequence number of the next append */
-    int64_t timeout_ms;     /* timeout of the next call */
+    /*
+     * FENCED: the first sequence number in each epoch.  It differs between processes, so that
+     * the log accepts appends of one of them only, should two have claimed the same epoch.
+     */
+    uint64_t first_sequence;
+    int64_t timeout_ms; /* timeout of the next call */
     pthread_t thread;
     atomic_bool stopping;
 };
@@ -178,7 +183,7 @@
     uint64_t epoch = first->epoch;
     struct ms_keyed_log_writer writer = {.name = WRITER_NAME, .epoch = epoch};
     if (appender->writer_epoch != epoch) {
-        appender->sequence = 0;
+        appender->sequence = appender->first_sequence;
         appender->writer_epoch = epoch;
     }
     writer.sequence = appender->sequence;
@@ -188,9 +193,10 @@
     while (!atomic_load(&appender->stopping) && atomic_load(&appender->epoch) == epoch) {
         result = call_log(appender, records, &writer, MS_KEYED_LOG_ANY_OFFSET, TIMEOUT_MAX_MS,
                           &end_offset);
-        if (result == MS_KEYED_LOG_WRONG_SEQUENCE && appender->sequence == 0 &&
-            end_offset != writer.sequence) {
-            appender->sequence = end_offset; /* setting the writer's epoch used a sequence number */
+        if (result == MS_KEYED_LOG_WRONG_SEQUENCE &&
+            appender->sequence == appender->first_sequence &&
+            end_offset == appender->first_sequence + 1) {
+            appender->sequence = end_offset; /* an earlier attempt has set the writer's epoch */
             writer.sequence = end_offset;
             continue;
         }
@@ -284,6 +290,7 @@
     appender->answers = answers;
     appender->fenced = fenced;
     appender->timeout_ms = TIMEOUT_MIN_MS;
+    appender->first_sequence = (uint64_t)g_get_real_time();
     if (appender->client == NULL || appender->ring == NULL ||
         pthread_create(&appender->thread, NULL, append_thread, appender) != 0) {
         ms_keyed_log_client_free(appender->client);
