--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -22,9 +22,7 @@
 #define FORWARD_TIMEOUT_MS 450        /* for the answer to one forward */
 #define FORWARD_BACKOFF_MS 1500       /* no forwards to a host for this long after one failed */
 #define APPEND_FAILURE_RECENT_MS 1000 /* after a failed append calls are forwarded first */
-#define APPEND_FAILURES_MAX 3   /* after so many failures in a row calls are refused at once */
-#define STATUS_SERVER_ERROR 500 /* the lowest one */
-#define STATUS_REFUSED 503
+#define APPEND_FAILURES_MAX 3 /* after so many failures in a row calls are refused at once */
 
 /* Appends this host's record; VALUE NULL removes it. */
 static void
@@ -230,9 +228,9 @@
 ms_entry_peers_forward_done(struct ms_entry *entry, struct ms_forward *forward)
 {
     struct ms_entry_call *call = forward->call;
-    bool refused = forward->status == STATUS_REFUSED;
+    bool refused = forward->status == MS_STATUS_UNAVAILABLE;
     /* 504 is what a host answers; other server errors come from an intermediary. */
-    bool outcome_unknown = (forward->status >= STATUS_SERVER_ERROR && !refused) ||
+    bool outcome_unknown = (forward->status >= MS_STATUS_SERVER_ERROR && !refused) ||
                            (forward->status == 0 && !forward->not_sent);
     if (forward->status == 0 || refused || outcome_unknown) {
         struct ms_entry_host *host = g_hash_table_lookup(entry->table->hosts, forward->peer);
--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -37,6 +37,19 @@
 #define MS_LOW_CPU_CORES 0.2
 #define MS_LOW_CPU_SUFFIX "/weak"
 
+/* HTTP statuses of answers to callers. */
+enum ms_call_status {
+    MS_STATUS_OK = 200,
+    MS_STATUS_BAD_REQUEST = 400, /* the lowest error */
+    MS_STATUS_UNAUTHORIZED = 401,
+    MS_STATUS_NOT_FOUND = 404,
+    MS_STATUS_METHOD_NOT_ALLOWED = 405,
+    MS_STATUS_GONE = 410,
+    MS_STATUS_SERVER_ERROR = 500,    /* the lowest one; not sent by entry hosts */
+    MS_STATUS_UNAVAILABLE = 503,     /* refused: the call was not and will not be carried out */
+    MS_STATUS_OUTCOME_UNKNOWN = 504, /* the call may have been carried out */
+};
+
 /* Role of this host in the leader election; the order of the values is that of a takeover. */
 enum ms_leader_state {
     MS_FOLLOWING = 0, /* another host is the leader, or none is */
@@ -146,9 +159,35 @@
 bool ms_requests_is_ready(const struct ms_entry *entry);
 /* Handles CALL again after a forward of it has failed. */
 void ms_requests_retry(struct ms_entry *entry, struct ms_entry_call *call);
-/* Answers CALL; REASON goes to the log. */
+/*
+ * Answers CALL with the HTTP status STATUS; REASON goes to the log and into error bodies.  An
+ * error becomes MS_STATUS_OUTCOME_UNKNOWN if an attempt may have been carried out.
+ */
 void ms_requests_answer(struct ms_entry *entry, struct ms_entry_call *call, unsigned int status,
                         const char *reason);
+/*
+ * Forwards CALL, which this host cannot handle for REASON, to another host if one can
+ * take it; otherwise answers it as refused, or as unknown after an earlier attempt that
+ * had no answer.
+ */
+void ms_requests_forward_or_refuse(struct ms_entry *entry, struct ms_entry_call *call,
+                                   const char *reason);
+/*
+ * Appends a record with VALUE for the job ID (ACCEPT or CANCEL).  CALL is answered when
+ * the append has ended or the record was read from the log, whichever is first.  While
+ * another host can take CALL, attempts here end early enough to forward it.
+ */
+void ms_requests_append(struct ms_entry *entry, struct ms_entry_call *call,
+                        enum ms_append_kind kind, const char *id, GBytes *value);
+
+/* job_calls.c: queries and cancellations, of callers that were checked. */
+
+/* Handles CALL, a GET or DELETE of the job ID in QUEUE by ACCOUNT. */
+void ms_job_calls_handle(struct ms_entry *entry, struct ms_entry_call *call,
+                         const struct ms_queue_rule *queue, const char *account, const char *id);
+/* Answers CALL with the number of jobs that wait in QUEUE. */
+void ms_job_calls_answer_queue(struct ms_entry *entry, struct ms_entry_call *call,
+                               const struct ms_queue_rule *queue);
 
 /* peers.c: other entry hosts, and forwarding of calls to them. */
 
--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -1,6 +1,6 @@
 /*
- * requests.c - handles the calls of callers: submits and cancels jobs, and answers
- * queries of the state of jobs and queues.
+ * requests.c - handles the calls of callers: checks them, submits jobs, and answers.  Queries
+ * and cancellations are in job_calls.c.
  *
  * A submission or cancellation is refused only when no append of its record can be
  * in the log or can still reach it; otherwise the answer is that the outcome is
@@ -14,21 +14,9 @@
 #include "obs/log.h"
 #include "ports/caller_api.h"
 
-#define STATUS_OK 200
-#define STATUS_BAD_REQUEST 400
-#define STATUS_UNAUTHORIZED 401
-#define STATUS_NOT_FOUND 404
-#define STATUS_METHOD_NOT_ALLOWED 405
-#define STATUS_GONE 410
-#define STATUS_UNAVAILABLE 503
-#define STATUS_OUTCOME_UNKNOWN 504 /* the call may have been carried out */
-
 #define ANSWER_MARGIN_MS 150      /* answers are sent this long before the caller's timeout */
 #define APPEND_FORWARDABLE_MS 350 /* time for appends here while another host can take the call */
-#define REFRESH_WAIT_MAX_MS 300   /* a call waits at most this long for a read of the log */
-#define DENIAL_WAIT_MAX_MS 600    /* the same for one that cancels an unknown job */
 #define CONFIG_AGE_MAX_SHARE 0.85 /* of key_age_max_ms: an older configuration is not used */
-#define JOBS_AGE_MAX_SHARE 0.5    /* of unknown_after_ms: an older table denies no job */
 
 /* Returns the time since the configuration was known to be the newest one. */
 static int64_t
@@ -46,28 +34,6 @@
                (double)entry->settings->key_age_max_ms * CONFIG_AGE_MAX_SHARE;
 }
 
-/* Whether the table of jobs is recent enough to say that a job does not exist. */
-static bool
-jobs_are_current(const struct ms_entry *entry)
-{
-    return entry->jobs_loaded && (double)(entry->now - entry->jobs_current_at) <
-                                     (double)entry->settings->unknown_after_ms * JOBS_AGE_MAX_SHARE;
-}
-
-/*
- * Whether CALL may be answered that its job does not exist.  A caller takes that answer to a
- * cancellation for a confirmation, so that the log must have been read since it arrived: the
- * job may have been accepted just before by another host.
- */
-static bool
-may_deny_job(const struct ms_entry *entry, const struct ms_entry_call *call)
-{
-    if (call->method == MS_METHOD_DELETE) {
-        return entry->jobs_loaded && entry->jobs_current_at >= call->arrived_at;
-    }
-    return jobs_are_current(entry);
-}
-
 bool
 ms_requests_is_ready(const struct ms_entry *entry)
 {
@@ -83,16 +49,16 @@
     return slash != NULL ? slash + 1 : call->path;
 }
 
-/* Answers CALL with the HTTP status STATUS; REASON goes to the log and into error bodies. */
-static void
-answer(struct ms_entry *entry, struct ms_entry_call *call, unsigned int status, const char *reason)
+void
+ms_requests_answer(struct ms_entry *entry, struct ms_entry_call *call, unsigned int status,
+                   const char *reason)
 {
     /* An attempt may have been carried out: the call cannot be refused any more. */
-    if (call->may_have_run && status >= STATUS_BAD_REQUEST) {
-        status = STATUS_OUTCOME_UNKNOWN;
+    if (call->may_have_run && status >= MS_STATUS_BAD_REQUEST) {
+        status = MS_STATUS_OUTCOME_UNKNOWN;
     }
-    if (call->method == MS_METHOD_POST && status >= STATUS_BAD_REQUEST &&
-        status != STATUS_OUTCOME_UNKNOWN) {
+    if (call->method == MS_METHOD_POST && status >= MS_STATUS_BAD_REQUEST &&
+        status != MS_STATUS_OUTCOME_UNKNOWN) {
         ms_refused_jobs_add(entry->refused_jobs, job_id_of(call), status, reason, entry->now);
     }
     ms_entry_peers_detach_forward(call);
@@ -106,42 +72,26 @@
            methods[call->method], call->path, status, reason, entry->now - call->arrived_at,
            entry->policy != NULL ? entry->policy->version : 0, config_age(entry),
            entry->now - entry->jobs_current_at);
-    ms_counter_add(entry->counters,
-                   status < STATUS_BAD_REQUEST ? MS_COUNT_OUTCOME_DONE : MS_COUNT_OUTCOME_REFUSED,
-                   1);
+    ms_counter_add(
+        entry->counters,
+        status < MS_STATUS_BAD_REQUEST ? MS_COUNT_OUTCOME_DONE : MS_COUNT_OUTCOME_REFUSED, 1);
     ms_histogram_observe(entry->counters, MS_HISTOGRAM_ANSWER, entry->now - call->arrived_at);
     entry->open_call_count--;
     ms_entry_call_answer(call);
 }
 
-/*
- * Forwards CALL, which this host cannot handle for REASON, to another host if one can
- * take it; otherwise answers it as refused, or as unknown after an earlier attempt that
- * had no answer.
- */
-static void
-forward_or_refuse(struct ms_entry *entry, struct ms_entry_call *call, const char *reason)
+void
+ms_requests_forward_or_refuse(struct ms_entry *entry, struct ms_entry_call *call,
+                              const char *reason)
 {
     if (!ms_entry_peers_forward(entry, call, reason)) {
-        answer(entry, call, STATUS_UNAVAILABLE, reason);
+        ms_requests_answer(entry, call, MS_STATUS_UNAVAILABLE, reason);
     }
 }
 
 void
-ms_requests_answer(struct ms_entry *entry, struct ms_entry_call *call, unsigned int status,
-                   const char *reason)
-{
-    answer(entry, call, status, reason);
-}
-
-/*
- * Appends a record with VALUE for the job ID (ACCEPT or CANCEL).  CALL is answered when
- * the append has ended or the record was read from the log, whichever is first.  While
- * another host can take CALL, attempts here end early enough to forward it.
- */
-static void
-push_append(struct ms_entry *entry, struct ms_entry_call *call, enum ms_append_kind kind,
-            const char *id, GBytes *value)
+ms_requests_append(struct ms_entry *entry, struct ms_entry_call *call, enum ms_append_kind kind,
+                   const char *id, GBytes *value)
 {
     struct ms_append *append = ms_append_new(kind);
     append->call = call;
@@ -155,7 +105,7 @@
     if (!ms_appender_push(entry->unfenced_appender, append)) {
         ms_append_free(append);
         ms_counter_add(entry->counters, MS_COUNT_QUEUE_FULL, 1);
-        forward_or_refuse(entry, call, "append_queue_full");
+        ms_requests_forward_or_refuse(entry, call, "append_queue_full");
         return;
     }
     GPtrArray *appends = g_hash_table_lookup(entry->pending_appends, id);
@@ -194,11 +144,12 @@
     }
     switch (append->result) {
     case MS_KEYED_LOG_OK:
-        answer(entry, call, STATUS_OK, append->kind == MS_APPEND_ACCEPT ? "accepted" : "cancelled");
+        ms_requests_answer(entry, call, MS_STATUS_OK,
+                           append->kind == MS_APPEND_ACCEPT ? "accepted" : "cancelled");
         break;
     case MS_KEYED_LOG_NO_ANSWER:
         call->may_have_run = true;
-        forward_or_refuse(entry, call, "log_no_answer");
+        ms_requests_forward_or_refuse(entry, call, "log_no_answer");
         break;
     case MS_KEYED_LOG_REFUSED:
     case MS_KEYED_LOG_FENCED:
@@ -206,7 +157,7 @@
     case MS_KEYED_LOG_END_MISMATCH:
     case MS_KEYED_LOG_EXPIRED:
     case MS_KEYED_LOG_MALFORMED:
-        forward_or_refuse(entry, call, "log_refused");
+        ms_requests_forward_or_refuse(entry, call, "log_refused");
         break;
     }
 }
@@ -222,7 +173,7 @@
     for (guint i = 0; appends != NULL && i < appends->len; i++) {
         struct ms_append *append = g_ptr_array_index(appends, i);
         if (append->kind == kind && append->call != NULL) {
-            answer(entry, append->call, STATUS_OK, "seen_in_log");
+            ms_requests_answer(entry, append->call, MS_STATUS_OK, "seen_in_log");
             append->call = NULL;
         }
     }
@@ -239,11 +190,11 @@
     const struct ms_stored_job *existing = ms_job_table_find(entry->table, id);
     if (call->error[0] != '\0') {
         ms_counter_add(entry->counters, MS_COUNT_BAD_REQUESTS, 1);
-        answer(entry, call, STATUS_BAD_REQUEST, call->error);
+        ms_requests_answer(entry, call, MS_STATUS_BAD_REQUEST, call->error);
         return;
     }
     if (existing != NULL && existing->accepted) {
-        answer(entry, call, STATUS_OK, "known");
+        ms_requests_answer(entry, call, MS_STATUS_OK, "known");
         return;
     }
     struct ms_batch_spec *spec = &call->spec;
@@ -254,12 +205,12 @@
     if (strlen(id) >= sizeof(spec->id) ||
         ms_batch_spec_check(spec, call->error, sizeof(call->error)) != MS_OK) {
         ms_counter_add(entry->counters, MS_COUNT_BAD_REQUESTS, 1);
-        answer(entry, call, STATUS_BAD_REQUEST,
-               strlen(id) >= sizeof(spec->id) ? "id: too long" : call->error);
+        ms_requests_answer(entry, call, MS_STATUS_BAD_REQUEST,
+                           strlen(id) >= sizeof(spec->id) ? "id: too long" : call->error);
         return;
     }
     if (!entry->reachable[MS_STREAM_JOBS]) {
-        forward_or_refuse(entry, call, "log_unreachable");
+        ms_requests_forward_or_refuse(entry, call, "log_unreachable");
         return;
     }
     /* Appends of this host failed a moment ago: prefer another host. */
@@ -268,113 +219,12 @@
         return;
     }
     if (ms_entry_peers_log_unavailable(entry)) {
-        answer(entry, call, STATUS_UNAVAILABLE, "log_lost");
+        ms_requests_answer(entry, call, MS_STATUS_UNAVAILABLE, "log_lost");
         return;
     }
     size_t length = 0;
     uint8_t *bytes = ms_batch_spec_pack(spec, &length);
-    push_append(entry, call, MS_APPEND_ACCEPT, id, g_bytes_new_take(bytes, length));
-}
-
-/* Returns the job ID if it exists and ACCOUNT may see it; otherwise answers CALL. */
-static struct ms_stored_job *
-find_job(struct ms_entry *entry, struct ms_entry_call *call, const struct ms_queue_rule *queue,
-         const char *account, const char *id)
-{
-    struct ms_stored_job *job = ms_job_table_find(entry->table, id);
-    bool known = job != NULL && job->accepted;
-    if (known && (queue->allow_anonymous || strcmp(job->spec.account, account) == 0)) {
-        return job;
-    }
-    if (known || may_deny_job(entry, call)) {
-        answer(entry, call, STATUS_GONE, "no_such_job");
-    }
-    else {
-        forward_or_refuse(entry, call, "jobs_not_current");
-    }
-    return NULL;
-}
-
-static void
-cancel_job(struct ms_entry *entry, struct ms_entry_call *call, const struct ms_stored_job *job)
-{
-    if (job->cancelled || job->phase != MS_PHASE_OPEN) {
-        answer(entry, call, STATUS_OK, "ended_before");
-        return;
-    }
-    if (!entry->reachable[MS_STREAM_JOBS]) {
-        forward_or_refuse(entry, call, "log_unreachable");
-        return;
-    }
-    static const char value[] = "cancelled";
-    push_append(entry, call, MS_APPEND_CANCEL, job->id, g_bytes_new_static(value, strlen(value)));
-}
-
-/*
- * Whether a read of the log may change the answer to CALL, which has not waited for one
- * yet: the job ID is not in the table, or its state is asked for and it has not ended.
- */
-static bool
-wants_refresh(const struct ms_entry *entry, const struct ms_entry_call *call, const char *id)
-{
-    const struct ms_stored_job *job = ms_job_table_find(entry->table, id);
-    bool open = call->method == MS_METHOD_GET && job != NULL && job->accepted &&
-                ms_stored_job_phase(job) == MS_PHASE_OPEN;
-    return call->refresh_deadline_at == 0 && (job == NULL || open);
-}
-
-/* Makes CALL wait for a read of the log if that may change the answer; see wants_refresh(). */
-static bool
-await_refresh(struct ms_entry *entry, struct ms_entry_call *call, const char *id)
-{
-    struct ms_stream_reader *reader = entry->stream_readers[MS_STREAM_JOBS];
-    int64_t wait_max_ms = REFRESH_WAIT_MAX_MS;
-    if (!wants_refresh(entry, call, id)) {
-        return false;
-    }
-    if (call->method == MS_METHOD_DELETE && entry->reachable[MS_STREAM_JOBS]) {
-        ms_stream_reader_read_again(reader);
-        wait_max_ms = DENIAL_WAIT_MAX_MS;
-    }
-    else if (!ms_stream_reader_read_now(reader)) {
-        return false;
-    }
-    call->refresh_deadline_at = entry->now + wait_max_ms;
-    g_ptr_array_add(entry->calls_awaiting_refresh, call);
-    return true;
-}
-
-/* Handles CALL, a GET or DELETE of the job ID. */
-static void
-handle_job_call(struct ms_entry *entry, struct ms_entry_call *call,
-                const struct ms_queue_rule *queue, const char *account, const char *id)
-{
-    if (await_refresh(entry, call, id)) {
-        return;
-    }
-    const struct ms_stored_job *job = find_job(entry, call, queue, account, id);
-    if (job == NULL) {
-        return;
-    }
-    if (call->method == MS_METHOD_DELETE) {
-        cancel_job(entry, call, job);
-        return;
-    }
-    call->response_body = ms_api_encode_state(ms_stored_job_phase(job), job->started);
-    answer(entry, call, STATUS_OK, "state");
-}
-
-/* Answers CALL with the number of jobs that wait in QUEUE. */
-static void
-answer_queue(struct ms_entry *entry, struct ms_entry_call *call, const struct ms_queue_rule *queue)
-{
-    if (!jobs_are_current(entry)) {
-        forward_or_refuse(entry, call, "jobs_not_current");
-        return;
-    }
-    call->response_body =
-        ms_api_encode_waiting(ms_job_table_count_waiting(entry->table, queue->name));
-    answer(entry, call, STATUS_OK, "waiting");
+    ms_requests_append(entry, call, MS_APPEND_ACCEPT, id, g_bytes_new_take(bytes, length));
 }
 
 /* Checks the configuration, the queue and the API key, then handles CALL by its method. */
@@ -382,37 +232,37 @@
 handle_call(struct ms_entry *entry, struct ms_entry_call *call)
 {
     if (!config_is_current(entry) || !entry->jobs_loaded) {
-        forward_or_refuse(entry, call, "config_not_current");
+        ms_requests_forward_or_refuse(entry, call, "config_not_current");
         return;
     }
     if (call->min_config_version > entry->policy->version) {
-        answer(entry, call, STATUS_UNAVAILABLE, "config_behind_peer");
+        ms_requests_answer(entry, call, MS_STATUS_UNAVAILABLE, "config_behind_peer");
         return;
     }
     const struct ms_queue_rule *queue = ms_policy_find_route(entry->policy, call->host, call->path);
     if (queue == NULL) {
-        answer(entry, call, STATUS_NOT_FOUND, "no_such_queue");
+        ms_requests_answer(entry, call, MS_STATUS_NOT_FOUND, "no_such_queue");
         return;
     }
     const struct ms_account_rule *account =
         call->key != NULL ? ms_policy_find_account_by_key(entry->policy, call->key) : NULL;
     if (account == NULL && !queue->allow_anonymous) {
-        answer(entry, call, STATUS_UNAUTHORIZED, "unknown_key");
+        ms_requests_answer(entry, call, MS_STATUS_UNAUTHORIZED, "unknown_key");
         return;
     }
     const char *name = account != NULL ? account->name : "";
     const char *id = call->path + strlen(queue->path_prefix);
     if (id[0] == '\0' && call->method == MS_METHOD_GET) {
-        answer_queue(entry, call, queue);
+        ms_job_calls_answer_queue(entry, call, queue);
     }
     else if (call->method == MS_METHOD_OTHER || id[0] == '\0') {
-        answer(entry, call, STATUS_METHOD_NOT_ALLOWED, "method_not_allowed");
+        ms_requests_answer(entry, call, MS_STATUS_METHOD_NOT_ALLOWED, "method_not_allowed");
     }
     else if (call->method == MS_METHOD_POST) {
         submit_job(entry, call, queue, name, id);
     }
     else {
-        handle_job_call(entry, call, queue, name, id);
+        ms_job_calls_handle(entry, call, queue, name, id);
     }
 }
 
