--- a/tests/check.py
+++ b/tests/check.py
@@ -52,6 +52,7 @@
     for seed in ("7", "202"):  # a short general run, then seeds that have failed before
         command = ["/usr/bin/python3", f"{HERE}/soak/soak.py", "--seed", seed, "--seconds", "6"]
         yield f"soak-{seed}", command, None
+    yield "soak-late", command + ["--late"], None
     for path in sorted(glob.glob(f"{HERE}/process/*.expected")):
         script = path[:-len(".expected")] + ".py"
         yield f"process-{os.path.basename(script)[:-3]}", ["/usr/bin/python3", script], path
