--- a/tests/batch/simulator_faults.c
+++ b/tests/batch/simulator_faults.c
@@ -10,6 +10,7 @@
 #include "batch/simulator_private.h"
 
 #define DIRECTORY_ENTRY_TIMEOUT_MS 4500 /* when the entry of an unreachable server expires */
+#define ENTRY_LAG_LIMIT_MS 1900         /* a directory entry is less late than this */
 #define LEADER_SERIES_INTERVAL_MS 3000  /* at most, between two losses of a series */
 #define LEADER_SERIES_MAX 4             /* losses of one series: all within 12 s */
 
@@ -49,6 +50,8 @@
 list_server(struct simulator *simulator, struct simulated_server *server)
 {
     server->unlisted = false;
+    server->entry_due_at = 0;
+    server->entry.clock_ms = simulated_server_clock(simulator, server);
     if (simulator->engine != NULL) {
         ms_engine_update_server(simulator->engine, &server->entry, simulator->now);
     }
@@ -73,6 +76,13 @@
     simulator_note_fault(simulator, server->unlist_at);
 }
 
+/* How long the directory takes to show a start; draws no random number. */
+static int64_t
+entry_lag_ms(const struct simulator *simulator)
+{
+    return simulator->now % ENTRY_LAG_LIMIT_MS;
+}
+
 static void
 restart_server(struct simulator *simulator, struct simulated_server *server)
 {
@@ -81,7 +91,7 @@
     server->entry.start_unix_ms += 100000;
     simulator_note_fault(simulator, simulator->now);
     if (!server->unlisted) {
-        list_server(simulator, server);
+        server->entry_due_at = simulator->now + entry_lag_ms(simulator);
     }
 }
 
@@ -176,6 +186,9 @@
     if (simulator_chance(simulator, faults->server_restart)) {
         restart_server(simulator, server);
     }
+    if (server->entry_due_at > 0 && simulator->now >= server->entry_due_at && !server->unlisted) {
+        list_server(simulator, server);
+    }
     if (simulator_chance(simulator, faults->run_stall)) {
         stall_server(simulator, server, random_time(simulator, 5000));
     }
