A server that has started again under its id is renewed at once under the next fence

Until a renewal with the next fence reaches such a server, it carries out late orders to its earlier incarnation. When an answer told of the start, the engine reset the server, forgot the start time that it had just read, and waited for the directory before it renewed.

Now the renewal follows the answer, and the start time is kept, so that an entry of the earlier incarnation that arrives late is not taken for the present one. What remains is the time until we hear of the start, in which nothing can refuse a late order.

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -361,6 +361,29 @@
     }
 }
 
+static bool
+is_of_other_incarnation(const struct ms_batch_server *server, const struct ms_server_report *report)
+{
+    return report->start_unix_ms != 0 && server->entry.start_unix_ms != 0 &&
+           report->start_unix_ms != server->entry.start_unix_ms;
+}
+
+/*
+ * REPORT shows that SERVER has started again under its id.  Until a renewal with the next fence
+ * reaches it, it carries out late orders to its earlier incarnation, so that one is due at once.
+ * The report itself is not used, as such orders may follow it.
+ */
+static void
+renew_restarted(struct ms_engine *engine, struct ms_batch_server *server,
+                const struct ms_server_report *report)
+{
+    ms_batch_server_reset(engine, server, true, "reborn");
+    server->entry.start_unix_ms = report->start_unix_ms;
+    server->clock_ms = report->clock_ms;
+    server->next_renewal_at = engine->now;
+    renew_if_due(engine, server);
+}
+
 void
 ms_engine_on_renewal_answer(struct ms_engine *engine, const struct ms_engine_action *renewal,
                             enum ms_order_result result, const struct ms_server_report *report,
@@ -379,12 +402,12 @@
         ms_engine_step_down(engine, "fenced_at_server");
         return;
     }
-    bool other_incarnation = report != NULL && report->start_unix_ms != 0 &&
-                             server->entry.start_unix_ms != 0 &&
-                             report->start_unix_ms != server->entry.start_unix_ms;
-    if (result == MS_ORDER_OTHER_INCARNATION || other_incarnation) {
-        bool same_id = result != MS_ORDER_OTHER_INCARNATION;
-        ms_batch_server_reset(engine, server, same_id, same_id ? "reborn" : "other_life");
+    if (result == MS_ORDER_OTHER_INCARNATION) {
+        ms_batch_server_reset(engine, server, false, "other_life");
+        return;
+    }
+    if (report != NULL && is_of_other_incarnation(server, report)) {
+        renew_restarted(engine, server, report);
         return;
     }
     if (result != MS_ORDER_OK || report == NULL) {
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -30,5 +30,6 @@
 TCase *takeover_cases(void);
 TCase *term_cases(void);
 TCase *withheld_cases(void);
+TCase *restart_cases(void);
 
 #endif
--- /dev/null
+++ b/tests/batch/unit_restart.c
@@ -0,0 +1,218 @@
+/*
+ * unit_restart.c - tests of a backend server that starts again under its id, without a fence, with
+ * a new clock, and with ends that are numbered from 1 again.
+ *
+ * The engine runs alone with one server, modelled here.  The directory shows its start late, so
+ * that only its answers tell of it at first.
+ */
+#include <string.h>
+
+#include "batch/engine.h"
+#include "batch/unit.h"
+
+#define TICK_MS 10
+#define FIRST_START_UNIX_MS 5000
+#define SECOND_START_UNIX_MS 9000
+#define JOB_COUNT 2
+#define LISTED_ENDS_MAX 4
+
+struct fixture {
+    struct ms_engine *engine;
+    struct ms_stored_job jobs[JOB_COUNT];
+    int64_t now;
+    int64_t clock_started_at; /* when the server's clock was 0 */
+    int64_t start_unix_ms;
+    char task[MS_TASK_NAME_MAX]; /* that the server runs, or "" */
+    uint32_t run;
+    struct ms_reported_end ends[LISTED_ENDS_MAX]; /* not acknowledged */
+    size_t end_count;
+    uint64_t last_position;
+    uint64_t fence;               /* of the last renewal */
+    bool loses_answers_to_starts; /* it carries them out */
+    bool reachable;
+    uint32_t start_count;
+};
+
+/* The directory shows the server's present entry. */
+static void
+list_server(const struct fixture *fixture)
+{
+    struct ms_directory_entry entry = {.start_unix_ms = fixture->start_unix_ms,
+                                       .id = "one",
+                                       .address = "127.0.0.1:1",
+                                       .dc = "dc",
+                                       .service = "service",
+                                       .clock_ms = fixture->now - fixture->clock_started_at,
+                                       .capacity = {64000, 64000, 8}};
+    ms_engine_update_server(fixture->engine, &entry, fixture->now);
+}
+
+static void
+fixture_init(struct fixture *fixture)
+{
+    static struct ms_queue_rule queues[] = {
+        {.name = "q0", .service = "service", .failures_max = 9}};
+    static const struct ms_policy policy = {.version = 1, .queues = queues, .queue_count = 1};
+    struct ms_engine_limits limits;
+    memset(fixture, 0, sizeof(*fixture));
+    fixture->now = 1000000;
+    fixture->start_unix_ms = FIRST_START_UNIX_MS;
+    fixture->reachable = true;
+    ms_engine_limits_defaults(&limits);
+    fixture->engine = ms_engine_new(&limits, 1, 0, fixture->now);
+    ms_engine_set_policy(fixture->engine, &policy);
+    list_server(fixture);
+}
+
+static void
+fixture_clear(struct fixture *fixture)
+{
+    ms_engine_free(fixture->engine);
+    for (size_t i = 0; i < JOB_COUNT; i++) {
+        ms_batch_spec_clear(&fixture->jobs[i].spec);
+    }
+}
+
+/* Submits job INDEX, of one task. */
+static void
+submit(struct fixture *fixture, size_t index, const char *id)
+{
+    struct ms_stored_job *job = &fixture->jobs[index];
+    g_strlcpy(job->id, id, sizeof(job->id));
+    job->accepted = true;
+    simple_spec(&job->spec, id, "q0", 1, 1);
+    ms_engine_add_job(fixture->engine, job, fixture->now);
+}
+
+/* The server starts again under its id: it has nothing of before. */
+static void
+restart(struct fixture *fixture)
+{
+    fixture->start_unix_ms = SECOND_START_UNIX_MS;
+    fixture->clock_started_at = fixture->now;
+    fixture->task[0] = '\0';
+    fixture->end_count = 0;
+    fixture->last_position = 0;
+    fixture->fence = 0;
+}
+
+static void
+forget_ends(struct fixture *fixture, uint64_t position)
+{
+    while (fixture->end_count > 0 && fixture->ends[0].position <= position) {
+        fixture->end_count--;
+        memmove(&fixture->ends[0], &fixture->ends[1],
+                fixture->end_count * sizeof(fixture->ends[0]));
+    }
+}
+
+static void
+answer_renewal(struct fixture *fixture, const struct ms_engine_action *renewal)
+{
+    struct ms_reported_run running = {.run = fixture->run, .percent = 10};
+    struct ms_server_report report = {.start_unix_ms = fixture->start_unix_ms,
+                                      .clock_ms = fixture->now - fixture->clock_started_at};
+    if (!fixture->reachable) {
+        ms_engine_on_renewal_answer(fixture->engine, renewal, MS_ORDER_NO_ANSWER, NULL,
+                                    fixture->now, fixture->now);
+        return;
+    }
+    fixture->fence = renewal->fence;
+    forget_ends(fixture, renewal->ack_position);
+    g_strlcpy(running.task, fixture->task, sizeof(running.task));
+    report.running = &running;
+    report.running_count = fixture->task[0] != '\0';
+    report.ended = fixture->ends;
+    report.ended_count = fixture->end_count;
+    ms_engine_on_renewal_answer(fixture->engine, renewal, MS_ORDER_OK, &report, fixture->now,
+                                fixture->now);
+}
+
+static void
+answer_start(struct fixture *fixture, const struct ms_engine_action *start)
+{
+    if (fixture->reachable) {
+        g_strlcpy(fixture->task, start->task, sizeof(fixture->task));
+        fixture->run = start->run;
+        fixture->start_count++;
+    }
+    bool answers = fixture->reachable;
+    ms_engine_on_order_answer(fixture->engine, start, answers ? MS_ORDER_OK : MS_ORDER_NO_ANSWER,
+                              answers ? fixture->now - fixture->clock_started_at : 0, fixture->now);
+}
+
+static void
+answer(struct fixture *fixture, const struct ms_engine_action *action)
+{
+    switch (action->kind) {
+    case MS_ENGINE_RENEW_LEASE:
+        answer_renewal(fixture, action);
+        break;
+    case MS_ENGINE_START:
+        answer_start(fixture, action);
+        break;
+    case MS_ENGINE_STORE:
+        ms_engine_on_stored(fixture->engine, fixture->now);
+        break;
+    case MS_ENGINE_STOP:
+    case MS_ENGINE_QUERY_ADVICE:
+    case MS_ENGINE_STEP_DOWN:
+        break;
+    }
+}
+
+/* Answers the actions that are queued now; what these answers lead to stays in the queue. */
+static void
+answer_queued(struct fixture *fixture)
+{
+    GQueue actions = G_QUEUE_INIT;
+    struct ms_engine_action *action = NULL;
+    while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
+        g_queue_push_tail(&actions, action);
+    }
+    while ((action = g_queue_pop_head(&actions)) != NULL) {
+        answer(fixture, action);
+        ms_engine_action_free(action);
+    }
+}
+
+static void
+run(struct fixture *fixture, int64_t ms)
+{
+    int64_t until = fixture->now + ms;
+    for (; fixture->now < until; fixture->now += TICK_MS) {
+        ms_engine_tick(fixture->engine, fixture->now, fixture->now);
+        answer_queued(fixture);
+    }
+}
+
+/*
+ * Guards against a late start order that a server carries out after it has started again, though
+ * the engine already knows of that start: the next renewal raised its fence only once the
+ * directory showed the start as well.
+ */
+START_TEST(renewal_follows_the_report_of_a_new_start_at_once)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    submit(&fixture, 0, "job");
+    run(&fixture, 500);
+    ck_assert_uint_eq(fixture.start_count, 1);
+    uint64_t fence = fixture.fence;
+    ck_assert_uint_gt(fence, 0);
+    restart(&fixture);
+    answer_queued(&fixture); /* the renewal in flight, still with the earlier fence */
+    ck_assert_uint_eq(fixture.fence, fence);
+    answer_queued(&fixture);
+    ck_assert_uint_gt(fixture.fence, fence);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+TCase *
+restart_cases(void)
+{
+    TCase *cases = tcase_create("restart");
+    tcase_add_test(cases, renewal_follows_the_report_of_a_new_start_at_once);
+    return cases;
+}
