Ends are acknowledged only if the server has reported a moment ago

Callers saw a task run again after it had succeeded (TWICE). The numbers of ends start anew when a server starts again under its id. A renewal that reached such a server carried the position up to which the ends of the earlier incarnation had been seen, and the server forgot as many ends of its own: nobody had seen them, the first report of the new incarnation did not list the run, and the task started again.

Now a renewal acknowledges ends only if the one before it was answered, at most 1 s ago; else it acknowledges none, and the next one does. The same before a withheld end is released: a renewal that does not extend the lease asks for a report first.

Class: a number of one incarnation is used towards another one. Fences, the clock and the start time are the other such numbers.

--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -181,7 +181,12 @@
 {
     if (is_lapsing(server) && server->fence_confirmed && !server->unresponsive &&
         !server->renewal_pending && engine->now >= ms_batch_server_lease_end(engine, server)) {
-        release_withheld_end(engine, server);
+        if (ms_batch_server_may_acknowledge(engine, server)) {
+            release_withheld_end(engine, server);
+        }
+        else {
+            server->next_renewal_at = engine->now; /* for a report; does not extend the lease */
+        }
     }
     if (needs_freezing(engine, server)) {
         freeze_lease_until_end(engine, server);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -308,6 +308,12 @@
 void ms_batch_server_freeze_lease(struct ms_batch_server *server, int64_t until);
 /* All records that rely on the lease of SERVER, which is UNFREEZING, are replaced: it is NORMAL. */
 void ms_batch_server_finish_unfreeze(struct ms_engine *engine, struct ms_batch_server *server);
+/*
+ * Whether the ends that SERVER has reported may be acknowledged now.  Had it started again since
+ * its last report, it would forget ends that nobody has seen, as their positions start anew.
+ */
+bool ms_batch_server_may_acknowledge(const struct ms_engine *engine,
+                                     const struct ms_batch_server *server);
 /* SERVER has answered a renewal; FIRST_ANSWER: its first one to this leader. */
 void ms_batch_server_lease_on_answer(struct ms_engine *engine, struct ms_batch_server *server,
                                      bool first_answer);
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -17,6 +17,7 @@
 #define WITHHELD_INTERVAL_MS 500 /* between renewals while an end is withheld (engine_report.c) */
 #define UNKNOWN_RUNS_INTERVAL_MS 200 /* between renewals while unknown runs are being stopped */
 #define STORE_WAIT_MS 300 /* maximum wait for reported ends to be stored before a renewal */
+#define ACK_REPORT_AGE_MAX_MS 1000 /* of the last report when ends in it are acknowledged */
 
 bool
 ms_batch_server_has_label(const struct ms_batch_server *server, const char *label)
@@ -265,6 +266,14 @@
                                      : server->ends_stored;
 }
 
+bool
+ms_batch_server_may_acknowledge(const struct ms_engine *engine,
+                                const struct ms_batch_server *server)
+{
+    return server->renewal_failure_count == 0 &&
+           engine->now - server->last_report_at <= ACK_REPORT_AGE_MAX_MS;
+}
+
 /* Sets when the lease of SERVER is renewed next; INT64_MAX if there is no need to. */
 static void
 schedule_renewal(struct ms_engine *engine, struct ms_batch_server *server)
@@ -345,7 +354,8 @@
                     server->unknown_run_count == 0 && server->lease_state == MS_LEASE_NORMAL;
     struct ms_engine_action *action = ms_engine_push_action(engine, MS_ENGINE_RENEW_LEASE, server);
     action->deadline_ms = ms_batch_server_new_deadline(engine, server);
-    action->ack_position = ack_position(server);
+    action->ack_position =
+        ms_batch_server_may_acknowledge(engine, server) ? ack_position(server) : 0;
     action->long_poll_ms = may_wait ? renewal_wait_ms(engine, server) : 0;
     action->server_has_tasks = !ms_list_is_empty(&server->tasks);
     server->renewal_pending = true;
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -96,6 +96,18 @@
     fixture->fence = 0;
 }
 
+/* The run on the server ends as done. */
+static void
+end_run(struct fixture *fixture)
+{
+    struct ms_reported_end *end = &fixture->ends[fixture->end_count++];
+    ck_assert_uint_le(fixture->end_count, LISTED_ENDS_MAX);
+    *end = (struct ms_reported_end){
+        .position = ++fixture->last_position, .run = fixture->run, .end = MS_RUN_END_DONE};
+    g_strlcpy(end->task, fixture->task, sizeof(end->task));
+    fixture->task[0] = '\0';
+}
+
 static void
 forget_ends(struct fixture *fixture, uint64_t position)
 {
@@ -136,7 +148,7 @@
         fixture->run = start->run;
         fixture->start_count++;
     }
-    bool answers = fixture->reachable;
+    bool answers = fixture->reachable && !fixture->loses_answers_to_starts;
     ms_engine_on_order_answer(fixture->engine, start, answers ? MS_ORDER_OK : MS_ORDER_NO_ANSWER,
                               answers ? fixture->now - fixture->clock_started_at : 0, fixture->now);
 }
@@ -209,10 +221,47 @@
 }
 END_TEST
 
+/* A job has succeeded on the server, which has started again since. */
+static void
+restart_after_a_job(struct fixture *fixture)
+{
+    submit(fixture, 0, "earlier");
+    run(fixture, 500);
+    end_run(fixture);
+    run(fixture, 3000);
+    ck_assert_uint_eq(fixture->end_count, 0);
+    restart(fixture);
+}
+
+/*
+ * Guards against a task that runs again after it is done: the end of its run was acknowledged
+ * unseen, as a renewal carried a position that an earlier incarnation had reported.
+ */
+START_TEST(ends_of_a_new_incarnation_are_not_acknowledged_unseen)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    restart_after_a_job(&fixture);
+    fixture.loses_answers_to_starts = true;
+    submit(&fixture, 1, "later");
+    while (fixture.start_count < 2) {
+        run(&fixture, TICK_MS);
+    }
+    end_run(&fixture);
+    fixture.loses_answers_to_starts = false;
+    run(&fixture, 1000);
+    list_server(&fixture);
+    run(&fixture, 3000);
+    ck_assert_uint_eq(fixture.start_count, 2);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 restart_cases(void)
 {
     TCase *cases = tcase_create("restart");
     tcase_add_test(cases, renewal_follows_the_report_of_a_new_start_at_once);
+    tcase_add_test(cases, ends_of_a_new_incarnation_are_not_acknowledged_unseen);
     return cases;
 }
