A server that has started again may hold its runs for the longest lease that it grants

Callers could see a task run twice at the same time (TWICE); found by reading, shown by tests, not seen on a deployment. A server that starts again has a new clock. A deadline that was computed for its earlier clock is far ahead on the new one, and the server shortens it to the longest lease that it grants (6 or 10 s), not to ours (5.5 or 8 s). If the server was then not reached any more, its runs were given up when our lease would have ended.

Now the longest lease is counted from the moment at which the start is noticed, and until the first answer.

Remains: if nothing tells of the start, not even a clock, our lease is counted.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -17,6 +17,7 @@
 ms_engine_limits_defaults(struct ms_engine_limits *limits)
 {
     limits->lease_ms = 9000;
+    limits->lease_max_ms = 10000;
     limits->gang_start_ms = 2200;
     limits->stop_grace_ms = 900;
     limits->start_early_ms = 0;
--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -119,15 +119,12 @@
     ms_engine_log_event(engine, "event=lease_unfreezing server=%s", server->id);
 }
 
-/*
- * Counts the leases that earlier leaders may have granted to SERVER until its last answer: they
- * never end later than a full lease after it, but may end later than those of this leader.
- */
-static void
-include_earlier_leases(const struct ms_engine *engine, struct ms_batch_server *server)
+void
+ms_batch_server_include_longest_lease(const struct ms_engine *engine,
+                                      struct ms_batch_server *server)
 {
     server->lease_deadline_max =
-        MAX(server->lease_deadline_max, server->clock_ms + engine->limits.lease_ms);
+        MAX(server->lease_deadline_max, server->clock_ms + engine->limits.lease_max_ms);
 }
 
 void
@@ -136,7 +133,7 @@
     server->lease_state = MS_LEASE_NORMAL;
     server->unfreeze_storing = false;
     server->frozen_until = 0;
-    include_earlier_leases(engine, server);
+    ms_batch_server_include_longest_lease(engine, server);
     server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
     engine->placement_due = true;
 }
@@ -149,7 +146,7 @@
         begin_unfreeze(engine, server);
     }
     else if (first_answer) {
-        include_earlier_leases(engine, server);
+        ms_batch_server_include_longest_lease(engine, server);
     }
 }
 
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -281,13 +281,16 @@
 /* engine_server.c */
 /* The server with this id; one that is not known yet is added, unlisted. */
 struct ms_batch_server *ms_engine_get_or_add_server(struct ms_engine *engine, const char *id);
+/* Another server answers at the address of SERVER, whose tasks are all lost. */
+void ms_batch_server_on_replaced(struct ms_engine *engine, struct ms_batch_server *server);
 /*
- * SERVER has a new incarnation, of which nothing is known yet.  All its tasks are lost,
- * except, if RESTARTED, those not ordered yet and those whose orders may still reach the
- * new incarnation or may have reached it.
+ * SERVER has started again under its id at START_UNIX_MS (0: unknown); its clock was at CLOCK_MS a
+ * moment ago.  Its tasks are lost, except those not ordered yet and those whose orders may still
+ * reach the new incarnation or may have reached it.  Until a renewal with the next fence reaches
+ * it, it carries out late orders to its earlier incarnation, so that one is due at once.
  */
-void ms_batch_server_reset(struct ms_engine *engine, struct ms_batch_server *server, bool restarted,
-                           const char *reason);
+void ms_batch_server_on_restart(struct ms_engine *engine, struct ms_batch_server *server,
+                                int64_t start_unix_ms, int64_t clock_ms);
 /* Why SERVER may not be given tasks, or MS_SERVER_USABLE. */
 enum ms_server_exclusion ms_batch_server_exclusion(const struct ms_engine *engine,
                                                    const struct ms_batch_server *server);
@@ -314,6 +317,12 @@
  */
 bool ms_batch_server_may_acknowledge(const struct ms_engine *engine,
                                      const struct ms_batch_server *server);
+/*
+ * Counts the leases that servers grant at most, until the last answer of SERVER: to a server that
+ * has started again, a deadline for its earlier incarnation is far ahead, so that it grants that.
+ */
+void ms_batch_server_include_longest_lease(const struct ms_engine *engine,
+                                           struct ms_batch_server *server);
 /* SERVER has answered a renewal; FIRST_ANSWER: its first one to this leader. */
 void ms_batch_server_lease_on_answer(struct ms_engine *engine, struct ms_batch_server *server,
                                      bool first_answer);
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -114,9 +114,9 @@
     }
 }
 
-void
-ms_batch_server_reset(struct ms_engine *engine, struct ms_batch_server *server, bool restarted,
-                      const char *reason)
+/* Forgets all that is known of the incarnation of SERVER that was noticed last, but its tasks. */
+static void
+forget_incarnation(struct ms_engine *engine, struct ms_batch_server *server, const char *reason)
 {
     ms_engine_log_event(engine, "event=server_reset server=%s reason=%s", server->id, reason);
     server->incarnation++;
@@ -140,14 +140,29 @@
     server->lapse_due = false;
     server->report_full = false;
     server->unknown_run_count = 0;
-    if (restarted) {
-        lose_tasks_of_restarted(engine, server);
-        /* The runs of kept tasks are lost unless the new incarnation answers within a lease. */
-        server->last_answer_at = engine->now;
-        server->lease_deadline_max = ms_list_is_empty(&server->tasks) ? 0 : engine->limits.lease_ms;
-    }
-    else {
-        lose_all_tasks(engine, server, reason);
+}
+
+void
+ms_batch_server_on_replaced(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    static const char reason[] = "other_life";
+    forget_incarnation(engine, server, reason);
+    lose_all_tasks(engine, server, reason);
+    ms_batch_server_lease_on_reset(engine, server);
+}
+
+void
+ms_batch_server_on_restart(struct ms_engine *engine, struct ms_batch_server *server,
+                           int64_t start_unix_ms, int64_t clock_ms)
+{
+    forget_incarnation(engine, server, "reborn");
+    lose_tasks_of_restarted(engine, server);
+    server->entry.start_unix_ms = start_unix_ms;
+    server->last_answer_at = engine->now;
+    server->clock_ms = clock_ms;
+    server->next_renewal_at = engine->now;
+    if (!ms_list_is_empty(&server->tasks)) {
+        ms_batch_server_include_longest_lease(engine, server);
     }
     ms_batch_server_lease_on_reset(engine, server);
 }
@@ -217,7 +232,7 @@
         return;
     }
     if (restarted) {
-        ms_batch_server_reset(engine, server, true, "reborn");
+        ms_batch_server_on_restart(engine, server, entry->start_unix_ms, entry->clock_ms);
     }
     bool draining_changed = server->entry.draining != entry->draining;
     if (entry->draining && (draining_changed || !server->listed)) {
@@ -378,22 +393,6 @@
            report->start_unix_ms != server->entry.start_unix_ms;
 }
 
-/*
- * REPORT shows that SERVER has started again under its id.  Until a renewal with the next fence
- * reaches it, it carries out late orders to its earlier incarnation, so that one is due at once.
- * The report itself is not used, as such orders may follow it.
- */
-static void
-renew_restarted(struct ms_engine *engine, struct ms_batch_server *server,
-                const struct ms_server_report *report)
-{
-    ms_batch_server_reset(engine, server, true, "reborn");
-    server->entry.start_unix_ms = report->start_unix_ms;
-    server->clock_ms = report->clock_ms;
-    server->next_renewal_at = engine->now;
-    renew_if_due(engine, server);
-}
-
 void
 ms_engine_on_renewal_answer(struct ms_engine *engine, const struct ms_engine_action *renewal,
                             enum ms_order_result result, const struct ms_server_report *report,
@@ -413,11 +412,13 @@
         return;
     }
     if (result == MS_ORDER_OTHER_INCARNATION) {
-        ms_batch_server_reset(engine, server, false, "other_life");
+        ms_batch_server_on_replaced(engine, server);
         return;
     }
     if (report != NULL && is_of_other_incarnation(server, report)) {
-        renew_restarted(engine, server, report);
+        /* The report is not used: until the next fence is seen, late orders may follow it. */
+        ms_batch_server_on_restart(engine, server, report->start_unix_ms, report->clock_ms);
+        renew_if_due(engine, server);
         return;
     }
     if (result != MS_ORDER_OK || report == NULL) {
--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -223,6 +223,7 @@
     struct ms_engine_limits limits;
     ms_engine_limits_defaults(&limits);
     limits.lease_ms = lease_ms(entry);
+    limits.lease_max_ms = entry->settings->lease_max_ms;
     limits.gang_start_ms = (int64_t)((double)entry->settings->gang_start_max_ms * GANG_START_SHARE);
     limits.stop_grace_ms = entry->settings->stop_grace_ms;
     limits.ended_retention_ms =
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -84,6 +84,7 @@
     struct ms_engine_limits limits;
     ms_engine_limits_defaults(&limits);
     limits.lease_ms = SIMULATOR_LEASE_MS;
+
     simulator->epoch++;
     simulator->generation++;
     int64_t earlier_leases_until =
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -15,6 +15,8 @@
 #define SECOND_START_UNIX_MS 9000
 #define JOB_COUNT 2
 #define LISTED_ENDS_MAX 4
+#define LEASE_MAX_MS 10000  /* the longest lease that the server grants, on its clock */
+#define CLOCK_RATE_MIN 0.98 /* a clock may be 2 % slow */
 
 struct fixture {
     struct ms_engine *engine;
@@ -31,6 +33,7 @@
     bool loses_answers_to_starts; /* it carries them out */
     bool reachable;
     uint32_t start_count;
+    int64_t lost_at; /* when the engine gave up a run last */
 };
 
 /* The directory shows the server's present entry. */
@@ -47,6 +50,15 @@
     ms_engine_update_server(fixture->engine, &entry, fixture->now);
 }
 
+static void
+note_lost_run(void *opaque, const char *text)
+{
+    struct fixture *fixture = opaque;
+    if (strstr(text, "event=run_lost") != NULL) {
+        fixture->lost_at = fixture->now;
+    }
+}
+
 static void
 fixture_init(struct fixture *fixture)
 {
@@ -59,8 +71,10 @@
     fixture->start_unix_ms = FIRST_START_UNIX_MS;
     fixture->reachable = true;
     ms_engine_limits_defaults(&limits);
+
     fixture->engine = ms_engine_new(&limits, 1, 0, fixture->now);
     ms_engine_set_policy(fixture->engine, &policy);
+    ms_engine_set_log(fixture->engine, note_lost_run, fixture);
     list_server(fixture);
 }
 
@@ -257,11 +271,55 @@
 }
 END_TEST
 
+/*
+ * The server has carried out and answered a start, and is cut off; the directory shows that it has
+ * started again if LISTED.  The deadline in the order was one of the earlier clock, so that the
+ * server has granted the longest lease that it grants.
+ */
+static void
+expect_longest_lease_waited_for(bool listed)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    restart_after_a_job(&fixture);
+    submit(&fixture, 1, "later");
+    while (fixture.start_count < 2) {
+        run(&fixture, TICK_MS);
+    }
+    int64_t lease_end = fixture.now + (int64_t)(LEASE_MAX_MS / CLOCK_RATE_MIN);
+    fixture.reachable = false;
+    if (listed) {
+        list_server(&fixture);
+    }
+    run(&fixture, 3 * LEASE_MAX_MS);
+    ck_assert_int_ge(fixture.lost_at, lease_end);
+    fixture_clear(&fixture);
+}
+
+/*
+ * Guards against a run that is given up while it goes on, on a server known to have started again:
+ * the engine waited for the end of a lease as it grants them.
+ */
+START_TEST(longest_lease_of_a_server_listed_as_started_again_is_waited_for)
+{
+    expect_longest_lease_waited_for(true);
+}
+END_TEST
+
+/* The same if nothing but the clock in an answer tells that the server has started again. */
+START_TEST(longest_lease_of_a_server_with_a_new_clock_is_waited_for)
+{
+    expect_longest_lease_waited_for(false);
+}
+END_TEST
+
 TCase *
 restart_cases(void)
 {
     TCase *cases = tcase_create("restart");
     tcase_add_test(cases, renewal_follows_the_report_of_a_new_start_at_once);
     tcase_add_test(cases, ends_of_a_new_incarnation_are_not_acknowledged_unseen);
+    tcase_add_test(cases, longest_lease_of_a_server_listed_as_started_again_is_waited_for);
+    tcase_add_test(cases, longest_lease_of_a_server_with_a_new_clock_is_waited_for);
     return cases;
 }
