--- a/tests/batch/simulator_private.h
+++ b/tests/batch/simulator_private.h
@@ -34,13 +34,13 @@
 /* A backend server; simulated_server_clear() resets the state that a restart loses. */
 struct simulated_server {
     struct ms_directory_entry entry;
-    uint64_t fence;         /* highest fencing token seen; orders with a lower one are refused */
-    uint32_t renewal_count; /* lease renewals in this incarnation */
+    uint64_t fence;           /* highest fencing token seen; orders with a lower one are refused */
+    uint32_t renewal_count;   /* lease renewals in this incarnation */
     int64_t clock_started_at; /* when its clock, which starts anew with it, was 0 */
     int64_t entry_due_at;     /* when the directory shows its latest start; 0: it does */
     int64_t lease_deadline;   /* on its clock: when the lease expires */
-    GArray *runs;           /* struct run: runs in progress */
-    GArray *ended;          /* struct ms_reported_end: ends not yet acknowledged, oldest first */
+    GArray *runs;             /* struct run: runs in progress */
+    GArray *ended;            /* struct ms_reported_end: ends not yet acknowledged, oldest first */
     uint64_t last_void_position; /* ends up to this position do not count: the lease expired
                                     before they were acknowledged */
     uint64_t last_end_position;  /* of this incarnation, 0: none */
