--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -116,9 +116,8 @@
 
 /* Forgets all that is known of the incarnation of SERVER that was noticed last, but its tasks. */
 static void
-forget_incarnation(struct ms_engine *engine, struct ms_batch_server *server, const char *reason)
+forget_incarnation(struct ms_engine *engine, struct ms_batch_server *server)
 {
-    ms_engine_log_event(engine, "event=server_reset server=%s reason=%s", server->id, reason);
     server->incarnation++;
     if (server->incarnation == MS_FENCES_PER_EPOCH) {
         ms_engine_step_down(engine, "fences_used_up"); /* the next epoch has further ones */
@@ -146,16 +145,19 @@
 ms_batch_server_on_replaced(struct ms_engine *engine, struct ms_batch_server *server)
 {
     static const char reason[] = "other_life";
-    forget_incarnation(engine, server, reason);
+    ms_engine_log_event(engine, "event=server_reset server=%s reason=%s", server->id, reason);
+    forget_incarnation(engine, server);
     lose_all_tasks(engine, server, reason);
     ms_batch_server_lease_on_reset(engine, server);
 }
 
 void
 ms_batch_server_on_restart(struct ms_engine *engine, struct ms_batch_server *server,
-                           int64_t start_unix_ms, int64_t clock_ms)
+                           int64_t start_unix_ms, int64_t clock_ms, const char *source)
 {
-    forget_incarnation(engine, server, "reborn");
+    ms_engine_log_event(engine, "event=server_reset server=%s reason=reborn source=%s", server->id,
+                        source);
+    forget_incarnation(engine, server);
     lose_tasks_of_restarted(engine, server);
     server->entry.start_unix_ms = start_unix_ms;
     server->last_answer_at = engine->now;
@@ -232,7 +234,8 @@
         return;
     }
     if (restarted) {
-        ms_batch_server_on_restart(engine, server, entry->start_unix_ms, entry->clock_ms);
+        ms_batch_server_on_restart(engine, server, entry->start_unix_ms, entry->clock_ms,
+                                   "directory");
     }
     bool draining_changed = server->entry.draining != entry->draining;
     if (entry->draining && (draining_changed || !server->listed)) {
@@ -417,7 +420,8 @@
     }
     if (report != NULL && is_of_other_incarnation(server, report)) {
         /* The report is not used: until the next fence is seen, late orders may follow it. */
-        ms_batch_server_on_restart(engine, server, report->start_unix_ms, report->clock_ms);
+        ms_batch_server_on_restart(engine, server, report->start_unix_ms, report->clock_ms,
+                                   "report");
         renew_if_due(engine, server);
         return;
     }
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -550,7 +550,7 @@
     }
     if (clock_ms > 0 && clock_ms < server->clock_ms - CLOCK_READING_AGE_MAX_MS) {
         /* Its first report decides about the run, also if the start of it was confirmed. */
-        ms_batch_server_on_restart(engine, server, 0, clock_ms);
+        ms_batch_server_on_restart(engine, server, 0, clock_ms, "clock");
         return;
     }
     if (clock_ms > 0) {
