Mutants: restarts of servers under their id

Three deliberate faults around a server that starts again: renewed late, ends acknowledged unseen, a lease that is too short. All three are caught by batch-unit, which now is among the tests of mutants.py.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -15,7 +15,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 COPY = os.path.join(ROOT, "build", "mutants")
-TESTS = [["build/unit-tests"], ["build/differential", "faults", "1", "400"],
+TESTS = [["build/unit-tests"], ["build/batch-unit"], ["build/differential", "faults", "1", "400"],
          ["build/differential", "agree", "1", "60"], ["build/differential", "guarantees", "1", "2000"],
          ["/usr/bin/python3", "tests/check.py", "replay-reclaim", "replay-takeover", "replay-dc_out",
           "replay-quarantine", "replay-leaving"]]
@@ -61,6 +61,14 @@
      "bad servers are found"),
     ("post_sent_again", "src/platform/http.c", "    http->send_once = body != NULL;",
      "    http->send_once = false;", "a request is sent once"),
+    ("restart_renewed_late", "src/batch/engine_server.c",
+     "    server->next_renewal_at = engine->now;\n    if (!ms_list", "    if (!ms_list",
+     "late orders to an earlier incarnation are refused"),
+    ("acks_unseen", "src/batch/engine_server.c", "    return !server->unresponsive &&",
+     "    return true ||", "no end is acknowledged unseen"),
+    ("restart_short_lease", "src/batch/engine_lease.c",
+     "server->clock_ms + engine->limits.lease_max_ms", "server->clock_ms + engine->limits.lease_ms",
+     "a run is given up only when its lease has expired"),
     ("late_rule_wins", "src/logstate/logstate.c", "    if (current != change->replaces) {",
      "    if (false) {", "configuration never reverts"),
     ("old_snapshot_wins", "src/logstate/snapshot.c",
