A late entry of an earlier start does not replace that of a server whose time stepped back

If a server's time of day steps back before it starts again under its id, a late directory entry of its earlier start has the later time. It was taken for one more start, and runs that reports had shown were given up while they went on. Now an entry with the start time of the incarnation before is ignored, and a start that only a clock told of gets its time from the first report.

--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -131,6 +131,7 @@
     bool unresponsive;                /* the last call had no answer */
     bool renewal_pending;             /* a renewal awaits its answer */
     uint32_t snapshot_number;         /* number of the directory snapshot that last listed it */
+    int64_t earlier_start_unix_ms;    /* start of the incarnation before, 0: none known */
     uint32_t incarnation;             /* rises whenever a new incarnation is noticed */
     uint32_t renewal_failure_count;   /* consecutive renewals without an answer */
     int64_t next_renewal_at;          /* when to renew its lease, INT64_MAX: not needed */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -157,6 +157,7 @@
 {
     ms_engine_log_event(engine, "event=server_reset server=%s reason=reborn source=%s", server->id,
                         source);
+    server->earlier_start_unix_ms = server->entry.start_unix_ms;
     forget_incarnation(engine, server);
     lose_tasks_of_restarted(engine, server);
     server->entry.start_unix_ms = start_unix_ms;
@@ -193,13 +194,17 @@
 }
 
 /*
- * Whether ENTRY was delayed, and SERVER has started again since.  If SERVER does not answer
- * and has no tasks, ENTRY may also be of a later incarnation, with the time of day set back.
+ * Whether ENTRY was delayed, and SERVER has started again since.  Its time of day may have been
+ * set back in between.  If SERVER does not answer and has no tasks, ENTRY may also be of a later
+ * incarnation, after such a step.
  */
 static bool
 is_of_earlier_incarnation(const struct ms_batch_server *server,
                           const struct ms_directory_entry *entry)
 {
+    if (entry->start_unix_ms != 0 && entry->start_unix_ms == server->earlier_start_unix_ms) {
+        return true;
+    }
     bool started_earlier = server->entry.id[0] != '\0' && entry->start_unix_ms != 0 &&
                            entry->start_unix_ms < server->entry.start_unix_ms;
     bool may_be_gone = server->unresponsive && ms_list_is_empty(&server->tasks);
@@ -436,6 +441,9 @@
             server->id, engine->epoch, report->running_count, report->ended_count);
         engine->placement_due = true;
     }
+    if (server->entry.start_unix_ms == 0) {
+        server->entry.start_unix_ms = report->start_unix_ms;
+    }
     server->fence_confirmed = true;
     server->unresponsive = false;
     server->renewal_failure_count = 0;
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -13,6 +13,7 @@
 #define TICK_MS 10
 #define FIRST_START_UNIX_MS 5000
 #define SECOND_START_UNIX_MS 9000
+#define STEPPED_BACK_START_UNIX_MS 3000
 #define JOB_COUNT 2
 #define LISTED_ENDS_MAX 4
 #define LEASE_MAX_MS 10000  /* the longest lease that the server grants, on its clock */
@@ -235,6 +236,30 @@
 }
 END_TEST
 
+/*
+ * Guards against runs that are given up while they go on: the server's time of day has stepped back,
+ * and the entry of its earlier start, with the later time, arrives after its first reports.
+ */
+START_TEST(late_entry_of_an_earlier_start_does_not_lose_runs)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    restart(&fixture);
+    fixture.start_unix_ms = STEPPED_BACK_START_UNIX_MS;
+    submit(&fixture, 0, "job");
+    run(&fixture, 500);
+    ck_assert_uint_eq(fixture.start_count, 1);
+    fixture.start_unix_ms = FIRST_START_UNIX_MS;
+    list_server(&fixture);
+    fixture.start_unix_ms = STEPPED_BACK_START_UNIX_MS;
+    run(&fixture, 3000);
+    ck_assert_int_eq(fixture.lost_at, 0);
+    ck_assert_uint_eq(fixture.start_count, 1);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 /* A job has succeeded on the server, which has started again since. */
 static void
 restart_after_a_job(struct fixture *fixture)
@@ -318,6 +343,7 @@
 {
     TCase *cases = tcase_create("restart");
     tcase_add_test(cases, renewal_follows_the_report_of_a_new_start_at_once);
+    tcase_add_test(cases, late_entry_of_an_earlier_start_does_not_lose_runs);
     tcase_add_test(cases, ends_of_a_new_incarnation_are_not_acknowledged_unseen);
     tcase_add_test(cases, longest_lease_of_a_server_listed_as_started_again_is_waited_for);
     tcase_add_test(cases, longest_lease_of_a_server_with_a_new_clock_is_waited_for);
