--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -366,6 +366,46 @@
     g_hash_table_remove(engine->jobs_by_id, job->id);
 }
 
+/* The ends that the store in progress contains may be acknowledged, and leases extended again. */
+static void
+note_server_stored(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    if (server->ends_storing > server->ends_stored) {
+        server->ends_stored = server->ends_storing;
+        server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
+    }
+    if (server->unfreeze_storing) {
+        ms_batch_server_finish_unfreeze(engine, server);
+    }
+}
+
+/* Orders the starts of STEP whose runs the store in progress contains. */
+static void
+order_stored_starts(struct ms_engine *engine, struct ms_batch_step *step)
+{
+    for (uint32_t i = 0; step->active > 0 && i < step->spec->task_count; i++) {
+        struct ms_batch_task *task = &step->tasks[i];
+        if (task->state == MS_BATCH_TASK_RECORDING && task->store_pending) {
+            task->state = MS_BATCH_TASK_STARTING;
+            task->next_order_at = engine->now;
+            ms_batch_task_send_order(engine, task);
+        }
+    }
+}
+
+/* The same for all steps of JOB. */
+static void
+note_job_stored(struct ms_engine *engine, struct ms_batch_job *job)
+{
+    job->store_pending = false;
+    for (guint i = 0; i < job->occurrences->len; i++) {
+        struct ms_batch_occurrence *occurrence = g_ptr_array_index(job->occurrences, i);
+        for (size_t s = 0; occurrence->steps != NULL && s < job->spec->step_count; s++) {
+            order_stored_starts(engine, &occurrence->steps[s]);
+        }
+    }
+}
+
 void
 ms_engine_on_stored(struct ms_engine *engine, int64_t now)
 {
@@ -373,36 +413,14 @@
     engine->store_pending = false;
     MS_LIST_FOREACH(server_link, &engine->servers)
     {
-        struct ms_batch_server *server =
-            MS_CONTAINER_OF(server_link, struct ms_batch_server, servers_link);
-        if (server->ends_storing > server->ends_stored) {
-            server->ends_stored = server->ends_storing;
-            server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
-        }
-        if (server->unfreeze_storing) {
-            ms_batch_server_finish_unfreeze(engine, server);
-        }
+        note_server_stored(engine,
+                           MS_CONTAINER_OF(server_link, struct ms_batch_server, servers_link));
     }
     MS_LIST_FOREACH(link, &engine->jobs)
     {
         struct ms_batch_job *job = MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link);
-        if (!job->store_pending) {
-            continue;
-        }
-        job->store_pending = false;
-        for (guint i = 0; i < job->occurrences->len; i++) {
-            struct ms_batch_occurrence *occurrence = g_ptr_array_index(job->occurrences, i);
-            for (size_t s = 0; occurrence->steps != NULL && s < job->spec->step_count; s++) {
-                struct ms_batch_step *step = &occurrence->steps[s];
-                for (uint32_t k = 0; step->active > 0 && k < step->spec->task_count; k++) {
-                    struct ms_batch_task *task = &step->tasks[k];
-                    if (task->state == MS_BATCH_TASK_RECORDING && task->store_pending) {
-                        task->state = MS_BATCH_TASK_STARTING;
-                        task->next_order_at = engine->now;
-                        ms_batch_task_send_order(engine, task);
-                    }
-                }
-            }
+        if (job->store_pending) {
+            note_job_stored(engine, job);
         }
     }
 }
