--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -401,6 +401,36 @@
            report->start_unix_ms != server->entry.start_unix_ms;
 }
 
+/* SERVER has answered RENEWAL, which was sent at SENT_AT, with REPORT. */
+static void
+accept_report(struct ms_engine *engine, struct ms_batch_server *server,
+              const struct ms_engine_action *renewal, const struct ms_server_report *report,
+              int64_t sent_at)
+{
+    bool first_answer = !server->fence_confirmed;
+    if (first_answer || server->unresponsive) {
+        ms_engine_log_event(
+            engine, "event=server_held server=%s epoch=%" G_GUINT64_FORMAT " running=%zu ended=%zu",
+            server->id, engine->epoch, report->running_count, report->ended_count);
+        engine->placement_due = true;
+    }
+    if (server->entry.start_unix_ms == 0) {
+        server->entry.start_unix_ms = report->start_unix_ms;
+    }
+    server->fence_confirmed = true;
+    server->unresponsive = false;
+    server->renewal_failure_count = 0;
+    server->last_answer_at = engine->now;
+    server->clock_ms = report->clock_ms;
+    server->last_report_at = engine->now;
+    server->ends_acked = MAX(server->ends_acked, renewal->ack_position);
+    ms_batch_server_lease_on_answer(engine, server, first_answer);
+    ms_batch_server_on_report(engine, server, report, sent_at);
+    ms_batch_server_update_speed(engine, server);
+    schedule_renewal(engine, server);
+    renew_if_due(engine, server);
+}
+
 void
 ms_engine_on_renewal_answer(struct ms_engine *engine, const struct ms_engine_action *renewal,
                             enum ms_order_result result, const struct ms_server_report *report,
@@ -434,28 +464,7 @@
         renewal_failed(engine, server);
         return;
     }
-    bool first_answer = !server->fence_confirmed;
-    if (first_answer || server->unresponsive) {
-        ms_engine_log_event(
-            engine, "event=server_held server=%s epoch=%" G_GUINT64_FORMAT " running=%zu ended=%zu",
-            server->id, engine->epoch, report->running_count, report->ended_count);
-        engine->placement_due = true;
-    }
-    if (server->entry.start_unix_ms == 0) {
-        server->entry.start_unix_ms = report->start_unix_ms;
-    }
-    server->fence_confirmed = true;
-    server->unresponsive = false;
-    server->renewal_failure_count = 0;
-    server->last_answer_at = engine->now;
-    server->clock_ms = report->clock_ms;
-    server->last_report_at = engine->now;
-    server->ends_acked = MAX(server->ends_acked, renewal->ack_position);
-    ms_batch_server_lease_on_answer(engine, server, first_answer);
-    ms_batch_server_on_report(engine, server, report, sent_at);
-    ms_batch_server_update_speed(engine, server);
-    schedule_renewal(engine, server);
-    renew_if_due(engine, server);
+    accept_report(engine, server, renewal, report, sent_at);
 }
 
 static void
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -521,6 +521,31 @@
     }
 }
 
+/* SERVER has answered ORDER with RESULT: its task, if it still has that run, changes its state. */
+static void
+task_answered(struct ms_engine *engine, struct ms_batch_server *server,
+              const struct ms_engine_action *order, enum ms_order_result result)
+{
+    bool start = order->kind == MS_ENGINE_START;
+    struct ms_batch_task *task = ms_engine_find_task(engine, order->task);
+    if (task == NULL || task->server != server || task->run != order->run) {
+        return;
+    }
+    if (start && task->state == MS_BATCH_TASK_STARTING) {
+        task->order_pending = false;
+        task->last_answer_at = engine->now;
+        start_answered(engine, task, result);
+    }
+    else if (!start && task->state == MS_BATCH_TASK_STOPPING) {
+        task->order_pending = false;
+        if (result == MS_ORDER_OK || result == MS_ORDER_STALE_RUN) {
+            task->stop_confirmed = true;
+            task->last_answer_at = engine->now;
+        }
+        server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
+    }
+}
+
 void
 ms_engine_on_order_answer(struct ms_engine *engine, const struct ms_engine_action *order,
                           enum ms_order_result result, int64_t clock_ms, int64_t now)
@@ -557,21 +582,5 @@
         server->last_answer_at = engine->now;
         server->clock_ms = MAX(server->clock_ms, clock_ms);
     }
-    struct ms_batch_task *task = ms_engine_find_task(engine, order->task);
-    if (task == NULL || task->server != server || task->run != order->run) {
-        return;
-    }
-    if (start && task->state == MS_BATCH_TASK_STARTING) {
-        task->order_pending = false;
-        task->last_answer_at = engine->now;
-        start_answered(engine, task, result);
-    }
-    else if (!start && task->state == MS_BATCH_TASK_STOPPING) {
-        task->order_pending = false;
-        if (result == MS_ORDER_OK || result == MS_ORDER_STALE_RUN) {
-            task->stop_confirmed = true;
-            task->last_answer_at = engine->now;
-        }
-        server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
-    }
+    task_answered(engine, server, order, result);
 }
