--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -17,6 +17,7 @@
 #define WITHHELD_INTERVAL_MS 500 /* between renewals while an end is withheld (engine_report.c) */
 #define UNKNOWN_RUNS_INTERVAL_MS 200 /* between renewals while unknown runs are being stopped */
 #define STORE_WAIT_MS 300 /* maximum wait for reported ends to be stored before a renewal */
+#define ACK_REPORT_AGE_MAX_MS 1000 /* of the last report when ends in it are acknowledged */
 
 bool
 ms_batch_server_has_label(const struct ms_batch_server *server, const char *label)
@@ -113,11 +114,10 @@
     }
 }
 
-void
-ms_batch_server_reset(struct ms_engine *engine, struct ms_batch_server *server, bool restarted,
-                      const char *reason)
+/* Forgets all that is known of the incarnation of SERVER that was noticed last, but its tasks. */
+static void
+forget_incarnation(struct ms_engine *engine, struct ms_batch_server *server)
 {
-    ms_engine_log_event(engine, "event=server_reset server=%s reason=%s", server->id, reason);
     server->incarnation++;
     if (server->incarnation == MS_FENCES_PER_EPOCH) {
         ms_engine_step_down(engine, "fences_used_up"); /* the next epoch has further ones */
@@ -139,14 +139,33 @@
     server->lapse_due = false;
     server->report_full = false;
     server->unknown_run_count = 0;
-    if (restarted) {
-        lose_tasks_of_restarted(engine, server);
-        /* The runs of kept tasks are lost unless the new incarnation answers within a lease. */
-        server->last_answer_at = engine->now;
-        server->lease_deadline_max = ms_list_is_empty(&server->tasks) ? 0 : engine->limits.lease_ms;
-    }
-    else {
-        lose_all_tasks(engine, server, reason);
+}
+
+void
+ms_batch_server_on_replaced(struct ms_engine *engine, struct ms_batch_server *server)
+{
+    static const char reason[] = "other_life";
+    ms_engine_log_event(engine, "event=server_reset server=%s reason=%s", server->id, reason);
+    forget_incarnation(engine, server);
+    lose_all_tasks(engine, server, reason);
+    ms_batch_server_lease_on_reset(engine, server);
+}
+
+void
+ms_batch_server_on_restart(struct ms_engine *engine, struct ms_batch_server *server,
+                           int64_t start_unix_ms, int64_t clock_ms, const char *source)
+{
+    ms_engine_log_event(engine, "event=server_reset server=%s reason=reborn source=%s", server->id,
+                        source);
+    server->earlier_start_unix_ms = server->entry.start_unix_ms;
+    forget_incarnation(engine, server);
+    lose_tasks_of_restarted(engine, server);
+    server->entry.start_unix_ms = start_unix_ms;
+    server->last_answer_at = engine->now;
+    server->clock_ms = clock_ms;
+    server->next_renewal_at = engine->now;
+    if (!ms_list_is_empty(&server->tasks)) {
+        ms_batch_server_include_longest_lease(engine, server);
     }
     ms_batch_server_lease_on_reset(engine, server);
 }
@@ -175,13 +194,17 @@
 }
 
 /*
- * Whether ENTRY was delayed, and SERVER has started again since.  If SERVER does not answer
- * and has no tasks, ENTRY may also be of a later incarnation, with the time of day set back.
+ * Whether ENTRY was delayed, and SERVER has started again since.  Its time of day may have been
+ * set back in between.  If SERVER does not answer and has no tasks, ENTRY may also be of a later
+ * incarnation, after such a step.
  */
 static bool
 is_of_earlier_incarnation(const struct ms_batch_server *server,
                           const struct ms_directory_entry *entry)
 {
+    if (entry->start_unix_ms != 0 && entry->start_unix_ms == server->earlier_start_unix_ms) {
+        return true;
+    }
     bool started_earlier = server->entry.id[0] != '\0' && entry->start_unix_ms != 0 &&
                            entry->start_unix_ms < server->entry.start_unix_ms;
     bool may_be_gone = server->unresponsive && ms_list_is_empty(&server->tasks);
@@ -216,7 +239,8 @@
         return;
     }
     if (restarted) {
-        ms_batch_server_reset(engine, server, true, "reborn");
+        ms_batch_server_on_restart(engine, server, entry->start_unix_ms, entry->clock_ms,
+                                   "directory");
     }
     bool draining_changed = server->entry.draining != entry->draining;
     if (entry->draining && (draining_changed || !server->listed)) {
@@ -265,6 +289,14 @@
                                      : server->ends_stored;
 }
 
+bool
+ms_batch_server_may_acknowledge(const struct ms_engine *engine,
+                                const struct ms_batch_server *server)
+{
+    return !server->unresponsive && server->renewal_failure_count == 0 &&
+           engine->now - server->last_report_at <= ACK_REPORT_AGE_MAX_MS;
+}
+
 /* Sets when the lease of SERVER is renewed next; INT64_MAX if there is no need to. */
 static void
 schedule_renewal(struct ms_engine *engine, struct ms_batch_server *server)
@@ -345,7 +377,8 @@
                     server->unknown_run_count == 0 && server->lease_state == MS_LEASE_NORMAL;
     struct ms_engine_action *action = ms_engine_push_action(engine, MS_ENGINE_RENEW_LEASE, server);
     action->deadline_ms = ms_batch_server_new_deadline(engine, server);
-    action->ack_position = ack_position(server);
+    action->ack_position =
+        ms_batch_server_may_acknowledge(engine, server) ? ack_position(server) : 0;
     action->long_poll_ms = may_wait ? renewal_wait_ms(engine, server) : 0;
     action->server_has_tasks = !ms_list_is_empty(&server->tasks);
     server->renewal_pending = true;
@@ -361,6 +394,43 @@
     }
 }
 
+static bool
+is_of_other_incarnation(const struct ms_batch_server *server, const struct ms_server_report *report)
+{
+    return report->start_unix_ms != 0 && server->entry.start_unix_ms != 0 &&
+           report->start_unix_ms != server->entry.start_unix_ms;
+}
+
+/* SERVER has answered RENEWAL, which was sent at SENT_AT, with REPORT. */
+static void
+accept_report(struct ms_engine *engine, struct ms_batch_server *server,
+              const struct ms_engine_action *renewal, const struct ms_server_report *report,
+              int64_t sent_at)
+{
+    bool first_answer = !server->fence_confirmed;
+    if (first_answer || server->unresponsive) {
+        ms_engine_log_event(
+            engine, "event=server_held server=%s epoch=%" G_GUINT64_FORMAT " running=%zu ended=%zu",
+            server->id, engine->epoch, report->running_count, report->ended_count);
+        engine->placement_due = true;
+    }
+    if (server->entry.start_unix_ms == 0) {
+        server->entry.start_unix_ms = report->start_unix_ms;
+    }
+    server->fence_confirmed = true;
+    server->unresponsive = false;
+    server->renewal_failure_count = 0;
+    server->last_answer_at = engine->now;
+    server->clock_ms = report->clock_ms;
+    server->last_report_at = engine->now;
+    server->ends_acked = MAX(server->ends_acked, renewal->ack_position);
+    ms_batch_server_lease_on_answer(engine, server, first_answer);
+    ms_batch_server_on_report(engine, server, report, sent_at);
+    ms_batch_server_update_speed(engine, server);
+    schedule_renewal(engine, server);
+    renew_if_due(engine, server);
+}
+
 void
 ms_engine_on_renewal_answer(struct ms_engine *engine, const struct ms_engine_action *renewal,
                             enum ms_order_result result, const struct ms_server_report *report,
@@ -379,37 +449,22 @@
         ms_engine_step_down(engine, "fenced_at_server");
         return;
     }
-    bool other_incarnation = report != NULL && report->start_unix_ms != 0 &&
-                             server->entry.start_unix_ms != 0 &&
-                             report->start_unix_ms != server->entry.start_unix_ms;
-    if (result == MS_ORDER_OTHER_INCARNATION || other_incarnation) {
-        bool same_id = result != MS_ORDER_OTHER_INCARNATION;
-        ms_batch_server_reset(engine, server, same_id, same_id ? "reborn" : "other_life");
+    if (result == MS_ORDER_OTHER_INCARNATION) {
+        ms_batch_server_on_replaced(engine, server);
+        return;
+    }
+    if (report != NULL && is_of_other_incarnation(server, report)) {
+        /* The report is not used: until the next fence is seen, late orders may follow it. */
+        ms_batch_server_on_restart(engine, server, report->start_unix_ms, report->clock_ms,
+                                   "report");
+        renew_if_due(engine, server);
         return;
     }
     if (result != MS_ORDER_OK || report == NULL) {
         renewal_failed(engine, server);
         return;
     }
-    bool first_answer = !server->fence_confirmed;
-    if (first_answer || server->unresponsive) {
-        ms_engine_log_event(
-            engine, "event=server_held server=%s epoch=%" G_GUINT64_FORMAT " running=%zu ended=%zu",
-            server->id, engine->epoch, report->running_count, report->ended_count);
-        engine->placement_due = true;
-    }
-    server->fence_confirmed = true;
-    server->unresponsive = false;
-    server->renewal_failure_count = 0;
-    server->last_answer_at = engine->now;
-    server->clock_ms = report->clock_ms;
-    server->last_report_at = engine->now;
-    server->ends_acked = MAX(server->ends_acked, renewal->ack_position);
-    ms_batch_server_lease_on_answer(engine, server, first_answer);
-    ms_batch_server_on_report(engine, server, report, sent_at);
-    ms_batch_server_update_speed(engine, server);
-    schedule_renewal(engine, server);
-    renew_if_due(engine, server);
+    accept_report(engine, server, renewal, report, sent_at);
 }
 
 static void
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -5,10 +5,11 @@
 
 #include "batch/engine_private.h"
 
-#define ORDER_RETRY_MS 200      /* before an unanswered order is repeated */
-#define RETRY_BACKOFF_MS 100    /* before a lost or failed task is placed again */
-#define REFUSED_BACKOFF_MS 300  /* before a refused task is placed again */
-#define REFUSED_SUSPECT_MS 2000 /* how long a server without capacity is chosen last */
+#define ORDER_RETRY_MS 200            /* before an unanswered order is repeated */
+#define RETRY_BACKOFF_MS 100          /* before a lost or failed task is placed again */
+#define REFUSED_BACKOFF_MS 300        /* before a refused task is placed again */
+#define CLOCK_READING_AGE_MAX_MS 5000 /* of a server's clock, in an answer that is used */
+#define REFUSED_SUSPECT_MS 2000       /* how long a server without capacity is chosen last */
 
 int64_t
 ms_batch_task_work_core_s(const struct ms_engine *engine, const struct ms_batch_task *task)
@@ -520,6 +521,31 @@
     }
 }
 
+/* SERVER has answered ORDER with RESULT: its task, if it still has that run, changes its state. */
+static void
+task_answered(struct ms_engine *engine, struct ms_batch_server *server,
+              const struct ms_engine_action *order, enum ms_order_result result)
+{
+    bool start = order->kind == MS_ENGINE_START;
+    struct ms_batch_task *task = ms_engine_find_task(engine, order->task);
+    if (task == NULL || task->server != server || task->run != order->run) {
+        return;
+    }
+    if (start && task->state == MS_BATCH_TASK_STARTING) {
+        task->order_pending = false;
+        task->last_answer_at = engine->now;
+        start_answered(engine, task, result);
+    }
+    else if (!start && task->state == MS_BATCH_TASK_STOPPING) {
+        task->order_pending = false;
+        if (result == MS_ORDER_OK || result == MS_ORDER_STALE_RUN) {
+            task->stop_confirmed = true;
+            task->last_answer_at = engine->now;
+        }
+        server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
+    }
+}
+
 void
 ms_engine_on_order_answer(struct ms_engine *engine, const struct ms_engine_action *order,
                           enum ms_order_result result, int64_t clock_ms, int64_t now)
@@ -544,28 +570,17 @@
         return;
     }
     if (result == MS_ORDER_OTHER_INCARNATION) {
-        ms_batch_server_reset(engine, server, false, "other_life");
+        ms_batch_server_on_replaced(engine, server);
+        return;
+    }
+    if (clock_ms > 0 && clock_ms < server->clock_ms - CLOCK_READING_AGE_MAX_MS) {
+        /* Its first report decides about the run, also if the start of it was confirmed. */
+        ms_batch_server_on_restart(engine, server, 0, clock_ms, "clock");
         return;
     }
     if (clock_ms > 0) {
         server->last_answer_at = engine->now;
         server->clock_ms = MAX(server->clock_ms, clock_ms);
     }
-    struct ms_batch_task *task = ms_engine_find_task(engine, order->task);
-    if (task == NULL || task->server != server || task->run != order->run) {
-        return;
-    }
-    if (start && task->state == MS_BATCH_TASK_STARTING) {
-        task->order_pending = false;
-        task->last_answer_at = engine->now;
-        start_answered(engine, task, result);
-    }
-    else if (!start && task->state == MS_BATCH_TASK_STOPPING) {
-        task->order_pending = false;
-        if (result == MS_ORDER_OK || result == MS_ORDER_STALE_RUN) {
-            task->stop_confirmed = true;
-            task->last_answer_at = engine->now;
-        }
-        server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
-    }
+    task_answered(engine, server, order, result);
 }
