--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -237,8 +237,8 @@
 END_TEST
 
 /*
- * Guards against runs that are given up while they go on: the server's time of day has stepped back,
- * and the entry of its earlier start, with the later time, arrives after its first reports.
+ * Guards against runs that are given up while they go on: the server's time of day has stepped
+ * back, and the entry of its earlier start, with the later time, arrives after its first reports.
  */
 START_TEST(late_entry_of_an_earlier_start_does_not_lose_runs)
 {
