An entry without a start time does not make the engine forget the one that it knows

Found by reading, shown by a test, not seen on a deployment. An entry may come from another writer and lack fields. One without a start time replaced the known one by 0, so that reports no longer told of a further start: ends of the new incarnation were taken for ends seen before, and acknowledged.

start_is_noticed_after_an_entry_without_a_start_time failed before (fence 1000 after the start).

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -247,7 +247,11 @@
         server->available_until = engine->now + entry->shutdown_in_ms;
     }
     bool was_listed = server->listed;
+    int64_t known_start_unix_ms = server->entry.start_unix_ms;
     server->entry = *entry;
+    if (entry->start_unix_ms == 0) {
+        server->entry.start_unix_ms = known_start_unix_ms;
+    }
     server->listed = true;
     server->snapshot_number = engine->snapshot_number;
     renew_if_not_responding(engine, server);
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -13,6 +13,7 @@
 #define TICK_MS 10
 #define FIRST_START_UNIX_MS 5000
 #define SECOND_START_UNIX_MS 9000
+#define THIRD_START_UNIX_MS 12000
 #define STEPPED_BACK_START_UNIX_MS 3000
 #define JOB_COUNT 2
 #define LISTED_ENDS_MAX 4
@@ -338,6 +339,76 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is given up while it goes on: the clock in an answer had told of the
+ * server's start, its report had listed the run, and then an entry of the earlier incarnation
+ * arrived, so that the next report was taken for that of a further start.
+ */
+START_TEST(late_entry_of_the_earlier_incarnation_does_not_reset_the_next_one)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    restart_after_a_job(&fixture);
+    submit(&fixture, 1, "later");
+    while (fixture.start_count < 2) {
+        run(&fixture, TICK_MS);
+    }
+    run(&fixture, 100); /* the run is in a report */
+    ck_assert_int_eq(fixture.lost_at, 0);
+    fixture.start_unix_ms = FIRST_START_UNIX_MS;
+    list_server(&fixture);
+    fixture.start_unix_ms = SECOND_START_UNIX_MS;
+    run(&fixture, 100);
+    ck_assert_int_eq(fixture.lost_at, 0);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against a further start that goes unnoticed while the directory does not even show the
+ * one before, of which the clock in an answer had told: the ends of the new incarnation were
+ * taken for ends seen before, so that a task ran again after it was done.
+ */
+START_TEST(further_start_is_noticed_before_the_directory_shows_the_one_before)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    restart_after_a_job(&fixture);
+    submit(&fixture, 1, "later");
+    while (fixture.start_count < 2) {
+        run(&fixture, TICK_MS);
+    }
+    run(&fixture, 100); /* the run is in a report */
+    uint64_t fence = fixture.fence;
+    restart(&fixture);
+    fixture.start_unix_ms = THIRD_START_UNIX_MS;
+    run(&fixture, 100);
+    ck_assert_uint_gt(fixture.fence, fence);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against a start that goes unnoticed after an entry without a start time, of another
+ * writer: the engine forgot the time that it knew.
+ */
+START_TEST(start_is_noticed_after_an_entry_without_a_start_time)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    submit(&fixture, 0, "job");
+    run(&fixture, 500);
+    ck_assert_uint_eq(fixture.start_count, 1);
+    uint64_t fence = fixture.fence;
+    fixture.start_unix_ms = 0;
+    list_server(&fixture);
+    restart(&fixture);
+    run(&fixture, 100);
+    ck_assert_uint_gt(fixture.fence, fence);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 restart_cases(void)
 {
@@ -347,5 +418,8 @@
     tcase_add_test(cases, ends_of_a_new_incarnation_are_not_acknowledged_unseen);
     tcase_add_test(cases, longest_lease_of_a_server_listed_as_started_again_is_waited_for);
     tcase_add_test(cases, longest_lease_of_a_server_with_a_new_clock_is_waited_for);
+    tcase_add_test(cases, late_entry_of_the_earlier_incarnation_does_not_reset_the_next_one);
+    tcase_add_test(cases, further_start_is_noticed_before_the_directory_shows_the_one_before);
+    tcase_add_test(cases, start_is_noticed_after_an_entry_without_a_start_time);
     return cases;
 }
