A new clock is told by the clock that the server must have had, not by a fixed difference

Found by reading and shown by tests, not seen on a deployment. An answer to an order told of a start if its clock was 5 s behind the last reading, whatever time had passed since. A server that was heard last when its clock was young, and was idle since, was not noticed: the deadline of the earlier clock was counted from the new one, and a run on a server that was cut off then was not given up for as long as the server had been idle. The other way round, a sound server was reset, and its runs given up, if an answer was processed 5 s after a newer one.

No constant is needed for how late answers are.

--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -61,6 +61,7 @@
     char address[MS_SERVER_ADDRESS_MAX]; /* START, STOP, RENEW_LEASE: of the server */
     /* Incarnation of the server, counted by the engine, which ignores answers to earlier ones. */
     uint32_t incarnation;
+    int64_t clock_min_ms;        /* a lower clock in the answer: the server has started again */
     uint64_t fence;              /* rises with the epoch and with each incarnation of the server */
     char task[MS_TASK_NAME_MAX]; /* START, STOP: name of the task; QUERY_ADVICE: of the step */
     uint32_t run;                /* START, STOP: number of the run of the task */
--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -52,6 +52,16 @@
     return deadline;
 }
 
+int64_t
+ms_batch_server_clock_min(const struct ms_engine *engine, const struct ms_batch_server *server)
+{
+    int64_t elapsed_ms = engine->now - server->last_answer_at;
+    if (server->clock_ms == 0) {
+        return 0;
+    }
+    return server->clock_ms + (int64_t)((double)elapsed_ms / CLOCK_DRIFT_FACTOR);
+}
+
 int64_t
 ms_batch_server_lease_end(const struct ms_engine *engine, const struct ms_batch_server *server)
 {
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -306,6 +306,9 @@
 /* engine_lease.c */
 /* The lease deadline to send to SERVER, on its clock; recorded in lease_deadline_max. */
 int64_t ms_batch_server_new_deadline(struct ms_engine *engine, struct ms_batch_server *server);
+/* What the clock of SERVER has reached by now at least, unless it started again; 0: not known. */
+int64_t ms_batch_server_clock_min(const struct ms_engine *engine,
+                                  const struct ms_batch_server *server);
 /* When all runs on SERVER have certainly ended if it stays unresponsive. */
 int64_t ms_batch_server_lease_end(const struct ms_engine *engine,
                                   const struct ms_batch_server *server);
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -5,11 +5,10 @@
 
 #include "batch/engine_private.h"
 
-#define ORDER_RETRY_MS 200            /* before an unanswered order is repeated */
-#define RETRY_BACKOFF_MS 100          /* before a lost or failed task is placed again */
-#define REFUSED_BACKOFF_MS 300        /* before a refused task is placed again */
-#define CLOCK_READING_AGE_MAX_MS 5000 /* of a server's clock, in an answer that is used */
-#define REFUSED_SUSPECT_MS 2000       /* how long a server without capacity is chosen last */
+#define ORDER_RETRY_MS 200      /* before an unanswered order is repeated */
+#define RETRY_BACKOFF_MS 100    /* before a lost or failed task is placed again */
+#define REFUSED_BACKOFF_MS 300  /* before a refused task is placed again */
+#define REFUSED_SUSPECT_MS 2000 /* how long a server without capacity is chosen last */
 
 int64_t
 ms_batch_task_work_core_s(const struct ms_engine *engine, const struct ms_batch_task *task)
@@ -573,7 +572,7 @@
         ms_batch_server_on_replaced(engine, server);
         return;
     }
-    if (clock_ms > 0 && clock_ms < server->clock_ms - CLOCK_READING_AGE_MAX_MS) {
+    if (clock_ms > 0 && clock_ms < order->clock_min_ms) {
         /* Its first report decides about the run, also if the start of it was confirmed. */
         ms_batch_server_on_restart(engine, server, 0, clock_ms, "clock");
         return;
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -15,6 +15,9 @@
 #define SECOND_START_UNIX_MS 9000
 #define THIRD_START_UNIX_MS 12000
 #define STEPPED_BACK_START_UNIX_MS 3000
+#define IDLE_MS 60000
+#define YOUNG_CLOCK_MS 1000
+#define LATE_ANSWER_MS 6000
 #define JOB_COUNT 2
 #define LISTED_ENDS_MAX 4
 #define LEASE_MAX_MS 10000  /* the longest lease that the server grants, on its clock */
@@ -214,6 +217,23 @@
     }
 }
 
+/* Takes the next start order out of the queue, unanswered; answers all other actions. */
+static struct ms_engine_action *
+take_start(struct fixture *fixture)
+{
+    for (;; fixture->now += TICK_MS) {
+        struct ms_engine_action *action = NULL;
+        ms_engine_tick(fixture->engine, fixture->now, fixture->now);
+        while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
+            if (action->kind == MS_ENGINE_START) {
+                return action;
+            }
+            answer(fixture, action);
+            ms_engine_action_free(action);
+        }
+    }
+}
+
 /*
  * Guards against a late start order that a server carries out after it has started again, though
  * the engine already knows of that start: the next renewal raised its fence only once the
@@ -409,6 +429,55 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that is held up for as long as its server was idle: the server, heard last
+ * when its clock was young, has started again, which was not noticed as its clock was hardly
+ * behind that reading; the old, high deadline was then counted from the new, low clock.
+ */
+START_TEST(run_is_given_up_in_time_if_the_clock_was_read_long_ago)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    fixture.clock_started_at = fixture.now - YOUNG_CLOCK_MS;
+    list_server(&fixture);
+    run(&fixture, IDLE_MS);
+    restart(&fixture);
+    submit(&fixture, 0, "job");
+    while (fixture.start_count < 1) {
+        run(&fixture, TICK_MS);
+    }
+    int64_t lease_end = fixture.now + (int64_t)(LEASE_MAX_MS / CLOCK_RATE_MIN);
+    fixture.reachable = false;
+    run(&fixture, 2 * LEASE_MAX_MS);
+    ck_assert_int_ge(fixture.lost_at, lease_end);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against a sound server that is taken for one that has started again, so that its runs are
+ * given up: an answer was processed long after a newer one.
+ */
+START_TEST(answer_that_comes_very_late_does_not_reset_its_server)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    submit(&fixture, 0, "job");
+    run(&fixture, 500);
+    ck_assert_uint_eq(fixture.start_count, 1);
+    uint64_t fence = fixture.fence;
+    submit(&fixture, 1, "later");
+    struct ms_engine_action *start = take_start(&fixture);
+    int64_t clock_ms = fixture.now - fixture.clock_started_at;
+    run(&fixture, LATE_ANSWER_MS);
+    ms_engine_on_order_answer(fixture.engine, start, MS_ORDER_OK, clock_ms, fixture.now);
+    ms_engine_action_free(start);
+    run(&fixture, 100);
+    ck_assert_uint_eq(fixture.fence, fence);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 restart_cases(void)
 {
@@ -421,5 +490,7 @@
     tcase_add_test(cases, late_entry_of_the_earlier_incarnation_does_not_reset_the_next_one);
     tcase_add_test(cases, further_start_is_noticed_before_the_directory_shows_the_one_before);
     tcase_add_test(cases, start_is_noticed_after_an_entry_without_a_start_time);
+    tcase_add_test(cases, run_is_given_up_in_time_if_the_clock_was_read_long_ago);
+    tcase_add_test(cases, answer_that_comes_very_late_does_not_reset_its_server);
     return cases;
 }
