Test: ends are not acknowledged by an old report

The new test has no call between the last report and the renewal, and fails without the limit; in all tests of the file, the server now checks that an end is acknowledged only after it was reported.

--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -34,6 +34,7 @@
     struct ms_reported_end ends[LISTED_ENDS_MAX]; /* not acknowledged */
     size_t end_count;
     uint64_t last_position;
+    uint64_t reported_position;   /* of the last end in a report of this incarnation */
     uint64_t fence;               /* of the last renewal */
     bool loses_answers_to_starts; /* it carries them out */
     bool reachable;
@@ -112,6 +113,7 @@
     fixture->task[0] = '\0';
     fixture->end_count = 0;
     fixture->last_position = 0;
+    fixture->reported_position = 0;
     fixture->fence = 0;
 }
 
@@ -131,6 +133,7 @@
 forget_ends(struct fixture *fixture, uint64_t position)
 {
     while (fixture->end_count > 0 && fixture->ends[0].position <= position) {
+        ck_assert_uint_le(fixture->ends[0].position, fixture->reported_position);
         fixture->end_count--;
         memmove(&fixture->ends[0], &fixture->ends[1],
                 fixture->end_count * sizeof(fixture->ends[0]));
@@ -155,6 +158,7 @@
     report.running_count = fixture->task[0] != '\0';
     report.ended = fixture->ends;
     report.ended_count = fixture->end_count;
+    fixture->reported_position = fixture->last_position;
     ms_engine_on_renewal_answer(fixture->engine, renewal, MS_ORDER_OK, &report, fixture->now,
                                 fixture->now);
 }
@@ -317,6 +321,25 @@
 }
 END_TEST
 
+/*
+ * Guards against an end that is acknowledged unseen by a renewal long after the last report, with
+ * no call to the server between: it has started again and has carried out a late order.
+ */
+START_TEST(ends_are_not_acknowledged_by_an_old_report)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    restart_after_a_job(&fixture);
+    run(&fixture, 3000);
+    g_strlcpy(fixture.task, "late.0.0.0", sizeof(fixture.task));
+    end_run(&fixture);
+    ms_engine_unlist_server(fixture.engine, "one", fixture.now); /* a renewal is due */
+    run(&fixture, 1000);
+    ck_assert_uint_eq(fixture.reported_position, 1);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 /*
  * The server has carried out and answered a start, and is cut off; the directory shows that it has
  * started again if LISTED.  The deadline in the order was one of the earlier clock, so that the
@@ -485,6 +508,7 @@
     tcase_add_test(cases, renewal_follows_the_report_of_a_new_start_at_once);
     tcase_add_test(cases, late_entry_of_an_earlier_start_does_not_lose_runs);
     tcase_add_test(cases, ends_of_a_new_incarnation_are_not_acknowledged_unseen);
+    tcase_add_test(cases, ends_are_not_acknowledged_by_an_old_report);
     tcase_add_test(cases, longest_lease_of_a_server_listed_as_started_again_is_waited_for);
     tcase_add_test(cases, longest_lease_of_a_server_with_a_new_clock_is_waited_for);
     tcase_add_test(cases, late_entry_of_the_earlier_incarnation_does_not_reset_the_next_one);
