--- a/tests/batch/simulated_server.c
+++ b/tests/batch/simulated_server.c
@@ -226,7 +226,7 @@
     /*
      * A server that has just restarted has not seen any fence: until its first
      * lease renewal it cannot refuse a delayed order, so such a start is not checked, and its
-     * run does not count when other starts are checked.
+     * run does not count when other starts are checked until the engine has seen it in a report.
      */
     bool unfenced_late =
         order->delayed && server->fence <= action->fence && server->renewal_count == 0;
