A clock that has gone back makes a renewal due, and ends no runs by itself

A server that only stood still would have lost its runs to others while they go on. Now the low clock sets the reading and the longest lease, and a renewal is due at once; the start time in its report decides. Logged as server_clock_back.

--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -74,6 +74,21 @@
     return server->fence_confirmed ? lease_end : MAX(lease_end, engine->earlier_leases_until);
 }
 
+void
+ms_batch_server_on_clock_back(struct ms_engine *engine, struct ms_batch_server *server,
+                              int64_t clock_ms)
+{
+    ms_engine_log_event(engine,
+                        "event=server_clock_back server=%s clock_ms=%" G_GINT64_FORMAT
+                        " earlier_ms=%" G_GINT64_FORMAT,
+                        server->id, clock_ms, server->clock_ms);
+    server->last_answer_at = engine->now;
+    server->clock_ms = clock_ms;
+    server->lease_deadline_max = 0; /* on the earlier clock */
+    ms_batch_server_include_longest_lease(engine, server);
+    server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
+}
+
 void
 ms_batch_server_freeze_lease(struct ms_batch_server *server, int64_t until)
 {
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -328,6 +328,12 @@
  */
 void ms_batch_server_include_longest_lease(const struct ms_engine *engine,
                                            struct ms_batch_server *server);
+/*
+ * The clock of SERVER, in an answer to an order, is at CLOCK_MS, behind what it must have reached:
+ * SERVER has probably started again.  Its next report tells, and decides about its runs.
+ */
+void ms_batch_server_on_clock_back(struct ms_engine *engine, struct ms_batch_server *server,
+                                   int64_t clock_ms);
 /* SERVER has answered a renewal; FIRST_ANSWER: its first one to this leader. */
 void ms_batch_server_lease_on_answer(struct ms_engine *engine, struct ms_batch_server *server,
                                      bool first_answer);
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -157,7 +157,9 @@
 {
     ms_engine_log_event(engine, "event=server_reset server=%s reason=reborn source=%s", server->id,
                         source);
-    server->earlier_start_unix_ms = server->entry.start_unix_ms;
+    if (server->entry.start_unix_ms != 0) {
+        server->earlier_start_unix_ms = server->entry.start_unix_ms;
+    }
     forget_incarnation(engine, server);
     lose_tasks_of_restarted(engine, server);
     server->entry.start_unix_ms = start_unix_ms;
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -573,11 +573,9 @@
         return;
     }
     if (clock_ms > 0 && clock_ms < order->clock_min_ms) {
-        /* Its first report decides about the run, also if the start of it was confirmed. */
-        ms_batch_server_on_restart(engine, server, 0, clock_ms, "clock");
-        return;
+        ms_batch_server_on_clock_back(engine, server, clock_ms);
     }
-    if (clock_ms > 0) {
+    else if (clock_ms > 0) {
         server->last_answer_at = engine->now;
         server->clock_ms = MAX(server->clock_ms, clock_ms);
     }
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -501,6 +501,26 @@
 }
 END_TEST
 
+/* Guards against runs that are given up while they go on, as their server stood still for a while.
+ */
+START_TEST(clock_that_stood_still_does_not_lose_runs)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    submit(&fixture, 0, "job");
+    run(&fixture, 500);
+    ck_assert_uint_eq(fixture.start_count, 1);
+    submit(&fixture, 1, "later");
+    struct ms_engine_action *start = take_start(&fixture);
+    int64_t clock_ms = fixture.now - fixture.clock_started_at - LATE_ANSWER_MS;
+    ms_engine_on_order_answer(fixture.engine, start, MS_ORDER_UNAVAILABLE, clock_ms, fixture.now);
+    ms_engine_action_free(start);
+    run(&fixture, 100);
+    ck_assert_int_eq(fixture.lost_at, 0);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 restart_cases(void)
 {
@@ -516,5 +536,6 @@
     tcase_add_test(cases, start_is_noticed_after_an_entry_without_a_start_time);
     tcase_add_test(cases, run_is_given_up_in_time_if_the_clock_was_read_long_ago);
     tcase_add_test(cases, answer_that_comes_very_late_does_not_reset_its_server);
+    tcase_add_test(cases, clock_that_stood_still_does_not_lose_runs);
     return cases;
 }
