Engine: plainer names and comments around reports and leases

find_waiting_task() says what it checks, and leaves out the branch for gangs, which its only caller dropped.

--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -29,7 +29,7 @@
 
 /* Time limits; ms_engine_limits_defaults() fills in the defaults. */
 struct ms_engine_limits {
-    int64_t lease_ms;           /* lease of a server, on the server's clock */
+    int64_t lease_ms;           /* lease that we request, on the server's clock */
     int64_t lease_max_ms;       /* the longest lease that a server grants */
     int64_t gang_start_ms;      /* time for all members of a gang to start; else it is stopped */
     int64_t stop_grace_ms;      /* maximum time that stopping a run takes */
--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -85,7 +85,7 @@
     server->last_answer_at = engine->now;
     server->clock_ms = clock_ms;
     server->lease_deadline_max = 0; /* on the earlier clock */
-    ms_batch_server_include_longest_lease(engine, server);
+    ms_batch_server_assume_longest_lease(engine, server);
     server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
 }
 
@@ -145,8 +145,7 @@
 }
 
 void
-ms_batch_server_include_longest_lease(const struct ms_engine *engine,
-                                      struct ms_batch_server *server)
+ms_batch_server_assume_longest_lease(const struct ms_engine *engine, struct ms_batch_server *server)
 {
     server->lease_deadline_max =
         MAX(server->lease_deadline_max, server->clock_ms + engine->limits.lease_max_ms);
@@ -158,7 +157,7 @@
     server->lease_state = MS_LEASE_NORMAL;
     server->unfreeze_storing = false;
     server->frozen_until = 0;
-    ms_batch_server_include_longest_lease(engine, server);
+    ms_batch_server_assume_longest_lease(engine, server);
     server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
     engine->placement_due = true;
 }
@@ -171,7 +170,7 @@
         begin_unfreeze(engine, server);
     }
     else if (first_answer) {
-        ms_batch_server_include_longest_lease(engine, server);
+        ms_batch_server_assume_longest_lease(engine, server);
     }
 }
 
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -323,11 +323,11 @@
 bool ms_batch_server_may_acknowledge(const struct ms_engine *engine,
                                      const struct ms_batch_server *server);
 /*
- * Counts the leases that servers grant at most, until the last answer of SERVER: to a server that
- * has started again, a deadline for its earlier incarnation is far ahead, so that it grants that.
+ * Assumes that SERVER granted the longest lease that it grants when it answered last: to a server
+ * that has started again, a deadline on its earlier clock is far ahead.
  */
-void ms_batch_server_include_longest_lease(const struct ms_engine *engine,
-                                           struct ms_batch_server *server);
+void ms_batch_server_assume_longest_lease(const struct ms_engine *engine,
+                                          struct ms_batch_server *server);
 /*
  * The clock of SERVER, in an answer to an order, is at CLOCK_MS, behind what it must have reached:
  * SERVER has probably started again.  Its next report tells, and decides about its runs.
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -68,25 +68,16 @@
 }
 
 /*
- * The task NAME if its run RUN was declared lost and no other run of it, or of its
- * gang, was assigned since, so that the run may continue; else NULL.
+ * The task NAME, unless it belongs to a gang, if it waits and RUN is its latest run, so that the
+ * run may continue; else NULL.
  */
 static struct ms_batch_task *
-find_lost_task(const struct ms_engine *engine, const char *name, uint32_t run)
+find_waiting_task(const struct ms_engine *engine, const char *name, uint32_t run)
 {
     struct ms_batch_task *task = ms_engine_find_task(engine, name);
     bool run_matches = task != NULL && task->state == MS_BATCH_TASK_WAITING && task->run == run &&
                        ms_batch_task_job(task)->phase == MS_PHASE_OPEN;
-    if (!run_matches || !task->step->spec->gang) {
-        return run_matches ? task : NULL;
-    }
-    for (uint32_t i = 0; i < task->step->spec->task_count; i++) {
-        const struct ms_batch_task *member = &task->step->tasks[i];
-        if (member->state != MS_BATCH_TASK_WAITING || member->run != run) {
-            return NULL;
-        }
-    }
-    return task;
+    return run_matches && !task->step->spec->gang ? task : NULL;
 }
 
 /* Orders SERVER to stop the run in ROW, which no record allows. */
@@ -123,14 +114,11 @@
     struct ms_batch_task *task = find_assigned_task(engine, server, row->task, row->run);
     bool ran_before = false; /* this leader did not see the run start */
     if (task == NULL) {
-        task = find_lost_task(engine, row->task, row->run);
-        if (task != NULL && !task->step->spec->gang) {
+        task = find_waiting_task(engine, row->task, row->run);
+        if (task != NULL) {
             ms_batch_task_recover_run(engine, task, server);
             ran_before = true;
         }
-        else {
-            task = NULL;
-        }
     }
     if (task == NULL) {
         stop_unknown_run(engine, server, row);
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -17,7 +17,7 @@
 #define WITHHELD_INTERVAL_MS 500 /* between renewals while an end is withheld (engine_report.c) */
 #define UNKNOWN_RUNS_INTERVAL_MS 200 /* between renewals while unknown runs are being stopped */
 #define STORE_WAIT_MS 300 /* maximum wait for reported ends to be stored before a renewal */
-#define ACK_REPORT_AGE_MAX_MS 1000 /* of the last report when ends in it are acknowledged */
+#define ACK_REPORT_AGE_MAX_MS 1000 /* of a report whose ends are still acknowledged */
 
 bool
 ms_batch_server_has_label(const struct ms_batch_server *server, const char *label)
@@ -167,7 +167,7 @@
     server->clock_ms = clock_ms;
     server->next_renewal_at = engine->now;
     if (!ms_list_is_empty(&server->tasks)) {
-        ms_batch_server_include_longest_lease(engine, server);
+        ms_batch_server_assume_longest_lease(engine, server);
     }
     ms_batch_server_lease_on_reset(engine, server);
 }
