--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -31,5 +31,6 @@
 TCase *term_cases(void);
 TCase *withheld_cases(void);
 TCase *restart_cases(void);
+TCase *open_restart_cases(void); /* of an open fault, for open_faults.c */
 
 #endif
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -18,6 +18,7 @@
 #define IDLE_MS 60000
 #define YOUNG_CLOCK_MS 1000
 #define LATE_ANSWER_MS 6000
+#define LATE_START_MS 3000
 #define JOB_COUNT 2
 #define LISTED_ENDS_MAX 4
 #define LEASE_MAX_MS 10000  /* the longest lease that the server grants, on its clock */
@@ -539,3 +540,36 @@
     tcase_add_test(cases, clock_that_stood_still_does_not_lose_runs);
     return cases;
 }
+
+/*
+ * Guards against a run that is given up while it goes on: a server that is known to have started
+ * again, and has not been reached since, carries out the start order late and grants the longest
+ * lease from then on, not from the moment at which its start was noticed.
+ */
+START_TEST(late_start_after_a_noticed_restart_is_waited_for)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    submit(&fixture, 0, "job");
+    struct ms_engine_action *start = take_start(&fixture);
+    restart(&fixture);
+    fixture.reachable = false;
+    answer_start(&fixture, start);
+    list_server(&fixture);
+    run(&fixture, LATE_START_MS); /* it is carried out then */
+    int64_t lease_end = fixture.now + (int64_t)(LEASE_MAX_MS / CLOCK_RATE_MIN);
+    ms_engine_action_free(start);
+    run(&fixture, 3 * LEASE_MAX_MS);
+    ck_assert_int_ge(fixture.lost_at, lease_end);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+TCase *
+open_restart_cases(void)
+{
+    TCase *cases = tcase_create("open restart");
+    tcase_add_test(cases, late_start_after_a_noticed_restart_is_waited_for);
+    return cases;
+}
