A start without an answer is not ordered again on a draining server or in a data centre that is out

A start that has no answer makes its server unresponsive, and an unresponsive server passed the check that stops starts on servers that are closed, whatever else closed it. The start was ordered again before a renewal was answered.

Now the check looks at draining, and at data centres out of service (EVAC), whether or not the server answers.

--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -293,6 +293,9 @@
  */
 void ms_batch_server_on_restart(struct ms_engine *engine, struct ms_batch_server *server,
                                 int64_t start_unix_ms, int64_t clock_ms, const char *source);
+/* Whether the data centre of SERVER is out of service. */
+bool ms_batch_server_in_dc_out(const struct ms_engine *engine,
+                               const struct ms_batch_server *server);
 /* Why SERVER may not be given tasks, or MS_SERVER_USABLE. */
 enum ms_server_exclusion ms_batch_server_exclusion(const struct ms_engine *engine,
                                                    const struct ms_batch_server *server);
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -33,6 +33,12 @@
     return false;
 }
 
+bool
+ms_batch_server_in_dc_out(const struct ms_engine *engine, const struct ms_batch_server *server)
+{
+    return engine->dcs_out != NULL && g_hash_table_contains(engine->dcs_out, server->entry.dc);
+}
+
 enum ms_server_exclusion
 ms_batch_server_exclusion(const struct ms_engine *engine, const struct ms_batch_server *server)
 {
@@ -57,7 +63,7 @@
     if (engine->now < server->quarantined_until) {
         return MS_SERVER_QUARANTINED;
     }
-    if (engine->dcs_out != NULL && g_hash_table_contains(engine->dcs_out, server->entry.dc)) {
+    if (ms_batch_server_in_dc_out(engine, server)) {
         return MS_SERVER_DC_OUT;
     }
     return MS_SERVER_USABLE;
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -104,6 +104,14 @@
     engine->placement_due = true;
 }
 
+/* Whether no start may be ordered on SERVER; that it does not answer just now is no reason. */
+static bool
+must_not_start(const struct ms_engine *engine, const struct ms_batch_server *server)
+{
+    return server->entry.draining || ms_batch_server_in_dc_out(engine, server) ||
+           (!server->unresponsive && !ms_batch_server_usable(engine, server));
+}
+
 void
 ms_batch_task_send_order(struct ms_engine *engine, struct ms_batch_task *task)
 {
@@ -114,7 +122,7 @@
         return;
     }
     bool start = task->state == MS_BATCH_TASK_STARTING;
-    if (start && !ms_batch_server_usable(engine, server) && !server->unresponsive) {
+    if (start && must_not_start(engine, server)) {
         ms_batch_task_stop_unit(engine, task, "server_closed");
         return;
     }
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -412,6 +412,7 @@
     suite_add_tcase(suite, takeover_cases());
     suite_add_tcase(suite, term_cases());
     suite_add_tcase(suite, withheld_cases());
+    suite_add_tcase(suite, closed_cases());
     suite_add_tcase(suite, restart_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -30,6 +30,7 @@
 TCase *takeover_cases(void);
 TCase *term_cases(void);
 TCase *withheld_cases(void);
+TCase *closed_cases(void);
 TCase *restart_cases(void);
 TCase *open_restart_cases(void); /* of an open fault, for open_faults.c */
 
