Test of a start that is carried out at once, not answered, and refused in its next copy

process-lost_start_answer: a server carries out a start at once, closes the connection and refuses the next copy with 503 or 429; the renewals that follow are answered, lost or slow.

--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -19,6 +19,7 @@
 STOP_DURATION_S = 0.2
 PAGE_RECORDS = 500
 TASK_FAILURES_MAX = 3
+REFUSAL_STATUS = {"unhealthy": 503, "busy": 429}  # of a server that is unhealthy for a moment
 LATE_APPEND_S = 2.5  # until an append is carried out in mode "late_busy"
 
 ODD_ENTRIES = [b"", b"\xff\x00{", b"[]", b'{"state":"ready"}',
@@ -243,7 +244,8 @@
     are lost, and of orders and lease renewals that are carried out 2 to 6 s after the connection
     failed.
     `unhealthy_rate` is the share of starts that are refused with status 503.
-    `next_starts` says what becomes of the next starts: "late" or "unhealthy".
+    `next_starts` says what becomes of the next starts: "late", "unhealthy", "busy" (status 429)
+    or "done_closed" (carried out at once, and the connection closed without an answer).
     `closed_runs` has, by task, the highest run number that has ended or was
     stopped: it and lower ones must not start any more.  `ended` keeps the results
     of runs until the scheduler acknowledges their positions.
@@ -355,15 +357,17 @@
         if fate == "late":
             self.carry_out_late(request, order, apply)
             return web.json_response({})
-        if fate == "unhealthy":
-            return await self.respond(request, {}, 503)
+        if fate in REFUSAL_STATUS:
+            return await self.respond(request, {}, REFUSAL_STATUS[fate])
         refusal = self.apply_if_not_fenced(order, apply)
         if refusal is not None:
             return await self.respond(request, {"reason": refusal}, 409)
+        if fate == "done_closed":
+            request.transport.abort()
         return await self.respond(request, {})
 
     def draw_fate(self, apply):
-        """Returns "late", "unhealthy" or None: what becomes of an order that has arrived."""
+        """Returns one of those of `next_starts`, or None: what becomes of an order."""
         is_start = apply == self.apply_start
         if is_start and self.next_starts:
             return self.next_starts.pop(0)
