Logs: refused_job_stored tells whose record is stored, answer who is answered

The event refused_job_stored stood for a false refusal and for a job of which another try was accepted. "No host has answered 200 or 504" did not part them either: a host that stores a forwarded submission logs status=200, also if the copy of it that libcurl sent was refused and the caller got 503.

Change: a host keeps the time in the record that a refused submission was to append, and compares the stored record with it: record=own is a false refusal, record=other is not this host's. All appends of one call have the same record now; before, one that was repeated after a failed forward got a new time (by at most 1.25 s). answer says from_peer=1 if a forwarded call is answered. Not told: records of two hosts with the same millisecond.

The host can't tell the former from a refusal by the log, which promises that 503 means that nothing was done: the caller gets 503, as before.

--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -59,7 +59,8 @@
     }
     if (call->method == MS_METHOD_POST && status >= MS_STATUS_BAD_REQUEST &&
         status != MS_STATUS_OUTCOME_UNKNOWN) {
-        ms_refused_jobs_add(entry->refused_jobs, job_id_of(call), status, reason, entry->now);
+        ms_refused_jobs_add(entry->refused_jobs, job_id_of(call), status, reason,
+                            call->spec.accepted_ms, entry->now);
     }
     ms_entry_peers_detach_forward(call);
     static const char *const methods[] = {"get", "post", "delete", "other"};
@@ -68,10 +69,10 @@
     ms_log(MS_LOG_INFO,
            "event=answer method=%s path=%s status=%u reason=%s took_ms=%" G_GINT64_FORMAT
            " config=%" G_GUINT64_FORMAT " config_age_ms=%" G_GINT64_FORMAT
-           " jobs_age_ms=%" G_GINT64_FORMAT,
+           " jobs_age_ms=%" G_GINT64_FORMAT " from_peer=%d",
            methods[call->method], call->path, status, reason, entry->now - call->arrived_at,
            entry->policy != NULL ? entry->policy->version : 0, config_age(entry),
-           entry->now - entry->jobs_current_at);
+           entry->now - entry->jobs_current_at, call->from_peer);
     ms_counter_add(
         entry->counters,
         status < MS_STATUS_BAD_REQUEST ? MS_COUNT_OUTCOME_DONE : MS_COUNT_OUTCOME_REFUSED, 1);
@@ -168,7 +169,8 @@
 {
     GPtrArray *appends = g_hash_table_lookup(entry->pending_appends, id);
     if (kind == MS_APPEND_ACCEPT) {
-        ms_refused_jobs_stored(entry->refused_jobs, id, entry->now);
+        const struct ms_stored_job *job = ms_job_table_find(entry->table, id);
+        ms_refused_jobs_stored(entry->refused_jobs, id, job->spec.accepted_ms, entry->now);
     }
     for (guint i = 0; appends != NULL && i < appends->len; i++) {
         struct ms_append *append = g_ptr_array_index(appends, i);
@@ -201,7 +203,9 @@
     g_strlcpy(spec->id, id, sizeof(spec->id));
     g_strlcpy(spec->queue, queue->name, sizeof(spec->queue));
     g_strlcpy(spec->account, account, sizeof(spec->account));
-    spec->accepted_ms = g_get_real_time() / 1000;
+    if (spec->accepted_ms == 0) { /* all appends of a call have the same record */
+        spec->accepted_ms = g_get_real_time() / 1000;
+    }
     if (strlen(id) >= sizeof(spec->id) ||
         ms_batch_spec_check(spec, call->error, sizeof(call->error)) != MS_OK) {
         ms_counter_add(entry->counters, MS_COUNT_BAD_REQUESTS, 1);
