Soak: connections and tasks of the stand-ins end in order

A proxy now ends both halves, reads the exceptions, and ends what is open in stop(), as do the servers and the log. Only errors of a connection are expected; any other one reaches the logs of asyncio or aiohttp, and each error logged there is a violation now. So the check is stricter: a failure of a stand-in was printed before, and the run passed.

With the old forwarding the test of a failing proxy fails, as its exception is hidden; the other new tests pass with it.

--- a/tests/soak/check_standins.py
+++ b/tests/soak/check_standins.py
@@ -2,13 +2,18 @@
 """Checks how the soak test's stand-in servers end the members of a gang, and count failed runs.
 
 The members work only together and succeed together; if one ends otherwise or is
-lost with its server, the others end as broken.
+lost with its server, the others end as broken.  Also checks that the proxies end in
+order, and that failures of the stand-ins are reported.
 """
 import asyncio
+import gc
+import io
+import logging
 import sys
 import unittest
 
-from soak_standins import StandIns, now_ms
+from soak import FailureOfTest
+from soak_standins import Proxy, StandIns, now_ms
 
 JOB = "00000000000000ab"
 STEP = {"count": 2, "cpu": 1000, "memMb": 1000, "gpu": 1, "gang": True}
@@ -143,5 +148,97 @@
         self.assertEqual(self.first.runs, {})
 
 
+class ProxyEnds(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.loop_errors = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: self.loop_errors.append(context["message"]))
+        self.target = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.accepted = asyncio.get_running_loop().create_future()
+        self.proxy = Proxy(self.target.sockets[0].getsockname()[1])
+        await self.proxy.start()
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.proxy.port)
+        self.target_reader, self.target_writer = await self.accepted
+
+    async def asyncTearDown(self):
+        self.writer.transport.abort()
+        self.target_writer.transport.abort()
+        await self.proxy.stop()
+        self.target.close()
+
+    async def accept(self, reader, writer):
+        self.accepted.set_result((reader, writer))
+
+    async def read_end(self, reader):
+        """Reads until READER's connection ends; "" also if it was reset."""
+        try:
+            return await asyncio.wait_for(reader.read(), 2)
+        except ConnectionResetError:
+            return b""
+
+    # Connections that were still open were dropped with a task that had not ended.
+    async def test_stop_ends_open_connections(self):
+        await self.proxy.stop()
+        self.assertEqual(self.proxy.connections, set())
+        self.assertEqual(await self.read_end(self.reader), b"")
+        self.assertEqual(await self.read_end(self.target_reader), b"")
+        gc.collect()
+        self.assertEqual(self.loop_errors, [])
+
+    # A connection that was reset left its other half open, and an exception that nobody read.
+    async def test_reset_by_the_caller_ends_the_other_half(self):
+        self.writer.transport.abort()
+        await self.check_end(self.target_reader)
+
+    async def test_reset_by_the_target_ends_the_other_half(self):
+        self.target_writer.transport.abort()
+        await self.check_end(self.reader)
+
+    async def check_end(self, reader):
+        self.assertEqual(await self.read_end(reader), b"")
+        async with asyncio.timeout(2):
+            while self.proxy.connections:
+                await asyncio.sleep(0.01)
+        gc.collect()
+        self.assertEqual(self.loop_errors, [])
+
+
+class FailuresOfTheTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.standins = StandIns(1, 1)
+        self.handler = FailureOfTest(self.standins)
+        self.handler.setStream(io.StringIO())
+        logging.getLogger().addHandler(self.handler)
+
+    def tearDown(self):
+        logging.getLogger().removeHandler(self.handler)
+
+    # Exceptions that no task read were printed beside the result, which stayed good.
+    async def test_failure_of_a_proxy_is_a_violation(self):
+        proxy = self.standins.servers[0].proxy = Proxy(None)
+        await self.standins.servers[0].start()
+        proxy.target = self.standins.servers[0].port
+        proxy.forward_blocks = None  # TypeError
+        await proxy.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+        async with asyncio.timeout(2):
+            while not self.standins.violations:
+                await asyncio.sleep(0.01)
+                gc.collect()
+        writer.transport.abort()
+        await self.standins.servers[0].stop()
+
+    async def test_failure_of_a_call_is_a_violation(self):
+        server = self.standins.servers[0]
+        await server.start()
+        server.proxy = Proxy(server.port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"POST /-/run-stop HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}")
+        self.assertIn(b" 500 ", await reader.readline())
+        self.assertEqual(len(self.standins.violations), 1)
+        writer.transport.abort()
+        await server.stop()
+
+
 if __name__ == "__main__":
     sys.exit(not unittest.main(exit=False).result.wasSuccessful())
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,11 +15,15 @@
 each server.  With --late the log also carries out appends late, and hangs.  It checks that
 jobs make progress (soak_progress.py); that every job ends that was accepted, or that exists
 by a later answer or a start; that no job has run which was refused on each try; and that the
-stand-ins found no violation.  Prints one line for each violation and a summary; the exit code
-is 0 when there was none but those of soak:late-start-after-restart in KNOWN-RED.txt.  --keep writes the hosts' settings and logs to DIR.
+stand-ins found no violation, and none failed themselves.  Prints one line for each violation
+and a summary; the exit code is 0 when there was none but those of
+soak:late-start-after-restart in KNOWN-RED.txt.  --keep writes the hosts' settings and logs to
+DIR.
 """
 import argparse
 import asyncio
+import gc
+import logging
 import os
 import random
 import signal
@@ -145,6 +149,19 @@
                 f"a shutdown ended with {self.process.returncode}", self.name)
 
 
+class FailureOfTest(logging.StreamHandler):
+    """Prints the errors of the event loop and of the stand-ins, each of which is a violation."""
+
+    def __init__(self, standins):
+        super().__init__()
+        self.standins = standins
+        self.setLevel(logging.ERROR)
+
+    def emit(self, record):
+        super().emit(record)
+        self.standins.report_violation("a failure of the test itself", record.getMessage())
+
+
 class Soak:
     """One run of the test: its hosts, its stand-ins and the jobs that were submitted."""
 
@@ -408,6 +425,10 @@
                 if job in self.standins.started_jobs:
                     self.standins.report_violation("a refused job has run", job)
             await asyncio.gather(*(host.stop(signal.SIGTERM) for host in self.hosts))
+        for host in self.hosts:
+            await host.proxy.stop()
+        await self.standins.stop()
+        gc.collect()  # a task that has failed or hangs is reported when it is collected
         return self.standins.violations
 
 
@@ -420,6 +441,7 @@
     parser.add_argument("--late", action="store_true")
     parser.add_argument("--keep", default=None)
     soak = Soak(parser.parse_args())
+    logging.getLogger().addHandler(FailureOfTest(soak.standins))
     violations = asyncio.run(soak.run())
     for violation in soak.standins.known_red:
         print(f"seed={soak.options.seed} known_red=\"late start after restart: {violation}\"")
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -8,6 +8,7 @@
 import base64
 import collections
 import json
+import logging
 import random
 import struct
 import time
@@ -20,6 +21,7 @@
 PAGE_RECORDS = 500
 TASK_FAILURES_MAX = 3
 LATE_APPEND_S = 2.5  # until an append is carried out in mode "late_busy"
+SHUTDOWN_TIMEOUT_S = 0.2  # of the calls that still wait at the end
 
 ODD_ENTRIES = [b"", b"\xff\x00{", b"[]", b'{"state":"ready"}',
                b'{"service":7,"address":"127.0.0.1:1","zone":"dc-0","state":"ready"}']
@@ -29,23 +31,52 @@
     return int(time.monotonic() * 1000)
 
 
+async def cancel_all(tasks):
+    """Cancels TASKS and waits for them to end; logs the exceptions of those that have failed."""
+    tasks = list(tasks)
+    for task in tasks:
+        task.cancel()
+    for result in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(result, BaseException) and not isinstance(result, asyncio.CancelledError):
+            logging.error("a task has failed", exc_info=result)
+
+
+async def serve(app):
+    """Serves APP at a port of the loopback address; returns its runner and the port."""
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+    await site.start()
+    return runner, site._server.sockets[0].getsockname()[1]
+
+
 class Proxy:
     """Forwards TCP connections to a target port on the loopback address.
 
     `mode` can change at any time: "pass" forwards, "delay" delays each block
     by 200 ms, "silent" discards all bytes, "one_way" discards what the target
     sends, and "reset" aborts every connection.  `port` is the listening port once
-    the proxy has started.
+    the proxy has started; `connections` has the tasks of those that are open.
     """
 
     def __init__(self, port):
         self.target, self.mode, self.server, self.port = port, "pass", None, None
+        self.connections = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    async def stop(self):
+        """Accepts no more connections, aborts the open ones and waits for their tasks to end."""
+        if self.server is not None:
+            self.server.close()
+        await cancel_all(self.connections)
+
     async def accept(self, reader, writer):
+        task = asyncio.current_task()
+        self.connections.add(task)
+        task.add_done_callback(self.connections.discard)
         if self.mode == "reset":
             writer.transport.abort()
             return
@@ -54,10 +85,22 @@
         except OSError:
             writer.transport.abort()
             return
-        await asyncio.gather(self.forward(reader, target_writer, False),
-                             self.forward(target_reader, writer, True), return_exceptions=True)
+        try:
+            await asyncio.gather(self.forward(reader, target_writer, False),
+                                 self.forward(target_reader, writer, True))
+        except BaseException:
+            writer.transport.abort()
+            target_writer.transport.abort()
+            raise
 
     async def forward(self, reader, writer, from_target):
+        """Forwards one direction until it ends; a connection that breaks breaks the other one."""
+        try:
+            await self.forward_blocks(reader, writer, from_target)
+        except OSError:
+            writer.transport.abort()
+
+    async def forward_blocks(self, reader, writer, from_target):
         discarding = False
         while data := await reader.read(65536):
             if self.mode == "delay":
@@ -95,7 +138,7 @@
         self.fenced_answer_delay_s = 0.0  # the answers to a leader's appends are late by this
         self.first_kept = 0  # offset of the oldest record that has not expired
         self.hanging = None  # a future while no call is answered: see hang()
-        self.port = None
+        self.runner, self.port = None, None
 
     def records(self, topic):
         return self.topics.setdefault(topic, [])
@@ -123,11 +166,7 @@
         app = web.Application(client_max_size=1 << 24)
         app.add_routes([web.post("/-/log-append", self.append), web.get("/-/log-read", self.read),
                         web.get("/-/log-newest", self.newest)])
-        runner = web.AppRunner(app)
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = site._server.sockets[0].getsockname()[1]
+        self.runner, self.port = await serve(app)
 
     async def append(self, request):
         body = await request.read()
@@ -259,6 +298,7 @@
         self.answer_loss_rate, self.unhealthy_rate = 0.0, 0.0
         self.late_order_rate, self.late_hold_rate = 0.0, 0.0
         self.next_starts, self.waiters, self.port = [], [], None
+        self.runner, self.watcher, self.proxy = None, None, None
         self.void_position = 0  # results up to here no longer count as failures
         self.clock_origin_ms, self.clock_rate = 0, 1.0
         # For is_late_after_restart(): the highest token that earlier incarnations have seen.
@@ -268,12 +308,13 @@
         app = web.Application()
         app.add_routes([web.post("/-/run-start", self.on_start), web.post("/-/hold", self.on_hold),
                         web.post("/-/run-stop", self.on_stop)])
-        runner = web.AppRunner(app)
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = site._server.sockets[0].getsockname()[1]
-        asyncio.get_running_loop().create_task(self.watch_runs())
+        self.runner, self.port = await serve(app)
+        self.watcher = asyncio.get_running_loop().create_task(self.watch_runs())
+
+    async def stop(self):
+        await self.proxy.stop()
+        await self.runner.cleanup()
+        await cancel_all([self.watcher])
 
     def directory_entry(self):
         return {"service": "planner", "address": f"127.0.0.1:{self.proxy.port}", "zone": self.zone,
@@ -561,6 +602,12 @@
             self.publish_server(server)
         self.publish_config(16)
 
+    async def stop(self):
+        """Ends all connections and tasks, once the hosts have ended."""
+        for server in self.servers:
+            await server.stop()
+        await self.log.runner.cleanup()
+
     def publish_server(self, server):
         """Writes the server's current entry to the directory."""
         self.log.append_record("keyed.servers", server.id,
