Soak: the gap between two faults ends with the faults

Each of the loops that inject faults slept on before it looked whether faults go on, so that a run stood idle for up to 40 s. The gap now waits for the end of the faults as well. Faults in progress last as long as before, and the traffic without faults begins after the last of them.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -173,7 +173,11 @@
         self.accepted, self.cancelled, self.submitted = set(), set(), 0
         self.unanswered = set()  # submitted, neither accepted nor refused on each try
         self.open_jobs = set()  # accepted, and not yet seen to have ended
-        self.injecting_faults, self.idle_max_s = True, 0.0
+        self.faults_end, self.idle_max_s = asyncio.Event(), 0.0
+
+    @property
+    def injecting_faults(self):
+        return not self.faults_end.is_set()
 
     async def call(self, method, path, body=None):
         """Calls a random host; returns the status and the body, status 0 without an answer."""
@@ -339,10 +343,15 @@
             self.standins.note_fault()
 
     async def repeat_fault(self, inject, mean_gap_s):
-        """Injects one fault after another until the faults stop; several loops overlap."""
+        """Injects one fault after another until the faults stop; several loops overlap.
+
+        A gap ends with the faults; a fault in progress then lasts as long as it was to last.
+        """
         while self.injecting_faults:
-            await asyncio.sleep(self.random.expovariate(1.0 / mean_gap_s))
-            if self.injecting_faults:
+            try:
+                await asyncio.wait_for(self.faults_end.wait(),
+                                       self.random.expovariate(1.0 / mean_gap_s))
+            except asyncio.TimeoutError:
                 await inject()
 
     async def find_unanswered_jobs(self):
@@ -413,7 +422,7 @@
             fault_tasks = [asyncio.create_task(loop) for loop in fault_loops]
             progress = ProgressCheck(self)
             await self.submit_jobs(self.options.seconds)
-            self.injecting_faults = False
+            self.faults_end.set()
             await asyncio.gather(*fault_tasks)
             self.standins.failure_rate = 0.0
             self.standins.note_fault()
