Soak: starts carried out and closed, late renewals after a restart, late entries

- "done_closed": a server carries out a start at once, closes the connection without an answer, and refuses the next copy of that start (503);
- "late_holds": renewals are late, and the server starts again meanwhile, so that positions and deadlines of the earlier incarnation reach the next one.
Checked: it numbers its ends anew, takes the positions literally (an end that such a position covers counts as acknowledged, as rule TWICE has it), shortens a far deadline to LEASE_MAX_MS from its arrival, has a new clock, and refuses the renewal once it has seen a higher token.
Nothing had to be mended;
- the directory entry of a server that has started again is late by up to 2 s.

The checks of the soak are as before.

--- a/tests/soak/check_standins.py
+++ b/tests/soak/check_standins.py
@@ -8,12 +8,15 @@
 import asyncio
 import gc
 import io
+import json
 import logging
 import sys
 import unittest
 
+import aiohttp
+
 from soak import FailureOfTest
-from soak_standins import Proxy, StandIns, now_ms
+from soak_standins import LEASE_MAX_MS, Proxy, StandIns, now_ms
 
 JOB = "00000000000000ab"
 STEP = {"count": 2, "cpu": 1000, "memMb": 1000, "gpu": 1, "gang": True}
@@ -148,6 +151,108 @@
         self.assertEqual(self.first.runs, {})
 
 
+class LateRenewalAfterRestart(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standins = StandIns(1, 1)
+        self.standins.specs[JOB] = {"taskSpec": "text", "steps": [{**STEP, "gang": False}]}
+        self.server = self.standins.servers[0]
+        self.server.proxy = Proxy(1)
+        self.server.apply_if_not_fenced(self.order(1, 1000), self.server.apply_start)
+        for _ in range(3):
+            self.server.runs[f"{JOB}.0.0.0"]["result"] = "failed"
+            self.server.end_run(f"{JOB}.0.0.0", "failed")
+            self.server.apply_start(self.order(self.server.last_position + 1, 1000))
+        self.renewal = {"fencingToken": 1000, "ackPosition": self.server.last_position,
+                        "deadlineMs": self.server.clock_ms() + LEASE_MS}
+        self.server.restart()
+
+    def order(self, run, token):
+        return {"task": f"{JOB}.0.0.0", "run": run, "taskSpec": "text", "fencingToken": token,
+                "deadlineMs": self.server.clock_ms() + LEASE_MS}
+
+    # Each end of the new incarnation up to the old position is forgotten, and counts as
+    # acknowledged: a scheduler must not have sent such a position.
+    async def test_position_of_the_earlier_incarnation_is_taken_literally(self):
+        self.server.apply_if_not_fenced(self.order(9, 1000), self.server.apply_start)
+        self.server.end_run(f"{JOB}.0.0.0", "done")
+        self.assertEqual(self.server.ended, [[1, f"{JOB}.0.0.0", 9, "done", ""]])
+        self.server.apply_late(self.renewal, self.server.apply_hold)
+        self.assertEqual(self.server.ended, [])
+        self.assertEqual(self.standins.acknowledged_tasks, {f"{JOB}.0.0.0"})
+
+    # A deadline on the clock of the earlier incarnation is far ahead on the new one.
+    async def test_far_deadline_is_shortened_from_its_arrival(self):
+        self.assertLess(self.server.clock_ms(), 1000)
+        self.assertGreater(self.renewal["deadlineMs"], LEASE_MAX_MS)
+        self.server.apply_late(self.renewal, self.server.apply_hold)
+        lease_ms = self.server.lease_deadline_ms - self.server.clock_ms()
+        self.assertTrue(LEASE_MAX_MS - 1000 < lease_ms <= LEASE_MAX_MS)
+
+    async def test_higher_token_refuses_the_late_renewal(self):
+        self.server.apply_if_not_fenced(self.order(9, 1001), self.server.apply_start)
+        self.server.end_run(f"{JOB}.0.0.0", "done")
+        deadline_ms = self.server.lease_deadline_ms
+        self.server.apply_late(self.renewal, self.server.apply_hold)
+        self.assertEqual(len(self.server.ended), 1)
+        self.assertEqual(self.server.lease_deadline_ms, deadline_ms)
+
+    # The entry was that of the new incarnation at once.
+    async def test_entry_is_that_of_the_earlier_incarnation_for_a_while(self):
+        def listed():
+            return json.loads(self.standins.log.records("keyed.servers")[-1][1])["born"]
+        self.standins.publish_server(self.server)
+        earlier = listed()
+        restart = asyncio.create_task(self.standins.restart_server(self.server, 0.1))
+        await asyncio.sleep(0.05)
+        self.assertEqual(listed(), earlier)
+        self.assertNotEqual(self.server.incarnation, earlier)
+        await restart
+        self.assertEqual(listed(), self.server.incarnation)
+
+
+class DoneClosed(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standins = StandIns(1, 1)
+        self.standins.specs[JOB] = {"taskSpec": "text", "steps": [{**STEP, "gang": False}]}
+        self.server = self.standins.servers[0]
+        await self.server.start()
+        self.server.proxy = Proxy(self.server.port)
+
+    async def asyncTearDown(self):
+        await self.server.stop()
+
+    async def start(self, run):
+        """Sends a start on a connection of its own; returns the status, 0 without an answer."""
+        order = {"task": f"{JOB}.0.0.0", "run": run, "taskSpec": "text", "fencingToken": 1000,
+                 "deadlineMs": self.server.clock_ms() + LEASE_MS}
+        url = f"http://127.0.0.1:{self.server.port}/-/run-start"
+        try:
+            async with aiohttp.ClientSession() as session:
+                async with session.post(url, json=order) as response:
+                    return response.status
+        except aiohttp.ClientError:
+            return 0
+
+    # A refusal of the second copy says nothing about the first one.
+    async def test_start_is_carried_out_and_its_next_copy_refused(self):
+        self.server.next_starts = ["done_closed"]
+        self.assertEqual(await self.start(1), 0)
+        self.assertEqual(self.server.runs[f"{JOB}.0.0.0"]["run"], 1)
+        self.assertEqual(await self.start(1), 503)
+        self.assertEqual(await self.start(1), 200)
+        self.assertEqual((self.standins.start_count, self.standins.violations), (1, []))
+
+    async def test_other_starts_are_not_refused(self):
+        self.server.next_starts = ["done_closed"]
+        self.assertEqual(await self.start(1), 0)
+        self.server.end_run(f"{JOB}.0.0.0", "failed")
+        self.assertEqual(await self.start(2), 200)
+
+    async def test_all_starts_at_rate_one(self):
+        self.server.done_closed_rate = 1.0
+        self.assertEqual([await self.start(1), await self.start(1)], [0, 503])
+
+
 class ProxyEnds(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.loop_errors = []
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,9 +6,10 @@
 Submits, queries and cancels jobs while it injects faults from outside the hosts: signals,
 also in series that overlap on several hosts, changes of the configuration, a proxy between
 each host and the log, a proxy in front of each server, and servers that lose answers, carry
-out orders and lease renewals late, refuse starts, restart, or are cut off until their
-directory entry has expired.  Their clocks are slow, and another writer adds odd entries to
-the directory.  Clients use their connections to a host that shuts down until it
+out orders and lease renewals late (renewals also after a restart), refuse starts or the second
+copy of a start that they have carried out, restart and are listed again later, or are cut off
+until their directory entry has expired.  Their clocks are slow, and another writer adds odd
+entries to the directory.  Clients use their connections to a host that shuts down until it
 closes them.
 
 Then it stops the faults, submits jobs for CALM_S more, and at last a gang with a task on
@@ -48,7 +49,9 @@
 # Faults of a server, and the attributes of Server that have other values while they last.
 SERVER_RATES = {"answer_loss": {"answer_loss_rate": 0.3}, "late_orders": {"late_order_rate": 0.3},
                 "late_and_unhealthy": {"late_order_rate": 0.5, "late_hold_rate": 0.2,
-                                       "unhealthy_rate": 0.5}}
+                                       "unhealthy_rate": 0.5},
+                "done_closed": {"done_closed_rate": 0.5}, "late_holds": {"late_hold_rate": 0.4}}
+ENTRY_DELAY_MAX_S = 2.0  # of the directory entry of a server that has started again
 PORT_MIN, PORT_LIMIT = 10000, 32768  # below those that the kernel gives to connections
 CLOCK_RATE_MIN = 0.98  # a server's clock may be 2 % slow
 DIRECTORY_ENTRY_TIMEOUT_S = 1.5  # when the entry of a server that is cut off expires
@@ -290,14 +293,15 @@
                                    "expire", "expire", "late_and_unhealthy"])
         duration_s = self.random.uniform(0.3, 5.0)
         if kind == "restart":
-            server.restart()
-            self.standins.publish_server(server)
+            await self.restart_server(server)
         elif kind == "expire":
             await self.expire_directory_entry(server)
         elif kind in SERVER_RATES:
             for name, rate in SERVER_RATES[kind].items():
                 setattr(server, name, rate)
             await asyncio.sleep(duration_s)
+            if kind == "late_holds":  # some reach the next incarnation
+                await self.restart_server(server)
             for name in SERVER_RATES[kind]:
                 setattr(server, name, 0.0)
         else:
@@ -305,6 +309,9 @@
             await asyncio.sleep(duration_s)
             server.proxy.mode = "pass"
 
+    async def restart_server(self, server):
+        await self.standins.restart_server(server, self.random.uniform(0, ENTRY_DELAY_MAX_S))
+
     async def expire_directory_entry(self, server):
         """Cuts a server off until its entry has expired; both return, in either order."""
         server.proxy.mode = "silent"
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -281,8 +281,10 @@
     `answer_loss_rate`, `late_order_rate` and `late_hold_rate` are the shares of answers that
     are lost, and of orders and lease renewals that are carried out 2 to 6 s after the connection
     failed.
-    `unhealthy_rate` is the share of starts that are refused with status 503.
-    `next_starts` says what becomes of the next starts: "late" or "unhealthy".
+    `unhealthy_rate` is the share of starts that are refused with status 503, and
+    `done_closed_rate` of those that are carried out at once, but whose connection is closed
+    without an answer; the next copy of such a start is refused with status 503.
+    `next_starts` says what becomes of the next starts: "late", "unhealthy" or "done_closed".
     `closed_runs` has, by task, the highest run number that has ended or was
     stopped: it and lower ones must not start any more.  `ended` keeps the results
     of runs until the scheduler acknowledges their positions.
@@ -296,7 +298,8 @@
         self.incarnation, self.fencing_token, self.lease_deadline_ms = 1000 + index, 0, 0
         self.runs, self.ended, self.last_position, self.closed_runs = {}, [], 0, {}
         self.answer_loss_rate, self.unhealthy_rate = 0.0, 0.0
-        self.late_order_rate, self.late_hold_rate = 0.0, 0.0
+        self.late_order_rate, self.late_hold_rate, self.done_closed_rate = 0.0, 0.0, 0.0
+        self.done_closed = set()  # starts (task and run) of which the next copy is refused
         self.next_starts, self.waiters, self.port = [], [], None
         self.runner, self.watcher, self.proxy = None, None, None
         self.void_position = 0  # results up to here no longer count as failures
@@ -374,6 +377,7 @@
     def restart(self):
         """Simulates a restart: a new incarnation under the same id, with nothing remembered."""
         lost_runs = list(self.runs.values())
+        self.done_closed.clear()
         self.incarnation += 100000
         self.clock_origin_ms = now_ms()
         self.earlier_token = max(self.earlier_token, self.fencing_token)
@@ -392,24 +396,36 @@
     async def handle_order(self, request, apply):
         """Handles an order with APPLY, which returns the reason for a refusal or None."""
         order = await request.json()
-        fate = self.draw_fate(apply)
+        fate = self.draw_fate(apply, order)
         if fate == "late":
             self.carry_out_late(request, order, apply)
             return web.json_response({})
         if fate == "unhealthy":
             return await self.respond(request, {}, 503)
+        if fate == "done_closed":
+            self.standins.note_fault()
+            self.done_closed.add((order["task"], order["run"]))
+            self.apply_if_not_fenced(order, apply)
+            request.transport.abort()
+            return web.json_response({})
         refusal = self.apply_if_not_fenced(order, apply)
         if refusal is not None:
             return await self.respond(request, {"reason": refusal}, 409)
         return await self.respond(request, {})
 
-    def draw_fate(self, apply):
-        """Returns "late", "unhealthy" or None: what becomes of an order that has arrived."""
+    def draw_fate(self, apply, order):
+        """Returns what becomes of an order that has arrived, or None: see `next_starts`."""
         is_start = apply == self.apply_start
+        if is_start and (order["task"], order["run"]) in self.done_closed:
+            self.done_closed.remove((order["task"], order["run"]))
+            return "unhealthy"
         if is_start and self.next_starts:
             return self.next_starts.pop(0)
         if self.standins.random.random() < self.late_order_rate:
             return "late"
+        if is_start and self.done_closed_rate > 0 and \
+                self.standins.random.random() < self.done_closed_rate:
+            return "done_closed"
         if is_start and self.unhealthy_rate > 0:
             return "unhealthy" if self.standins.random.random() < self.unhealthy_rate else None
         return None
@@ -613,6 +629,12 @@
         self.log.append_record("keyed.servers", server.id,
                                json.dumps(server.directory_entry()).encode())
 
+    async def restart_server(self, server, entry_delay_s):
+        """Restarts a server, whose entry stays that of its earlier incarnation for a while."""
+        server.restart()
+        await asyncio.sleep(entry_delay_s)
+        self.publish_server(server)
+
     def publish_odd_entry(self):
         """Writes an entry of another writer to the directory: it names no server to use."""
         entry = self.random.choice(ODD_ENTRIES)
