Soak: the new fates are drawn more often

As first added, they hardly ever met what they are for. They are drawn twice as often now, and 0.8 of the renewals are late in place of 0.4, so that those under the next fence are late as well.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -50,7 +50,7 @@
 SERVER_RATES = {"answer_loss": {"answer_loss_rate": 0.3}, "late_orders": {"late_order_rate": 0.3},
                 "late_and_unhealthy": {"late_order_rate": 0.5, "late_hold_rate": 0.2,
                                        "unhealthy_rate": 0.5},
-                "done_closed": {"done_closed_rate": 0.5}, "late_holds": {"late_hold_rate": 0.4}}
+                "done_closed": {"done_closed_rate": 0.5}, "late_holds": {"late_hold_rate": 0.8}}
 ENTRY_DELAY_MAX_S = 2.0  # of the directory entry of a server that has started again
 PORT_MIN, PORT_LIMIT = 10000, 32768  # below those that the kernel gives to connections
 CLOCK_RATE_MIN = 0.98  # a server's clock may be 2 % slow
@@ -290,7 +290,8 @@
 
     async def fault_server(self, server):
         kind = self.random.choice(["silent", "one_way", "reset", *SERVER_RATES, "restart",
-                                   "expire", "expire", "late_and_unhealthy"])
+                                   "expire", "expire", "late_and_unhealthy", "done_closed",
+                                   "late_holds"])
         duration_s = self.random.uniform(0.3, 5.0)
         if kind == "restart":
             await self.restart_server(server)
