--- a/tests/process/late_acknowledgement.py
+++ b/tests/process/late_acknowledgement.py
@@ -20,6 +20,7 @@
 
 STEP = {"count": 1, "cpu": 1000, "memMb": 1000, "gpu": 1, "estimatedMs": 500}
 LONG_RUN_MS = 60000
+NEXT_COPY_TIMEOUT_S = 5
 
 
 async def submit(soak, job):
@@ -69,7 +70,8 @@
         kept = keep_next_renewal(server)
         await wait_until(lambda: kept)
         print(f"check=renewal_acknowledges ok={kept[0]['ackPosition'] > 0}")
-        await wait_until(lambda: server.waiters)  # its next copy has arrived
+        # Its next copy has to arrive, so that the renewal counts as answered.
+        await asyncio.wait_for(wait_until(lambda: server.waiters), NEXT_COPY_TIMEOUT_S)
         lose_renewals(server)
         server.restart()
         await submit(soak, "c" * 16)
--- a/tests/soak/check_standins.py
+++ b/tests/soak/check_standins.py
@@ -235,16 +235,18 @@
 
     # A refusal of the second copy says nothing about the first one.
     async def test_start_is_carried_out_and_its_next_copy_refused(self):
-        self.server.next_starts = ["done_closed"]
+        self.server.done_closed_rate = 1.0
         self.assertEqual(await self.start(1), 0)
+        self.server.done_closed_rate = 0.0
         self.assertEqual(self.server.runs[f"{JOB}.0.0.0"]["run"], 1)
         self.assertEqual(await self.start(1), 503)
         self.assertEqual(await self.start(1), 200)
         self.assertEqual((self.standins.start_count, self.standins.violations), (1, []))
 
     async def test_other_starts_are_not_refused(self):
-        self.server.next_starts = ["done_closed"]
+        self.server.done_closed_rate = 1.0
         self.assertEqual(await self.start(1), 0)
+        self.server.done_closed_rate = 0.0
         self.server.end_run(f"{JOB}.0.0.0", "failed")
         self.assertEqual(await self.start(2), 200)
 
