--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -285,11 +285,11 @@
 /* Another server answers at the address of SERVER, whose tasks are all lost. */
 void ms_batch_server_on_replaced(struct ms_engine *engine, struct ms_batch_server *server);
 /*
- * SERVER has started again under its id at START_UNIX_MS (0: unknown); its clock was at CLOCK_MS a
- * moment ago.  Its tasks are lost, except those not ordered yet and those whose orders may still
- * reach the new incarnation or may have reached it.  Until a renewal with the next fence reaches
- * it, it carries out late orders to its earlier incarnation, so that one is due at once.  SOURCE,
- * what told of the start, is for the log.
+ * SERVER has started again under its id at START_UNIX_MS; its clock was at CLOCK_MS a moment ago.
+ * Its tasks are lost, except those not ordered yet and those whose orders may still reach the new
+ * incarnation or may have reached it.  Until a renewal with the next fence reaches it, it carries
+ * out late orders to its earlier incarnation, so that one is due at once.  SOURCE, what told of the
+ * start, is for the log.
  */
 void ms_batch_server_on_restart(struct ms_engine *engine, struct ms_batch_server *server,
                                 int64_t start_unix_ms, int64_t clock_ms, const char *source);
