--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -67,6 +67,7 @@
     engine->next_retry_at = INT64_MAX;
     engine->jobs_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
     engine->servers_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    engine->accounts_by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     ms_list_link_init(&engine->jobs);
     ms_list_link_init(&engine->servers);
     ms_list_link_init(&engine->dirty);
@@ -87,6 +88,7 @@
     g_queue_free(engine->actions);
     g_hash_table_destroy(engine->jobs_by_id);
     g_hash_table_destroy(engine->servers_by_id);
+    g_hash_table_destroy(engine->accounts_by_name);
     g_free(engine);
 }
 
@@ -277,6 +279,20 @@
     }
 }
 
+/* The account called NAME; one that is not known yet is added, with its rule. */
+static struct ms_batch_account *
+get_or_add_account(struct ms_engine *engine, const char *name)
+{
+    struct ms_batch_account *account = g_hash_table_lookup(engine->accounts_by_name, name);
+    if (account == NULL) {
+        account = g_new0(struct ms_batch_account, 1);
+        g_strlcpy(account->name, name, sizeof(account->name));
+        ms_account_set_policy(account, engine->policy);
+        g_hash_table_insert(engine->accounts_by_name, account->name, account);
+    }
+    return account;
+}
+
 /* Looks up the queue of JOB in the current policy. */
 static void
 resolve_queue(const struct ms_engine *engine, struct ms_batch_job *job)
@@ -293,6 +309,12 @@
     {
         resolve_queue(engine, MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link));
     }
+    GHashTableIter iterator;
+    gpointer account = NULL;
+    g_hash_table_iter_init(&iterator, engine->accounts_by_name);
+    while (g_hash_table_iter_next(&iterator, NULL, &account)) {
+        ms_account_set_policy(account, policy);
+    }
     engine->placement_due = true;
 }
 
@@ -313,6 +335,7 @@
     struct ms_batch_job *job = g_new0(struct ms_batch_job, 1);
     g_strlcpy(job->id, stored->id, sizeof(job->id));
     job->spec = &stored->spec;
+    job->account = get_or_add_account(engine, stored->spec.account);
     job->started = stored->started;
     job->phase = ms_stored_job_phase(stored);
     job->accepted_at = stored->accepted_read_at > 0 ? stored->accepted_read_at : engine->now;
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -6,6 +6,7 @@
 #ifndef MS_BATCH_ENGINE_PRIVATE_H
 #define MS_BATCH_ENGINE_PRIVATE_H
 
+#include "batch/account.h"
 #include "batch/engine.h"
 #include "core/list.h"
 
@@ -94,6 +95,7 @@
     char id[MS_JOB_ID_MAX];
     const struct ms_batch_spec *spec;  /* owned by the caller of ms_engine_add_job() */
     const struct ms_queue_rule *queue; /* from the current policy, or NULL */
+    struct ms_batch_account *account;  /* owned by the engine */
     enum ms_phase phase;
     bool started;                   /* a task has been assigned to a server */
     GPtrArray *occurrences;         /* struct ms_batch_occurrence *, those due so far, in order */
@@ -181,6 +183,7 @@
     GHashTable *dcs_out;            /* names of data centres out of service, or NULL */
     GHashTable *jobs_by_id;         /* owns the jobs */
     GHashTable *servers_by_id;      /* owns the servers */
+    GHashTable *accounts_by_name;   /* owns the accounts, struct ms_batch_account */
     struct ms_list_link jobs;       /* struct ms_batch_job */
     struct ms_list_link servers;    /* struct ms_batch_server */
     struct ms_list_link dirty;      /* struct ms_batch_job whose states have to be stored */
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -84,6 +84,8 @@
     task->last_progress_at = engine->now;
     ms_list_append(&server->tasks, &task->server_link);
     ms_resources_add(&server->allocated, &task->step->spec->task_resources, 1);
+    ms_resources_add(&ms_batch_task_job(task)->account->allocated,
+                     &task->step->spec->task_resources, 1);
 }
 
 void
@@ -94,6 +96,8 @@
     if (server != NULL) {
         ms_list_remove(&task->server_link);
         ms_resources_add(&server->allocated, &task->step->spec->task_resources, -1);
+        ms_resources_add(&ms_batch_task_job(task)->account->allocated,
+                         &task->step->spec->task_resources, -1);
         task->server = NULL;
     }
     task->order_pending = false;
--- a/src/batch/policy.h
+++ b/src/batch/policy.h
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "batch/job_spec.h"
 #include "mustardspread/mustardspread.h"
 
 #define MS_PATH_MAX 256 /* bytes of a queue's path prefix, with its NUL */
@@ -33,6 +34,8 @@
     char name[MS_NAME_MAX];
     char **keys;               /* API keys, NULL-terminated */
     int64_t guaranteed_accels; /* accelerators for its jobs of the top priority */
+    struct ms_resources cap;   /* most that its tasks may use over all servers; 0: no limit */
+    uint32_t weight; /* its share while capacity is short, and jobs a second; 0: not set */
 };
 
 struct ms_policy {
