Tests of stored jobs: time limit of a test that hangs

Cause: batch-unit failed once in the sanitizer build (the whole script beside a load of 23 on 7 processors): gang_that_waits_for_long_running_tasks_does_not_starve_others, 33 s of simulated time, took longer than libcheck's default limit of 4 s of real time. The same program passed a moment later under the same load (111 checks, 81 s for all). Change: the limit is 60 s, as in unit_lost_answer.c and open_faults.c. What the tests check is in simulated time and stays as it is.

--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -385,6 +385,9 @@
 int
 main(void)
 {
+    /* Read by tcase_create().  Only a test that hangs is to be ended: all bounds are in simulated
+     * time, and the default of 4 s was too short for a sanitizer build on a busy machine. */
+    setenv("CK_DEFAULT_TIMEOUT", "60", 0);
     Suite *suite = suite_create("stored jobs");
     TCase *cases = tcase_create("all");
     tcase_add_test(cases, spec_round_trip);
