Batch: the cap of an account limits what starts and what is ordered

An account's usage was counted, and nothing used the count. Placement now starts only as many tasks as fit under the cap; the others wait without touching the servers, get room under the cap reserved after 300 ms, and may stop less urgent work of their own account. An order is not sent, or not repeated, while the account is over its cap; its run is stopped.

--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -183,9 +183,8 @@
     return fitting == wanted && is_below_half(&used, &capacity);
 }
 
-/* Core-seconds of work lost if TASK, or its whole gang, is stopped, and the overhead of that. */
-static int64_t
-preemption_cost_of(const struct ms_engine *engine, const struct ms_batch_task *task)
+int64_t
+ms_capacity_preemption_cost(const struct ms_engine *engine, const struct ms_batch_task *task)
 {
     int64_t cost = task->step->spec->checkpoints ? 0 : ms_batch_task_work_core_s(engine, task);
     int64_t count = task->step->spec->gang ? task->step->spec->task_count : 1;
@@ -205,7 +204,7 @@
         if (!ms_capacity_may_preempt(pass, task)) {
             continue;
         }
-        int64_t task_cost = preemption_cost_of(pass->engine, task);
+        int64_t task_cost = ms_capacity_preemption_cost(pass->engine, task);
         if (cheapest == NULL || task_cost < *cost) {
             cheapest = task;
             *cost = task_cost;
@@ -244,7 +243,7 @@
         const struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
         if (count < PREEMPTIBLE_TASKS_MAX && ms_capacity_may_preempt(pass, task)) {
             preemptible[count].task = task;
-            preemptible[count].cost = preemption_cost_of(pass->engine, task);
+            preemptible[count].cost = ms_capacity_preemption_cost(pass->engine, task);
             count++;
         }
     }
--- a/src/batch/engine_collect.c
+++ b/src/batch/engine_collect.c
@@ -44,6 +44,8 @@
             const struct ms_step *spec = task->step->spec;
             if (task->state == MS_BATCH_TASK_STOPPING) {
                 ms_resources_add(&server->releasing, &spec->task_resources, 1);
+                ms_resources_add(&ms_batch_task_job(task)->account->releasing,
+                                 &spec->task_resources, 1);
             }
             else if (spec->long_running) {
                 ms_resources_add(&server->lasting, &spec->task_resources, 1);
--- a/src/batch/engine_explain.h
+++ b/src/batch/engine_explain.h
@@ -27,6 +27,7 @@
     MS_OUTCOME_TOO_COSTLY,    /* preemption would cost more than its limit */
     MS_OUTCOME_TOO_MANY,      /* enough units have a reservation */
     MS_OUTCOME_TOO_MUCH_IDLE, /* reservations would leave too much capacity idle */
+    MS_OUTCOME_OVER_CAP,      /* it does not fit under its account's cap */
 };
 
 /* What all levels said of the current unit. */
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "batch/engine_cap.h"
 #include "batch/engine_placement.h"
 
 /*
@@ -130,6 +131,8 @@
                 task->preemption_count++;
                 task->preemptor_priority = priority;
                 ms_resources_add(&task->server->releasing, &step->spec->task_resources, 1);
+                ms_resources_add(&ms_batch_task_job(task)->account->releasing,
+                                 &step->spec->task_resources, 1);
             }
         }
     }
@@ -269,27 +272,29 @@
     return true;
 }
 
-/* Tries the unit, which does not fit into free capacity, at the other levels. */
-static void
-place_waiting_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
+/*
+ * Tries the current unit, which does not fit into free capacity, at the other levels.  Returns
+ * whether it fits once stops that are ordered have finished.
+ */
+static bool
+try_other_levels(struct ms_placement_pass *pass)
 {
     struct ms_engine *engine = pass->engine;
     struct ms_level_outcomes *outcomes = &pass->outcomes;
-    int64_t waited_ms = engine->now - unit->step->ready_since;
-    engine->units_waiting++;
+    int64_t waited_ms = engine->now - pass->unit->step->ready_since;
     if (!may_try_other_levels(pass)) {
-        return;
+        return false;
     }
     pass->waiting_unit_count += !pass->within_guarantee;
     if (ms_plan_unit(pass, MS_LEVEL_RELEASING) != MS_NO_PLAN) {
         outcomes->by_level[MS_LEVEL_RELEASING] = MS_OUTCOME_GRANTED;
         reserve_unit(pass);
-        return;
+        return true;
     }
     outcomes->by_level[MS_LEVEL_RELEASING] = no_plan_outcome(pass);
     outcomes->by_level[MS_LEVEL_PREEMPT] = MS_OUTCOME_NOT_YET;
     if (pass->awaits_servers) {
-        return;
+        return false;
     }
     if (may_preempt(pass, waited_ms, 0)) {
         ms_capacity_update_preemptible(pass);
@@ -301,12 +306,57 @@
             preempt_for_unit(pass);
             reserve_unit(pass);
             pass->preemptible_valid = false;
-            return;
+            return true;
         }
         outcomes->by_level[MS_LEVEL_PREEMPT] =
             planned ? MS_OUTCOME_TOO_COSTLY : no_plan_outcome(pass);
     }
     outcomes->by_level[MS_LEVEL_RESERVE] = try_reserve(pass, waited_ms);
+    return false;
+}
+
+/*
+ * Tries UNIT, which waits for servers, at the other levels.  Capacity is freed for one of its tasks
+ * at a time, unless it is a gang, or within a guarantee and its account has a cap: it may have
+ * waited for stops under the cap already, so the guarantee leaves no time for a stop after the
+ * other.  Returns whether capacity is being freed for it; *PART is set to what it was tried with.
+ */
+static bool
+wait_for_servers(struct ms_placement_pass *pass, const struct ms_unit *unit, struct ms_unit *part)
+{
+    bool capped = unit->step->occurrence->job->account->capped;
+    *part = *unit;
+    pass->unit = part;
+    if (unit->gang) {
+        return try_other_levels(pass);
+    }
+    if (capped && pass->within_guarantee && unit->count > 1 && try_other_levels(pass)) {
+        return true;
+    }
+    part->count = 1;
+    return try_other_levels(pass);
+}
+
+/*
+ * UNIT does not fit under its account's cap.  It waits without touching the servers, unless it is
+ * within its guarantee and stops that are ordered make room for it.
+ */
+static void
+wait_for_cap(struct ms_placement_pass *pass, const struct ms_unit *unit)
+{
+    int64_t waited_ms = pass->engine->now - unit->step->ready_since;
+    struct ms_unit part = *unit;
+    pass->unit = unit;
+    ms_explain_begin_unit(pass, MS_OUTCOME_OVER_CAP);
+    part.count =
+        ms_cap_wait(pass, waited_ms,
+                    may_preempt(pass, waited_ms, 0) ? preempt_cost_max(pass) : MS_NO_PREEMPTION);
+    if (pass->within_guarantee && part.count > 0) {
+        struct ms_unit tried;
+        wait_for_servers(pass, &part, &tried);
+    }
+    pass->unit = unit;
+    ms_explain_unit(pass);
 }
 
 /* Starts the tasks of the unit that fit into free capacity; the others wait. */
@@ -314,6 +364,8 @@
 place_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
 {
     struct ms_unit remaining = *unit;
+    uint32_t over_cap = unit->count - ms_cap_max_tasks(unit);
+    remaining.count -= over_cap;
     pass->unit = &remaining;
     pass->within_guarantee = unit->step->within_guarantee;
     pass->may_preempt_top = pass->within_guarantee &&
@@ -323,19 +375,29 @@
         remaining.tasks += started;
         remaining.count -= started;
     }
-    if (remaining.count == 0) {
+    if (remaining.count + over_cap == 0) {
         pass->unit = NULL;
         return;
     }
-    if (!remaining.gang) {
-        remaining.count = 1; /* capacity is freed for one task at a time */
+    if (over_cap > 0 && (remaining.count == 0 || pass->within_guarantee)) {
+        remaining.count += over_cap;
+        pass->engine->units_waiting++;
+        wait_for_cap(pass, &remaining);
+        pass->unit = NULL;
+        return;
     }
+    struct ms_unit part = remaining;
+    part.count = remaining.gang ? remaining.count : 1;
+    pass->unit = &part;
     if (may_try_other_levels(pass) && start_in_ample_capacity(pass)) {
         pass->unit = NULL;
         return;
     }
+    pass->engine->units_waiting++;
     ms_explain_begin_unit(pass, no_plan_outcome(pass));
-    place_waiting_unit(pass, &remaining);
+    if (wait_for_servers(pass, &remaining, &part)) {
+        ms_cap_reserve(pass);
+    }
     ms_explain_unit(pass);
     pass->unit = NULL;
 }
@@ -382,6 +444,7 @@
     pass.racks =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
     pass.accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    ms_cap_begin_pass(&pass);
     ms_collect_servers(&pass);
     ms_collect_steps(&pass, steps);
     engine->units_waiting = 0;
@@ -391,6 +454,7 @@
         ms_advice_request(engine, g_ptr_array_index(steps, i));
     }
     ms_explain_end_pass(&pass, steps);
+    ms_cap_end_pass(&pass, steps);
     g_hash_table_destroy(pass.racks);
     g_hash_table_destroy(pass.accounts);
     g_ptr_array_unref(pass.servers);
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -60,7 +60,8 @@
     bool preemptible_top;
     struct ms_level_outcomes outcomes; /* of the current unit, for its log line */
     struct ms_explained_steps explained;
-    GPtrArray *blocked_gangs; /* struct ms_batch_step whose active members keep it waiting */
+    GPtrArray *blocked_gangs;   /* struct ms_batch_step whose active members keep it waiting */
+    GHashTable *cap_candidates; /* engine_cap.c: account -> tasks to preempt; NULL: none yet */
 };
 
 /* Accelerators of an account's jobs of the top priority. */
@@ -108,6 +109,10 @@
                                const struct ms_batch_server *server, enum ms_placement_level level,
                                uint32_t limit);
 
+/* Core-seconds of work lost if TASK, or its whole gang, is stopped, and the overhead of that. */
+int64_t ms_capacity_preemption_cost(const struct ms_engine *engine,
+                                    const struct ms_batch_task *task);
+
 /* The cheapest task on SERVER to preempt, or NULL; *COST is set to its preemption cost. */
 struct ms_batch_task *ms_capacity_cheapest_preemptible(const struct ms_placement_pass *pass,
                                                        const struct ms_batch_server *server,
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -200,6 +200,7 @@
     uint32_t explain_cursor;        /* rotates the long waits that are logged */
     int64_t oldest_unplaced_since;  /* lowest `unplaced_since` after the last pass, 0: none */
     uint32_t units_waiting;         /* units that the last pass could not place */
+    int64_t cap_candidates_at;      /* when engine_cap.c last collected tasks to preempt */
     uint32_t jobs_without_queue;    /* open jobs whose queue the policy does not have */
     uint32_t advice_pending_count;  /* requests to the advice service without an answer */
     uint32_t snapshot_number;       /* number of the latest directory snapshot */
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -130,6 +130,10 @@
         ms_batch_task_stop_unit(engine, task, "server_closed");
         return;
     }
+    if (start && ms_account_is_over_cap(ms_batch_task_job(task)->account)) {
+        ms_batch_task_stop_unit(engine, task, "over_cap"); /* the cap was lowered */
+        return;
+    }
     struct ms_engine_action *action =
         ms_engine_push_action(engine, start ? MS_ENGINE_START : MS_ENGINE_STOP, server);
     ms_batch_task_name(task, action->task);
--- a/tests/batch/simulator.h
+++ b/tests/batch/simulator.h
@@ -73,10 +73,21 @@
  * after them, are over, no open job may be without a run for 3 s while a step of it is due,
  * under half of each resource is in use, and its tasks (one task, or all members of a gang)
  * fit twice over into the capacity that LIVENESS names of servers that are up, listed, not
- * draining and reachable.
+ * draining and reachable.  Jobs of an account that uses half of its cap or more may wait.
  */
 void simulator_set_liveness(struct simulator *simulator, enum simulator_liveness liveness);
 
+/*
+ * Changes the cap of ACCOUNT, "account" or "other" (a resource of 0 is no limit).  The leader
+ * learns of it DELAY_MS later, at most 3 s.  From now on each start is checked against the highest
+ * cap of its account in the last 4 s.
+ */
+void simulator_set_cap(struct simulator *simulator, const char *account, struct ms_resources cap,
+                       int64_t delay_ms);
+
+/* Resources of the runs of ACCOUNT on all servers, also on those that are unreachable. */
+struct ms_resources simulator_account_usage(const struct simulator *simulator, const char *account);
+
 /* Advances the simulated clock by MS, or until an invariant is violated. */
 void simulator_run(struct simulator *simulator, int64_t ms);
 
@@ -99,6 +110,9 @@
 /* Server INDEX disappears for good without draining. */
 void simulator_lose_server(struct simulator *simulator, size_t index);
 
+/* Server INDEX restarts under its id and loses its runs. */
+void simulator_restart_server(struct simulator *simulator, size_t index);
+
 /* Loses the answers of server INDEX for MS; it still carries out orders. */
 void simulator_silence_server(struct simulator *simulator, size_t index, int64_t ms);
 
--- a/tests/batch/simulator_faults.c
+++ b/tests/batch/simulator_faults.c
@@ -349,6 +349,12 @@
     lose_server(simulator, &simulator->servers[index]);
 }
 
+void
+simulator_restart_server(struct simulator *simulator, size_t index)
+{
+    restart_server(simulator, &simulator->servers[index]);
+}
+
 void
 simulator_silence_server(struct simulator *simulator, size_t index, int64_t ms)
 {
--- a/tests/batch/simulator_private.h
+++ b/tests/batch/simulator_private.h
@@ -103,7 +103,9 @@
     bool leader_losses_expected; /* they do not count as faults */
     int64_t faults_until;        /* no fault is active or pending from then on, if none follows */
     enum simulator_liveness liveness;
-    GHashTable *idle_since; /* job id -> int64_t: since when the job could run and does not */
+    GArray *cap_changes;     /* struct cap_change of simulator_caps.c, oldest first */
+    uint32_t unlearned_caps; /* of which the leader has not learned yet */
+    GHashTable *idle_since;  /* job id -> int64_t: since when the job could run and does not */
     struct simulator_counts counts;
     char violation[SIMULATOR_TEXT_MAX]; /* first violated invariant, or "" */
     FILE *trace;                        /* or NULL */
@@ -153,6 +155,16 @@
 /* Causes random faults, and ends those that are over; called every 100 ms. */
 void simulator_inject_faults(struct simulator *simulator);
 
+/* simulator_caps.c */
+GArray *simulator_new_cap_changes(void);
+/* Gives the engine the caps of which the leader has learned by now. */
+void simulator_learn_caps(struct simulator *simulator);
+/* Checks that the start of TASK keeps its account within its cap. */
+void simulator_check_cap(struct simulator *simulator, const char *task);
+/* Whether ACCOUNT uses half or more of its cap, of the lowest one in the last RECENT_MS. */
+bool simulator_uses_half_of_cap(const struct simulator *simulator, const char *account,
+                                int64_t recent_ms);
+
 /* simulator_liveness.c */
 /* Checks, when the faults have been over for long enough, that jobs make progress. */
 void simulator_check_progress(struct simulator *simulator);
