Entry: jobs that can never run under their account's cap are rejected; caps are visible

A job of which a gang, or one task, is larger than its account's cap was stored and waited for good. It is now answered with 429 and reason over_cap before anything is stored, unless the job is known as accepted, or an append of an earlier call may still store it.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -568,3 +568,16 @@
         stats->longest_wait_ms = engine->now - engine->oldest_unplaced_since;
     }
 }
+
+GPtrArray *
+ms_engine_accounts(const struct ms_engine *engine)
+{
+    GPtrArray *accounts = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer account = NULL;
+    g_hash_table_iter_init(&iterator, engine->accounts_by_name);
+    while (g_hash_table_iter_next(&iterator, NULL, &account)) {
+        g_ptr_array_add(accounts, account);
+    }
+    return accounts;
+}
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -174,6 +174,12 @@
 
 void ms_engine_stats(const struct ms_engine *engine, struct ms_engine_stats *stats);
 
+/*
+ * The accounts that the engine knows (struct ms_batch_account); the caller releases the array, not
+ * the accounts, which are valid until the next call of the engine.
+ */
+GPtrArray *ms_engine_accounts(const struct ms_engine *engine);
+
 /* Sets the callback that gets a line of key=value pairs for each logged event. */
 void ms_engine_set_log(struct ms_engine *engine, void (*line)(void *opaque, const char *text),
                        void *opaque);
--- a/src/batch/engine_explain.c
+++ b/src/batch/engine_explain.c
@@ -166,6 +166,25 @@
     }
 }
 
+/* Appends the account of the current unit, what it uses and its cap, if the unit exceeds that. */
+static void
+append_account(const struct ms_placement_pass *pass, GString *line)
+{
+    const struct ms_batch_account *account = pass->unit->step->occurrence->job->account;
+    if (pass->outcomes.by_level[MS_LEVEL_FREE] != MS_OUTCOME_OVER_CAP) {
+        return;
+    }
+    const struct ms_resources *used = &account->allocated;
+    const struct ms_resources *cap = &account->rule->cap;
+    g_string_append_printf(line,
+                           " account=%s used_cpu_millis=%" G_GINT64_FORMAT
+                           " used_memory_mb=%" G_GINT64_FORMAT " used_accels=%" G_GINT64_FORMAT
+                           " cap_cpu_millis=%" G_GINT64_FORMAT " cap_memory_mb=%" G_GINT64_FORMAT
+                           " cap_accels=%" G_GINT64_FORMAT,
+                           account->name, used->cpu_millis, used->memory_mb, used->accels,
+                           cap->cpu_millis, cap->memory_mb, cap->accels);
+}
+
 /* Logs LINE and frees it. */
 static void
 log_line(struct ms_engine *engine, GString *line)
@@ -186,6 +205,7 @@
     append_need(pass->engine, line, unit->tasks[0], unit->count);
     append_servers(pass, line);
     append_outcomes(line, &pass->outcomes);
+    append_account(pass, line);
     log_line(pass->engine, line);
 }
 
--- a/src/cli/logs.c
+++ b/src/cli/logs.c
@@ -36,6 +36,7 @@
     int64_t fewest_servers;        /* usable while it waited that long; -1: no such line */
     int64_t most_excluded;         /* servers that were not usable then */
     int64_t most_free_tasks;       /* tasks of it that would have fitted at once then */
+    uint32_t over_cap_lines;       /* that say that it did not fit under its account's cap */
     GHashTable *waits;             /* why its tasks waited, such as "preempt=too_costly" -> lines */
     GHashTable *causes; /* why runs ended early, such as "stopped: slow_server" -> count */
 };
@@ -134,9 +135,11 @@
         "how",    "after_ms", "waited_ms",     "percent",   "core_s", "order",   "result",
         "peer",   "outcome",  "config_age_ms", "later_run", "dc",     "failures"};
     static const char *const wait_keys[] = {
-        "count",   "unplaced_ms",  "servers",          "excluded",     "free_tasks",    "free",
-        "preempt", "preempt_cost", "preempt_cost_max", "reserve",      "reserved_idle", "releasing",
-        "backoff", "waiting",      "stopping",         "server_state", "lease_left_ms"};
+        "count",         "unplaced_ms",    "servers",       "excluded",         "free_tasks",
+        "free",          "preempt",        "preempt_cost",  "preempt_cost_max", "reserve",
+        "reserved_idle", "releasing",      "backoff",       "waiting",          "stopping",
+        "server_state",  "lease_left_ms",  "account",       "used_cpu_millis",  "used_memory_mb",
+        "used_accels",   "cap_cpu_millis", "cap_memory_mb", "cap_accels"};
     printf("%+8" PRId64 " ms  %-24s %s", line->time_ms - began_at, log_line_text(line, "host"),
            log_line_text(line, "event"));
     print_keys(line, keys, G_N_ELEMENTS(keys));
@@ -215,6 +218,7 @@
         increment(history->waits, "waiting:", "backoff after a failed run or a refusal");
         return;
     }
+    history->over_cap_lines += strcmp(log_line_text(line, "free"), "over_cap") == 0;
     char *outcomes =
         g_strdup_printf("free=%s releasing=%s preempt=%s reserve=%s", log_line_text(line, "free"),
                         log_line_text(line, "releasing"), log_line_text(line, "preempt"),
@@ -287,6 +291,10 @@
     }
     printf("; lines by reason:\n");
     print_counts(history->waits, "  ");
+    if (history->over_cap_lines > 0) {
+        printf("in %u of these lines its tasks would have brought its account over its cap\n",
+               history->over_cap_lines);
+    }
 }
 
 /* Prints whether the job was accepted, how it ended and what delayed it. */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -192,6 +192,7 @@
         if (entry->now >= next_gauges_at) {
             next_gauges_at = entry->now + 1000;
             set_gauges(entry);
+            ms_account_metrics_update(entry);
         }
     }
     return NULL;
--- a/src/entry/http_frontend.c
+++ b/src/entry/http_frontend.c
@@ -44,6 +44,7 @@
     GMutex lock;                   /* protects the rest */
     bool stopping;                 /* no more calls are accepted */
     struct ms_list_link suspended; /* struct exchange: calls without an answer */
+    char *account_metrics;         /* gauges of client accounts, or NULL */
 };
 
 /* State of one HTTP exchange between the callbacks of libmicrohttpd. */
@@ -266,7 +267,11 @@
         return reply_error(frontend, connection, MHD_HTTP_NOT_FOUND,
                            "not found: only " METRICS_PATH " is served here");
     }
-    char *text = ms_counters_format_prometheus(frontend->counters);
+    char *counters = ms_counters_format_prometheus(frontend->counters);
+    g_mutex_lock(&frontend->lock);
+    char *text = g_strconcat(counters, frontend->account_metrics, NULL);
+    g_mutex_unlock(&frontend->lock);
+    g_free(counters);
     enum MHD_Result result = reply(frontend, connection, MHD_HTTP_OK, "text/plain", text);
     g_free(text);
     return result;
@@ -345,6 +350,15 @@
     atomic_store(&frontend->ready, ready);
 }
 
+void
+ms_http_frontend_set_account_metrics(struct ms_http_frontend *frontend, char *text)
+{
+    g_mutex_lock(&frontend->lock);
+    g_free(frontend->account_metrics);
+    frontend->account_metrics = text;
+    g_mutex_unlock(&frontend->lock);
+}
+
 void
 ms_http_frontend_close_connections(struct ms_http_frontend *frontend)
 {
@@ -420,5 +434,6 @@
         MHD_stop_daemon(frontend->metrics_daemon);
     }
     g_mutex_clear(&frontend->lock);
+    g_free(frontend->account_metrics);
     g_free(frontend);
 }
--- a/src/entry/http_frontend.h
+++ b/src/entry/http_frontend.h
@@ -23,6 +23,9 @@
 /* Sets the answer to the readiness probe; not ready until this is called. */
 void ms_http_frontend_set_ready(struct ms_http_frontend *frontend, bool ready);
 
+/* Sets the gauges of client accounts in the Prometheus format; takes TEXT, NULL for none. */
+void ms_http_frontend_set_account_metrics(struct ms_http_frontend *frontend, char *text);
+
 /* For a shutdown: not ready any more, and each answer closes its connection. */
 void ms_http_frontend_close_connections(struct ms_http_frontend *frontend);
 
--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -45,6 +45,7 @@
     MS_STATUS_NOT_FOUND = 404,
     MS_STATUS_METHOD_NOT_ALLOWED = 405,
     MS_STATUS_GONE = 410,
+    MS_STATUS_OVER_CAP = 429, /* refused: the job can never run under its account's cap */
     MS_STATUS_SERVER_ERROR = 500,    /* the lowest one; not sent by entry hosts */
     MS_STATUS_UNAVAILABLE = 503,     /* refused: the call was not and will not be carried out */
     MS_STATUS_OUTCOME_UNKNOWN = 504, /* the call may have been carried out */
@@ -209,6 +210,11 @@
 /* Call before CALL is answered: detaches its forward, whose result is then ignored. */
 void ms_entry_peers_detach_forward(struct ms_entry_call *call);
 
+/* account_metrics.c */
+
+/* Updates the gauges of client accounts; there are none unless this host is the leader. */
+void ms_account_metrics_update(struct ms_entry *entry);
+
 /* log_streams.c: applies what was read from the log; MESSAGE may also report a failed read. */
 void ms_streams_apply_message(struct ms_entry *entry, const struct ms_entry_message *message);
 
--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "batch/account.h"
 #include "entry/private.h"
 #include "obs/log.h"
 #include "ports/caller_api.h"
@@ -182,12 +183,24 @@
 }
 
 /*
- * Stores the job of CALL.  A job ID that was accepted before is answered as accepted and
- * not stored again, so that a caller can repeat a submission.
+ * Refuses the job of CALL, which can never run under its account's cap.  The outcome is unknown if
+ * an append of an earlier call is in progress, as that may still store the job.
+ */
+static void
+refuse_over_cap(struct ms_entry *entry, struct ms_entry_call *call, const char *id)
+{
+    call->may_have_run |= g_hash_table_contains(entry->pending_appends, id);
+    ms_requests_answer(entry, call, MS_STATUS_OVER_CAP, "over_cap");
+}
+
+/*
+ * Stores the job of CALL by ACCOUNT, or by a caller without a key if that is NULL.  A job ID that
+ * was accepted before is answered as accepted and not stored again, so that a caller can repeat a
+ * submission.
  */
 static void
 submit_job(struct ms_entry *entry, struct ms_entry_call *call, const struct ms_queue_rule *queue,
-           const char *account, const char *id)
+           const struct ms_account_rule *account, const char *id)
 {
     const struct ms_stored_job *existing = ms_job_table_find(entry->table, id);
     if (call->error[0] != '\0') {
@@ -202,7 +215,7 @@
     struct ms_batch_spec *spec = &call->spec;
     g_strlcpy(spec->id, id, sizeof(spec->id));
     g_strlcpy(spec->queue, queue->name, sizeof(spec->queue));
-    g_strlcpy(spec->account, account, sizeof(spec->account));
+    g_strlcpy(spec->account, account != NULL ? account->name : "", sizeof(spec->account));
     if (spec->accepted_ms == 0) { /* all appends of a call have the same record */
         spec->accepted_ms = g_get_real_time() / 1000;
     }
@@ -213,6 +226,10 @@
                            strlen(id) >= sizeof(spec->id) ? "id: too long" : call->error);
         return;
     }
+    if (!ms_account_job_fits(spec, account)) {
+        refuse_over_cap(entry, call, id);
+        return;
+    }
     if (!entry->reachable[MS_STREAM_JOBS]) {
         ms_requests_forward_or_refuse(entry, call, "log_unreachable");
         return;
@@ -254,7 +271,6 @@
         ms_requests_answer(entry, call, MS_STATUS_UNAUTHORIZED, "unknown_key");
         return;
     }
-    const char *name = account != NULL ? account->name : "";
     const char *id = call->path + strlen(queue->path_prefix);
     if (id[0] == '\0' && call->method == MS_METHOD_GET) {
         ms_job_calls_answer_queue(entry, call, queue);
@@ -263,10 +279,10 @@
         ms_requests_answer(entry, call, MS_STATUS_METHOD_NOT_ALLOWED, "method_not_allowed");
     }
     else if (call->method == MS_METHOD_POST) {
-        submit_job(entry, call, queue, name, id);
+        submit_job(entry, call, queue, account, id);
     }
     else {
-        ms_job_calls_handle(entry, call, queue, name, id);
+        ms_job_calls_handle(entry, call, queue, account != NULL ? account->name : "", id);
     }
 }
 
