--- a/tests/batch/unit_account.c
+++ b/tests/batch/unit_account.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "batch/account.h"
+#include "batch/engine_private.h"
 #include "batch/unit.h"
 #include "batch/simulator.h"
 #include "batch/simulator_private.h"
@@ -568,6 +568,31 @@
 }
 END_TEST
 
+/*
+ * Hundreds of units that wait for a cap would take the leader's time on 3,000 servers: a pass must
+ * not look at any server for them.
+ */
+START_TEST(waits_for_cap_examine_no_servers)
+{
+    struct simulator *simulator = simulator_new(58, 8, &no_faults, NULL);
+    cap_accels(simulator, "account", 8);
+    submit_small_jobs(simulator, "small", "account", "q1", 200);
+    simulator_run(simulator, 300);
+    stall_all_runs(simulator);
+    simulator_run(simulator, 2000);
+    const struct ms_engine *engine = simulator->engine;
+    GPtrArray *accounts = ms_engine_accounts(engine);
+    const struct ms_batch_account *account = g_ptr_array_index(accounts, 0);
+    ck_assert_uint_eq(accounts->len, 1);
+    ck_assert_uint_eq(account->waiting_tasks, 192);
+    ck_assert_uint_eq(account->delayed_units, 192);
+    ck_assert_uint_eq(engine->units_waiting, 192);
+    ck_assert_uint_eq(engine->servers_examined, 0);
+    g_ptr_array_unref(accounts);
+    simulator_free(simulator);
+}
+END_TEST
+
 /* Operators must see that a unit waits for its account's cap, in a bounded number of lines. */
 START_TEST(waits_for_cap_are_logged)
 {
@@ -612,6 +637,7 @@
     tcase_add_test(cases, guarantee_is_met_at_the_cap);
     tcase_add_test(cases, gang_larger_than_cap_blocks_nothing);
     tcase_add_test(cases, gang_without_servers_reserves_no_room);
+    tcase_add_test(cases, waits_for_cap_examine_no_servers);
     tcase_add_test(cases, waits_for_cap_are_logged);
     return cases;
 }
