Batch: waiting work of one priority is ordered between accounts by weight

Within a priority, after work within a guarantee: work that lies no more than 1 s ahead of its account's rate, then coarse steps of the dominant share relative to the weight, then virtual arrival. Without weights the order is that of arrival, as before.

--- a/src/batch/account.h
+++ b/src/batch/account.h
@@ -11,12 +11,15 @@
 #define MS_BATCH_ACCOUNT_H
 
 #include "batch/policy.h"
+#include "core/list.h"
 
 /* A client account with at least one stored job. */
 struct ms_batch_account {
     char name[MS_NAME_MAX];             /* "": jobs of callers without a key */
     const struct ms_account_rule *rule; /* from the current policy, or NULL */
     struct ms_resources allocated;      /* of its tasks that are assigned to a server */
+    struct ms_list_link jobs; /* struct ms_batch_job, known ones by arrival, also ended ones */
+    int64_t relative_share;   /* of the last pass, see account_order.h; only with weights */
 };
 
 /* Looks up the rule of ACCOUNT in POLICY, which may be NULL and has to outlive the rule. */
--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -288,6 +288,7 @@
         account = g_new0(struct ms_batch_account, 1);
         g_strlcpy(account->name, name, sizeof(account->name));
         ms_account_set_policy(account, engine->policy);
+        ms_list_link_init(&account->jobs);
         g_hash_table_insert(engine->accounts_by_name, account->name, account);
     }
     return account;
@@ -315,6 +316,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &account)) {
         ms_account_set_policy(account, policy);
     }
+    ms_order_set_policy(engine);
     engine->placement_due = true;
 }
 
@@ -344,6 +346,7 @@
     ms_list_link_init(&job->jobs_link);
     ms_list_append(&engine->jobs, &job->jobs_link);
     g_hash_table_insert(engine->jobs_by_id, job->id, job);
+    ms_order_add_job(job);
     if (job->phase != MS_PHASE_OPEN) {
         /* An earlier leader has not removed its records yet: ended_retention_ms starts anew. */
         job->ended_at = engine->now;
@@ -387,6 +390,7 @@
 {
     ms_list_remove(&job->jobs_link);
     ms_list_remove(&job->dirty_link);
+    ms_order_remove_job(job);
     g_hash_table_remove(engine->jobs_by_id, job->id);
 }
 
--- a/src/batch/engine_collect.c
+++ b/src/batch/engine_collect.c
@@ -59,26 +59,12 @@
     }
 }
 
-/* Orders steps by priority, guarantee, time of acceptance and job id. */
 static gint
 compare_steps(gconstpointer left, gconstpointer right)
 {
     const struct ms_batch_step *a = *(struct ms_batch_step *const *)left;
     const struct ms_batch_step *b = *(struct ms_batch_step *const *)right;
-    uint32_t a_priority = ms_batch_job_priority(a->occurrence->job);
-    uint32_t b_priority = ms_batch_job_priority(b->occurrence->job);
-    if (a_priority != b_priority) {
-        return a_priority < b_priority ? -1 : 1;
-    }
-    if (a->within_guarantee != b->within_guarantee) {
-        return a->within_guarantee ? -1 : 1;
-    }
-    int64_t a_at = a->occurrence->job->spec->accepted_ms;
-    int64_t b_at = b->occurrence->job->spec->accepted_ms;
-    if (a_at != b_at) {
-        return a_at < b_at ? -1 : 1;
-    }
-    return strcmp(a->occurrence->job->id, b->occurrence->job->id);
+    return ms_order_compare(&a->rank, &b->rank);
 }
 
 /* Collects the accelerators that each account requests and has allocated at the top priority. */
@@ -209,9 +195,11 @@
         collect_accounts(pass);
     }
     collect_ready_steps(pass, steps);
+    ms_order_begin_pass(pass);
     for (guint i = 0; i < steps->len; i++) {
         struct ms_batch_step *step = g_ptr_array_index(steps, i);
         step->within_guarantee = is_within_guarantee(pass, step);
+        ms_order_rank_step(pass->engine, step);
     }
     g_ptr_array_sort(steps, compare_steps);
 }
--- /dev/null
+++ b/src/batch/engine_order.c
@@ -0,0 +1,131 @@
+/*
+ * engine_order.c - what the order between accounts needs from the engine: the virtual arrivals
+ * of jobs and the relative shares of accounts; see account_order.h.
+ */
+#include <string.h>
+
+#include "batch/engine_placement.h"
+
+static struct ms_batch_job *
+job_of(struct ms_list_link *link)
+{
+    return MS_CONTAINER_OF(link, struct ms_batch_job, account_link);
+}
+
+/* Whether A arrived before B; ids decide between equal times, as they are the same everywhere. */
+static bool
+arrived_before(const struct ms_batch_job *a, const struct ms_batch_job *b)
+{
+    if (a->spec->accepted_ms != b->spec->accepted_ms) {
+        return a->spec->accepted_ms < b->spec->accepted_ms;
+    }
+    return strcmp(a->id, b->id) < 0;
+}
+
+/* Computes the virtual arrivals of the jobs of ACCOUNT from LINK on, until one is unchanged. */
+static void
+update_from(const struct ms_batch_account *account, struct ms_list_link *link)
+{
+    const struct ms_list_link *head = &account->jobs;
+    int64_t previous_us = link->prev == head ? INT64_MIN : job_of(link->prev)->virtual_us;
+    for (; link != head; link = link->next) {
+        struct ms_batch_job *job = job_of(link);
+        int64_t virtual_us = ms_order_virtual_us(job->spec->accepted_ms, previous_us,
+                                                 ms_order_weight(account->rule));
+        if (virtual_us == job->virtual_us) {
+            return;
+        }
+        job->virtual_us = virtual_us;
+        previous_us = virtual_us;
+    }
+}
+
+void
+ms_order_add_job(struct ms_batch_job *job)
+{
+    struct ms_batch_account *account = job->account;
+    struct ms_list_link *position = &account->jobs;
+    /* Jobs become known nearly in the order of arrival, so this is a short way from the end. */
+    while (position->prev != &account->jobs && arrived_before(job, job_of(position->prev))) {
+        position = position->prev;
+    }
+    job->virtual_us = INT64_MIN;
+    ms_list_link_init(&job->account_link);
+    ms_list_insert_before(position, &job->account_link);
+    update_from(account, &job->account_link);
+}
+
+void
+ms_order_remove_job(struct ms_batch_job *job)
+{
+    struct ms_list_link *next = job->account_link.next;
+    ms_list_remove(&job->account_link);
+    update_from(job->account, next);
+}
+
+void
+ms_order_set_policy(struct ms_engine *engine)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    engine->has_weights = ms_order_has_weights(engine->policy);
+    engine->total_weight = ms_order_total_weight(engine->policy);
+    g_hash_table_iter_init(&iterator, engine->accounts_by_name);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct ms_batch_account *account = value;
+        MS_LIST_FOREACH(link, &account->jobs)
+        {
+            job_of(link)->virtual_us = INT64_MIN;
+        }
+        update_from(account, account->jobs.next);
+    }
+}
+
+void
+ms_order_begin_pass(const struct ms_placement_pass *pass)
+{
+    const struct ms_engine *engine = pass->engine;
+    struct ms_resources capacity = {0, 0, 0};
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (!engine->has_weights) {
+        return;
+    }
+    for (guint i = 0; i < pass->servers->len; i++) {
+        const struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
+        ms_resources_add(&capacity, &server->entry.capacity, 1);
+    }
+    g_hash_table_iter_init(&iterator, engine->accounts_by_name);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct ms_batch_account *account = value;
+        account->relative_share = ms_order_relative_share(
+            &account->allocated, &capacity, ms_order_weight(account->rule), engine->total_weight);
+    }
+}
+
+int64_t
+ms_order_step_ahead_ms(const struct ms_engine *engine, const struct ms_batch_step *step)
+{
+    const struct ms_batch_job *job = step->occurrence->job;
+    return ms_order_ahead_ms(job->virtual_us, job->spec->accepted_ms, engine->unix_ms,
+                             engine->now - job->accepted_at);
+}
+
+void
+ms_order_rank_step(const struct ms_engine *engine, struct ms_batch_step *step)
+{
+    const struct ms_batch_job *job = step->occurrence->job;
+    struct ms_order_rank *rank = &step->rank;
+    rank->priority = ms_batch_job_priority(job);
+    rank->within_guarantee = step->within_guarantee;
+    rank->accepted_ms = job->spec->accepted_ms;
+    rank->id = job->id;
+    rank->beyond_rate = false;
+    rank->share_step = 0;
+    rank->virtual_us = 0;
+    if (engine->has_weights) {
+        rank->beyond_rate = ms_order_step_ahead_ms(engine, step) > MS_ORDER_AHEAD_MAX_MS;
+        rank->share_step = (uint32_t)(job->account->relative_share / MS_ORDER_SHARE_STEP);
+        rank->virtual_us = job->virtual_us;
+    }
+}
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -4,8 +4,8 @@
  *
  * A pass places units: a gang, or the waiting tasks of one step that are
  * interchangeable.  Units are tried in order of their queue's priority, then of
- * their account's guarantee, then of arrival.  Each unit is tried at these levels
- * until one succeeds:
+ * their account's guarantee, then as account_order.h says.  Each unit is tried at these
+ * levels until one succeeds:
  *
  *     free        it fits into free capacity: it starts
  *     idle        it fits into idle capacity, reserved or not: it starts there if it has
@@ -78,6 +78,11 @@
 /* Collects in STEPS the steps with tasks ready to be placed, in the order of the pass. */
 void ms_collect_steps(struct ms_placement_pass *pass, GPtrArray *steps);
 
+/* engine_order.c */
+
+/* Computes the relative shares of all accounts, if any has a weight. */
+void ms_order_begin_pass(const struct ms_placement_pass *pass);
+
 /* engine_capacity.c: capacity of servers, and the cost of using it. */
 
 /* Priority of JOB's queue; UINT32_MAX (the lowest) if the policy no longer has the queue. */
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -7,6 +7,7 @@
 #define MS_BATCH_ENGINE_PRIVATE_H
 
 #include "batch/account.h"
+#include "batch/account_order.h"
 #include "batch/engine.h"
 #include "core/list.h"
 
@@ -79,6 +80,7 @@
     bool advice_pending;         /* the advice service was asked and has not answered */
     int64_t advice_retry_at;     /* the advice service is not asked again before then */
     bool within_guarantee;       /* last pass: top priority, and the account within its guarantee */
+    struct ms_order_rank rank;   /* last pass: its place in the order */
 };
 
 /* One execution of all steps of a job; a repeated job has several. */
@@ -97,16 +99,18 @@
     const struct ms_queue_rule *queue; /* from the current policy, or NULL */
     struct ms_batch_account *account;  /* owned by the engine */
     enum ms_phase phase;
-    bool started;                   /* a task has been assigned to a server */
-    GPtrArray *occurrences;         /* struct ms_batch_occurrence *, those due so far, in order */
-    uint32_t occurrences_done;      /* complete ones */
-    struct ms_list_link jobs_link;  /* in engine->jobs */
-    struct ms_list_link dirty_link; /* in engine->dirty while its state has to be stored */
-    bool store_pending;             /* the store in progress contains its state */
-    bool removing;                  /* its records are to be removed from the log */
-    uint32_t active_count;          /* tasks assigned to a server */
-    int64_t ended_at;               /* when the engine learned of its end */
-    int64_t accepted_at;            /* when this host learned of the job */
+    bool started;                     /* a task has been assigned to a server */
+    GPtrArray *occurrences;           /* struct ms_batch_occurrence *, those due so far, in order */
+    uint32_t occurrences_done;        /* complete ones */
+    struct ms_list_link jobs_link;    /* in engine->jobs */
+    struct ms_list_link account_link; /* in account->jobs */
+    int64_t virtual_us;               /* virtual arrival, see account_order.h */
+    struct ms_list_link dirty_link;   /* in engine->dirty while its state has to be stored */
+    bool store_pending;               /* the store in progress contains its state */
+    bool removing;                    /* its records are to be removed from the log */
+    uint32_t active_count;            /* tasks assigned to a server */
+    int64_t ended_at;                 /* when the engine learned of its end */
+    int64_t accepted_at;              /* when this host learned of the job */
 };
 
 /*
@@ -180,6 +184,8 @@
     int64_t created_at;             /* when this leader created the engine */
     int64_t earlier_leases_until;   /* runs of earlier leaders may go on until then */
     const struct ms_policy *policy; /* owned by the caller, or NULL */
+    bool has_weights;               /* an account of the policy has a weight */
+    int64_t total_weight;           /* of all accounts of the policy */
     GHashTable *dcs_out;            /* names of data centres out of service, or NULL */
     GHashTable *jobs_by_id;         /* owns the jobs */
     GHashTable *servers_by_id;      /* owns the servers */
@@ -384,6 +390,18 @@
 void ms_batch_server_restrict(const struct ms_engine *engine, struct ms_batch_server *server,
                               uint32_t priority);
 
+/* engine_order.c: what the order between accounts is computed from. */
+/* Adds JOB to the jobs of its account, and removes it; its own and later virtual arrivals change.
+ */
+void ms_order_add_job(struct ms_batch_job *job);
+void ms_order_remove_job(struct ms_batch_job *job);
+/* The rules of the accounts have changed. */
+void ms_order_set_policy(struct ms_engine *engine);
+/* Milliseconds by which STEP lies ahead of its account's rate, 0 if it does not. */
+int64_t ms_order_step_ahead_ms(const struct ms_engine *engine, const struct ms_batch_step *step);
+/* Sets the rank of STEP, whose account has its share of this pass. */
+void ms_order_rank_step(const struct ms_engine *engine, struct ms_batch_step *step);
+
 /* engine_place.c */
 /* Runs one placement pass over all waiting tasks. */
 void ms_engine_run_placement(struct ms_engine *engine);
