--- a/src/batch/account_order.c
+++ b/src/batch/account_order.c
@@ -53,7 +53,10 @@
     int64_t virtual_ms = virtual_us / US_PER_MS;
     int64_t ahead_of_clock = virtual_ms - unix_ms;
     int64_t ahead_of_arrival = virtual_ms - accepted_ms - known_ms;
-    return MAX(MIN(ahead_of_clock, ahead_of_arrival), 0);
+    if (ahead_of_clock > 0 && ahead_of_arrival > 0) {
+        return MIN(ahead_of_clock, ahead_of_arrival);
+    }
+    return MIN(MAX(ahead_of_clock, ahead_of_arrival), 0);
 }
 
 /* USED of CAPACITY in thousandths. */
@@ -73,6 +76,22 @@
     return dominant * total_weight / (int64_t)weight;
 }
 
+void
+ms_order_classify(struct ms_order_rank *rank, int64_t ahead_ms, int64_t relative_share)
+{
+    rank->share_step = (uint32_t)(relative_share / MS_ORDER_SHARE_STEP);
+    if (ahead_ms > MS_ORDER_AHEAD_MAX_MS) {
+        rank->order_class = MS_ORDER_BEYOND_RATE;
+    }
+    else if (ahead_ms < -MS_ORDER_SHARE_WAIT_MAX_MS) {
+        rank->order_class = MS_ORDER_OVERDUE;
+        rank->share_step = 0;
+    }
+    else {
+        rank->order_class = MS_ORDER_WITHIN_RATE;
+    }
+}
+
 static int
 compare_int64(int64_t a, int64_t b)
 {
@@ -88,8 +107,8 @@
     if (a->within_guarantee != b->within_guarantee) {
         return a->within_guarantee ? -1 : 1;
     }
-    if (a->beyond_rate != b->beyond_rate) {
-        return a->beyond_rate ? 1 : -1;
+    if (a->order_class != b->order_class) {
+        return a->order_class < b->order_class ? -1 : 1;
     }
     if (a->share_step != b->share_step) {
         return a->share_step < b->share_step ? -1 : 1;
--- a/src/batch/account_order.h
+++ b/src/batch/account_order.h
@@ -12,7 +12,19 @@
  *                       what its tasks have allocated over the capacity of the usable servers),
  *                       divided by the part of the service that its weight stands for
  *
- * Neither depends on how often a job's tasks are started: a preempted or retried job is
+ * Within one priority, work within its account's guarantee goes first.  Then work that is overdue
+ * goes first, by virtual arrival; then other work, by coarse steps of the relative share of its
+ * account, then by virtual arrival; and last the work beyond its account's rate, in the same way.
+ * Bounds that follow:
+ *
+ *     An account below its share does not wait behind work of an account above its share, except
+ *     work that is within a guarantee, or has waited for MS_ORDER_SHARE_WAIT_MAX_MS after its
+ *     virtual arrival and arrived earlier.
+ *     MS_ORDER_SHARE_WAIT_MAX_MS after its virtual arrival, work does not wait behind any work of
+ *     its priority with a later virtual arrival, except work within a guarantee: no more can get
+ *     ahead of it, so no work of an account starves while that of the others is finite.
+ *
+ * Neither value depends on how often a job's tasks are started: a preempted or retried job is
  * charged once.  Both follow from the records of the log and the configuration, so that a
  * new leader arrives at the same order.
  *
@@ -29,14 +41,30 @@
 /* Work lies beyond its account's rate if it is ahead of it by more than this. */
 #define MS_ORDER_AHEAD_MAX_MS 1000
 
-/* Relative shares are compared in steps of this size, so that small differences do not count. */
-#define MS_ORDER_SHARE_STEP 500
+/*
+ * Work is overdue, and its account's share no longer counts, this long after its virtual arrival.
+ * Waits of accounts with a high share would otherwise have no bound while others' work arrives.
+ */
+#define MS_ORDER_SHARE_WAIT_MAX_MS 4000
+
+/*
+ * Relative shares are compared in steps of this size: accounts below their share are equal, so
+ * that small differences do not count.
+ */
+#define MS_ORDER_SHARE_STEP MS_ORDER_WHOLE_SHARE
+
+/* Work of a lower class goes first. */
+enum ms_order_class {
+    MS_ORDER_OVERDUE = 0, /* by virtual arrival alone */
+    MS_ORDER_WITHIN_RATE,
+    MS_ORDER_BEYOND_RATE, /* gets what the others leave */
+};
 
 /* Position of a step among the waiting steps of a placement pass. */
 struct ms_order_rank {
     uint32_t priority;
     bool within_guarantee;
-    bool beyond_rate;    /* ahead of its account's rate by more than MS_ORDER_AHEAD_MAX_MS */
+    enum ms_order_class order_class;
     uint32_t share_step; /* relative share of its account, in steps of MS_ORDER_SHARE_STEP */
     int64_t virtual_us;  /* virtual arrival of its job, Unix time */
     int64_t accepted_ms; /* arrival of its job, Unix time */
@@ -59,9 +87,10 @@
 int64_t ms_order_virtual_us(int64_t accepted_ms, int64_t previous_us, uint32_t weight);
 
 /*
- * Milliseconds by which a job lies ahead of its account's rate, 0 if it does not, at UNIX_MS; it
- * has been known for KNOWN_MS.  The clock of the host that accepted it may be wrong: of its own
- * time of arrival and the present the one counts by which it lies ahead less.
+ * Milliseconds by which a job lies ahead of its account's rate at UNIX_MS, negative if it should
+ * have been served already.  It has been known for KNOWN_MS.  The clock of the host that accepted
+ * it may be wrong: counted from the present and from its arrival, the smaller lead or delay is
+ * returned, and 0 if one is a lead and the other a delay.
  */
 int64_t ms_order_ahead_ms(int64_t virtual_us, int64_t accepted_ms, int64_t unix_ms,
                           int64_t known_ms);
@@ -71,6 +100,9 @@
                                 const struct ms_resources *capacity, uint32_t weight,
                                 int64_t total_weight);
 
+/* Sets the class and the share step of RANK. */
+void ms_order_classify(struct ms_order_rank *rank, int64_t ahead_ms, int64_t relative_share);
+
 /* Less than, equal to or greater than 0 if A goes before, with or after B. */
 int ms_order_compare(const struct ms_order_rank *a, const struct ms_order_rank *b);
 
--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -22,7 +22,9 @@
 }
 
 /*
- * A task may be preempted if its priority is lower than that of the current unit.  A unit
+ * A task may be preempted if its priority is lower than that of the current unit; if this lies
+ * beyond its account's rate, only a task of the same account, so that the account delays its own
+ * work and not that of others.  A unit
  * within its account's guarantee that has waited long enough may also preempt tasks of the
  * top priority whose account uses more than its guarantee.
  */
@@ -36,7 +38,7 @@
         return false;
     }
     if (ms_batch_job_priority(task_job) > ms_batch_job_priority(job)) {
-        return true;
+        return !pass->own_account_only || task_job->account == job->account;
     }
     const struct ms_account_usage *usage =
         g_hash_table_lookup(pass->accounts, task_job->spec->account);
@@ -308,14 +310,17 @@
 void
 ms_capacity_update_preemptible(struct ms_placement_pass *pass)
 {
-    uint32_t priority = ms_batch_job_priority(pass->unit->step->occurrence->job);
+    const struct ms_batch_job *job = pass->unit->step->occurrence->job;
+    uint32_t priority = ms_batch_job_priority(job);
+    const struct ms_batch_account *account = pass->own_account_only ? job->account : NULL;
     if (pass->preemptible_valid && pass->preemptible_priority == priority &&
-        pass->preemptible_top == pass->may_preempt_top) {
+        pass->preemptible_top == pass->may_preempt_top && pass->preemptible_account == account) {
         return;
     }
     pass->preemptible_valid = true;
     pass->preemptible_priority = priority;
     pass->preemptible_top = pass->may_preempt_top;
+    pass->preemptible_account = account;
     for (guint i = 0; i < pass->servers->len; i++) {
         struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
         memset(&server->preemptible, 0, sizeof(server->preemptible));
--- a/src/batch/engine_order.c
+++ b/src/batch/engine_order.c
@@ -120,12 +120,11 @@
     rank->within_guarantee = step->within_guarantee;
     rank->accepted_ms = job->spec->accepted_ms;
     rank->id = job->id;
-    rank->beyond_rate = false;
+    rank->order_class = MS_ORDER_WITHIN_RATE;
     rank->share_step = 0;
     rank->virtual_us = 0;
     if (engine->has_weights) {
-        rank->beyond_rate = ms_order_step_ahead_ms(engine, step) > MS_ORDER_AHEAD_MAX_MS;
-        rank->share_step = (uint32_t)(job->account->relative_share / MS_ORDER_SHARE_STEP);
+        ms_order_classify(rank, ms_order_step_ahead_ms(engine, step), job->account->relative_share);
         rank->virtual_us = job->virtual_us;
     }
 }
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -316,6 +316,8 @@
     struct ms_unit remaining = *unit;
     pass->unit = &remaining;
     pass->within_guarantee = unit->step->within_guarantee;
+    pass->own_account_only =
+        !pass->within_guarantee && unit->step->rank.order_class == MS_ORDER_BEYOND_RATE;
     pass->may_preempt_top = pass->within_guarantee &&
                             pass->engine->now - unit->step->ready_since >= PREEMPT_EQUAL_WAIT_MS;
     while (remaining.count > 0 && ms_plan_unit(pass, MS_LEVEL_FREE) != MS_NO_PLAN) {
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -52,13 +52,15 @@
     const struct ms_unit *unit;  /* the unit being placed */
     bool within_guarantee;       /* its account requests no more than its guarantee */
     bool may_preempt_top;        /* it may also stop tasks of the top priority */
+    bool own_account_only;       /* it may only stop tasks of its own account */
     int64_t reserved_idle;       /* free capacity reserved at that level, 1/1000 of a server */
     uint32_t waiting_unit_count; /* units not within a guarantee tried beyond the free level */
-    /* `preemptible` of the servers is up to date for units with these two properties. */
+    /* `preemptible` of the servers is up to date for units with these properties. */
     bool preemptible_valid;
     uint32_t preemptible_priority;
     bool preemptible_top;
-    struct ms_level_outcomes outcomes; /* of the current unit, for its log line */
+    const struct ms_batch_account *preemptible_account; /* OWN_ACCOUNT_ONLY, else NULL */
+    struct ms_level_outcomes outcomes;                  /* of the current unit, for its log line */
     struct ms_explained_steps explained;
     GPtrArray *blocked_gangs; /* struct ms_batch_step whose active members keep it waiting */
 };
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -397,7 +397,7 @@
 void ms_order_remove_job(struct ms_batch_job *job);
 /* The rules of the accounts have changed. */
 void ms_order_set_policy(struct ms_engine *engine);
-/* Milliseconds by which STEP lies ahead of its account's rate, 0 if it does not. */
+/* Milliseconds by which STEP lies ahead of its account's rate, negative if it lies behind. */
 int64_t ms_order_step_ahead_ms(const struct ms_engine *engine, const struct ms_batch_step *step);
 /* Sets the rank of STEP, whose account has its share of this pass. */
 void ms_order_rank_step(const struct ms_engine *engine, struct ms_batch_step *step);
