--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -568,6 +568,7 @@
     }
     stats->servers_usable = stats->servers_by_exclusion[MS_SERVER_USABLE];
     stats->units_waiting = engine->units_waiting;
+    stats->units_over_share = engine->units_over_share;
     if (engine->oldest_unplaced_since > 0) {
         stats->longest_wait_ms = engine->now - engine->oldest_unplaced_since;
     }
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -169,6 +169,8 @@
     uint32_t servers_by_exclusion[MS_SERVER_EXCLUSION_COUNT];
     /* Gangs, and groups of single tasks of one step, that the last pass did not place in full. */
     uint32_t units_waiting;
+    /* Of these, those of accounts above their share, or ahead of their rate. */
+    uint32_t units_over_share;
     int64_t longest_wait_ms; /* longest time for which a step with waiting tasks got none placed */
 };
 
--- a/src/batch/engine_explain.c
+++ b/src/batch/engine_explain.c
@@ -141,6 +141,18 @@
         engine->now - step->unplaced_since);
 }
 
+/* Appends where STEP stands in the order between accounts, if any has a weight. */
+static void
+append_account(const struct ms_engine *engine, GString *line, const struct ms_batch_step *step)
+{
+    const struct ms_batch_account *account = step->occurrence->job->account;
+    if (engine->has_weights) {
+        g_string_append_printf(
+            line, " account=%s share=%" G_GINT64_FORMAT " ahead_ms=%" G_GINT64_FORMAT,
+            account->name, account->relative_share, ms_order_step_ahead_ms(engine, step));
+    }
+}
+
 /* Appends what each level said of the current unit. */
 static void
 append_outcomes(GString *line, const struct ms_level_outcomes *outcomes)
@@ -184,6 +196,7 @@
     mark_explained(pass, unit->step);
     GString *line = g_string_new("event=waiting");
     append_need(pass->engine, line, unit->tasks[0], unit->count);
+    append_account(pass->engine, line, unit->step);
     append_servers(pass, line);
     append_outcomes(line, &pass->outcomes);
     log_line(pass->engine, line);
@@ -213,6 +226,7 @@
     mark_explained(pass, step);
     GString *line = g_string_new("event=waiting");
     append_need(engine, line, first, step->waiting);
+    append_account(engine, line, step);
     append_servers(pass, line);
     g_string_append_printf(line, " free=backoff backoff=%u backoff_ms=%" G_GINT64_FORMAT,
                            backoff_count, backoff_ms);
--- a/src/batch/engine_order.c
+++ b/src/batch/engine_order.c
@@ -111,6 +111,14 @@
                              engine->now - job->accepted_at);
 }
 
+bool
+ms_order_is_delayed(const struct ms_batch_step *step)
+{
+    const struct ms_order_rank *rank = &step->rank;
+    return !rank->within_guarantee &&
+           (rank->order_class == MS_ORDER_BEYOND_RATE || rank->share_step > 0);
+}
+
 void
 ms_order_rank_step(const struct ms_engine *engine, struct ms_batch_step *step)
 {
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -277,6 +277,7 @@
     struct ms_level_outcomes *outcomes = &pass->outcomes;
     int64_t waited_ms = engine->now - unit->step->ready_since;
     engine->units_waiting++;
+    engine->units_over_share += ms_order_is_delayed(unit->step);
     if (!may_try_other_levels(pass)) {
         return;
     }
@@ -387,6 +388,7 @@
     ms_collect_servers(&pass);
     ms_collect_steps(&pass, steps);
     engine->units_waiting = 0;
+    engine->units_over_share = 0;
     ms_explain_begin_pass(&pass, steps);
     for (guint i = 0; i < steps->len; i++) {
         place_step(&pass, g_ptr_array_index(steps, i));
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -206,6 +206,7 @@
     uint32_t explain_cursor;        /* rotates the long waits that are logged */
     int64_t oldest_unplaced_since;  /* lowest `unplaced_since` after the last pass, 0: none */
     uint32_t units_waiting;         /* units that the last pass could not place */
+    uint32_t units_over_share;      /* of these, those whose account delays them */
     uint32_t jobs_without_queue;    /* open jobs whose queue the policy does not have */
     uint32_t advice_pending_count;  /* requests to the advice service without an answer */
     uint32_t snapshot_number;       /* number of the latest directory snapshot */
@@ -399,6 +400,8 @@
 void ms_order_set_policy(struct ms_engine *engine);
 /* Milliseconds by which STEP lies ahead of its account's rate, negative if it lies behind. */
 int64_t ms_order_step_ahead_ms(const struct ms_engine *engine, const struct ms_batch_step *step);
+/* Whether the last pass tried STEP after other work of its priority because of its account. */
+bool ms_order_is_delayed(const struct ms_batch_step *step);
 /* Sets the rank of STEP, whose account has its share of this pass. */
 void ms_order_rank_step(const struct ms_engine *engine, struct ms_batch_step *step);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -145,6 +145,7 @@
     }
     ms_counter_set(entry->counters, MS_GAUGE_TASKS_RUNNING, stats.tasks_active);
     ms_counter_set(entry->counters, MS_GAUGE_JOBS_WAITING, stats.units_waiting);
+    ms_counter_set(entry->counters, MS_GAUGE_UNITS_OVER_SHARE, stats.units_over_share);
     ms_counter_set(entry->counters, MS_GAUGE_LONGEST_WAIT_MS, (uint64_t)stats.longest_wait_ms);
 }
 
--- a/src/obs/counters.c
+++ b/src/obs/counters.c
@@ -52,6 +52,8 @@
     [MS_GAUGE_SERVERS] = {"servers", "gauge", "Backend servers held and usable"},
     [MS_GAUGE_ACCELS_FREE] = {"accels_free", "gauge", "Free accelerators"},
     [MS_GAUGE_JOBS_WAITING] = {"jobs_waiting", "gauge", "Jobs waiting in this data centre"},
+    [MS_GAUGE_UNITS_OVER_SHARE] = {"units_over_share", "gauge",
+                                   "Waiting units that go after others because of their account"},
     [MS_GAUGE_LONGEST_WAIT_MS] = {"longest_wait_milliseconds", "gauge",
                                   "Longest time that tasks of a step wait and none is placed"},
     [MS_GAUGE_SERVERS_UNLISTED] = {"servers_unlisted", "gauge", "Servers not in the directory"},
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -448,6 +448,26 @@
     }
 }
 
+void
+simulator_set_weight(struct simulator *simulator, const char *account, uint32_t weight)
+{
+    struct ms_policy *policy = simulator->policy;
+    size_t index = 0;
+    while (index < policy->account_count && strcmp(policy->accounts[index].name, account) != 0) {
+        index++;
+    }
+    if (index == policy->account_count) {
+        policy->account_count++;
+        policy->accounts = g_renew(struct ms_account_rule, policy->accounts, policy->account_count);
+        policy->accounts[index] = (struct ms_account_rule){.keys = g_new0(char *, 1)};
+        g_strlcpy(policy->accounts[index].name, account, sizeof(policy->accounts[index].name));
+    }
+    policy->accounts[index].weight = weight;
+    if (simulator->engine != NULL) {
+        ms_engine_set_policy(simulator->engine, policy);
+    }
+}
+
 void
 simulator_submit_job(struct simulator *simulator, struct ms_batch_spec *spec)
 {
--- a/tests/batch/simulator.h
+++ b/tests/batch/simulator.h
@@ -62,6 +62,9 @@
                                 const struct simulator_faults *faults, FILE *trace);
 void simulator_free(struct simulator *simulator);
 
+/* Gives an account of the policy a weight; one that the policy does not have is added. */
+void simulator_set_weight(struct simulator *simulator, const char *account, uint32_t weight);
+
 /* Stores a job without delay.  Takes ownership of what SPEC owns and sets SPEC to zero. */
 void simulator_submit_job(struct simulator *simulator, struct ms_batch_spec *spec);
 
