Batch: virtual arrivals are computed for all jobs of an account at once after a take-over

A new leader reads its jobs in no order; inserting each from the end of the list took a number of steps that grows with the square of the jobs. Without weights nothing is computed.

--- a/src/batch/account.h
+++ b/src/batch/account.h
@@ -19,6 +19,7 @@
     const struct ms_account_rule *rule; /* from the current policy, or NULL */
     struct ms_resources allocated;      /* of its tasks that are assigned to a server */
     struct ms_list_link jobs; /* struct ms_batch_job, known ones by arrival, also ended ones */
+    bool jobs_unsorted;       /* JOBS are to be sorted, and their virtual arrivals computed */
     int64_t relative_share;   /* of the last pass, see account_order.h; only with weights */
 };
 
--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -346,7 +346,7 @@
     ms_list_link_init(&job->jobs_link);
     ms_list_append(&engine->jobs, &job->jobs_link);
     g_hash_table_insert(engine->jobs_by_id, job->id, job);
-    ms_order_add_job(job);
+    ms_order_add_job(engine, job);
     if (job->phase != MS_PHASE_OPEN) {
         /* An earlier leader has not removed its records yet: ended_retention_ms starts anew. */
         job->ended_at = engine->now;
--- a/src/batch/engine_order.c
+++ b/src/batch/engine_order.c
@@ -22,6 +22,14 @@
     return strcmp(a->id, b->id) < 0;
 }
 
+static gint
+compare_arrivals(gconstpointer left, gconstpointer right)
+{
+    const struct ms_batch_job *a = *(struct ms_batch_job *const *)left;
+    const struct ms_batch_job *b = *(struct ms_batch_job *const *)right;
+    return arrived_before(a, b) ? -1 : arrived_before(b, a);
+}
+
 /* Computes the virtual arrivals of the jobs of ACCOUNT from LINK on, until one is unchanged. */
 static void
 update_from(const struct ms_batch_account *account, struct ms_list_link *link)
@@ -40,19 +48,43 @@
     }
 }
 
+/* Sorts the jobs of ACCOUNT by arrival and computes all their virtual arrivals. */
+static void
+sort_jobs(struct ms_batch_account *account)
+{
+    GPtrArray *jobs = g_ptr_array_new();
+    MS_LIST_FOREACH(link, &account->jobs)
+    {
+        g_ptr_array_add(jobs, job_of(link));
+        ms_list_remove(link);
+    }
+    g_ptr_array_sort(jobs, compare_arrivals);
+    for (guint i = 0; i < jobs->len; i++) {
+        struct ms_batch_job *job = g_ptr_array_index(jobs, i);
+        job->virtual_us = INT64_MIN;
+        ms_list_append(&account->jobs, &job->account_link);
+    }
+    update_from(account, account->jobs.next);
+    g_ptr_array_unref(jobs);
+}
+
+/*
+ * Jobs become known nearly in the order of arrival, except when a new leader reads them: those out
+ * of order are sorted in, all at once, before the next pass that uses them.
+ */
 void
-ms_order_add_job(struct ms_batch_job *job)
+ms_order_add_job(const struct ms_engine *engine, struct ms_batch_job *job)
 {
     struct ms_batch_account *account = job->account;
-    struct ms_list_link *position = &account->jobs;
-    /* Jobs become known nearly in the order of arrival, so this is a short way from the end. */
-    while (position->prev != &account->jobs && arrived_before(job, job_of(position->prev))) {
-        position = position->prev;
-    }
+    struct ms_list_link *last = account->jobs.prev;
+    account->jobs_unsorted |=
+        !engine->has_weights || (last != &account->jobs && arrived_before(job, job_of(last)));
     job->virtual_us = INT64_MIN;
     ms_list_link_init(&job->account_link);
-    ms_list_insert_before(position, &job->account_link);
-    update_from(account, &job->account_link);
+    ms_list_append(&account->jobs, &job->account_link);
+    if (!account->jobs_unsorted) {
+        update_from(account, &job->account_link);
+    }
 }
 
 void
@@ -60,7 +92,9 @@
 {
     struct ms_list_link *next = job->account_link.next;
     ms_list_remove(&job->account_link);
-    update_from(job->account, next);
+    if (!job->account->jobs_unsorted) {
+        update_from(job->account, next);
+    }
 }
 
 void
@@ -73,11 +107,7 @@
     g_hash_table_iter_init(&iterator, engine->accounts_by_name);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct ms_batch_account *account = value;
-        MS_LIST_FOREACH(link, &account->jobs)
-        {
-            job_of(link)->virtual_us = INT64_MIN;
-        }
-        update_from(account, account->jobs.next);
+        account->jobs_unsorted = true;
     }
 }
 
@@ -98,6 +128,10 @@
     g_hash_table_iter_init(&iterator, engine->accounts_by_name);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct ms_batch_account *account = value;
+        if (account->jobs_unsorted) {
+            sort_jobs(account);
+            account->jobs_unsorted = false;
+        }
         account->relative_share = ms_order_relative_share(
             &account->allocated, &capacity, ms_order_weight(account->rule), engine->total_weight);
     }
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -82,7 +82,7 @@
 
 /* engine_order.c */
 
-/* Computes the relative shares of all accounts, if any has a weight. */
+/* Computes missing virtual arrivals, and the relative shares, if any account has a weight. */
 void ms_order_begin_pass(const struct ms_placement_pass *pass);
 
 /* engine_capacity.c: capacity of servers, and the cost of using it. */
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -392,9 +392,8 @@
                               uint32_t priority);
 
 /* engine_order.c: what the order between accounts is computed from. */
-/* Adds JOB to the jobs of its account, and removes it; its own and later virtual arrivals change.
- */
-void ms_order_add_job(struct ms_batch_job *job);
+/* Adds JOB to the jobs of its account, or removes it; later virtual arrivals change as well. */
+void ms_order_add_job(const struct ms_engine *engine, struct ms_batch_job *job);
 void ms_order_remove_job(struct ms_batch_job *job);
 /* The rules of the accounts have changed. */
 void ms_order_set_policy(struct ms_engine *engine);
