--- a/tests/batch/engine_fuzz.c
+++ b/tests/batch/engine_fuzz.c
@@ -1,7 +1,7 @@
 /*
  * engine_fuzz.c - runs the engine in the simulator with random jobs and faults.
  *
- * usage: batch-fuzz [liveness | starvation | takeovers | frequent] FIRST LAST [trace]
+ * usage: batch-fuzz [liveness | starvation | takeovers | weights | frequent] FIRST LAST [trace]
  *
  * Runs the seeds FIRST to LAST; an argument after them, whatever it is, prints a trace.  The
  * seed determines the jobs and the faults.  No invariant of the simulator may be violated, and
@@ -14,6 +14,7 @@
  * has to run.  "starvation" runs the same scenarios, and counts capacity that runs of a lower
  * priority use as available.  In "takeovers" more servers are lost, and the leader is lost in
  * series until the end, which is no excuse for jobs that wait for a server lost long before.
+ * "weights" runs the scenarios of "liveness" with jobs of several accounts that have weights.
  *
  * "frequent" runs the scenarios without a mode, each with a takeover every 1.7 s and servers
  * whose answers are lost for seconds.
@@ -39,6 +40,7 @@
 #define LIVENESS_LARGE_JOB_PERMILLE 80    /* of the rounds, for each other kind of job */
 #define TAKEOVERS_SERVER_LOSS_PERMILLE 30 /* in mode "takeovers": of servers that run a gang */
 #define TAKEOVERS_SERIES_PERMILLE 12      /* of leader losses, after the other faults */
+#define WEIGHTS_ACCOUNT_COUNT 4           /* in mode "weights" */
 
 /* Checks that the JOB_COUNT jobs of SEED have ended, and prints what was violated. */
 static bool
@@ -123,20 +125,45 @@
     const char *name;
     enum simulator_liveness liveness;
     bool takeovers; /* the leader is lost in series until the end */
+    bool weights;   /* the jobs are those of several accounts with weights */
 };
 
 static const struct liveness_mode liveness_modes[] = {
-    {"liveness", SIMULATOR_LIVENESS_FREE, false},
-    {"starvation", SIMULATOR_LIVENESS_PREEMPTIBLE, false},
-    {"takeovers", SIMULATOR_LIVENESS_FREE, true},
+    {"liveness", SIMULATOR_LIVENESS_FREE, false, false},
+    {"starvation", SIMULATOR_LIVENESS_PREEMPTIBLE, false, false},
+    {"takeovers", SIMULATOR_LIVENESS_FREE, true, false},
+    {"weights", SIMULATOR_LIVENESS_FREE, false, true},
 };
 
 /* The jobs of one seed of these modes. */
 struct job_mix {
     uint32_t small_tasks_max; /* of one job of small tasks */
     uint32_t job_count;       /* submitted so far */
+    uint32_t account_count;   /* accounts with weights, 0: all jobs are of one without */
 };
 
+/* Submits SPEC for the account whose turn it is. */
+static void
+submit_mixed_job(struct simulator *simulator, const struct job_mix *mix, struct ms_batch_spec *spec)
+{
+    if (mix->account_count > 0) {
+        snprintf(spec->account, sizeof(spec->account), "account%u",
+                 mix->job_count % mix->account_count);
+    }
+    simulator_submit_job(simulator, spec);
+}
+
+/* Gives each account of MIX a weight of 1 to 8. */
+static void
+set_weights(struct simulator *simulator, uint64_t *random_state, const struct job_mix *mix)
+{
+    for (uint32_t i = 0; i < mix->account_count; i++) {
+        char name[MS_NAME_MAX];
+        snprintf(name, sizeof(name), "account%u", i);
+        simulator_set_weight(simulator, name, 1 + simulator_random(random_state, 8));
+    }
+}
+
 /* Submits jobs for DURATION_MS. */
 static void
 submit_mixed_jobs(struct simulator *simulator, uint64_t *random_state, int64_t duration_ms,
@@ -145,16 +172,16 @@
     for (int64_t elapsed_ms = 0; elapsed_ms < duration_ms; elapsed_ms += LIVENESS_ROUND_MS) {
         struct ms_batch_spec spec;
         simulator_small_tasks_spec(random_state, mix->job_count++, mix->small_tasks_max, &spec);
-        simulator_submit_job(simulator, &spec);
+        submit_mixed_job(simulator, mix, &spec);
         if (simulator_random(random_state, 1000) < LIVENESS_LARGE_JOB_PERMILLE) {
             uint32_t priority = simulator_random(random_state, 2);
             uint32_t width = 2 + simulator_random(random_state, LIVENESS_SERVER_COUNT / 2 - 1);
             simulator_wide_gang_spec(mix->job_count++, priority, width, &spec);
-            simulator_submit_job(simulator, &spec);
+            submit_mixed_job(simulator, mix, &spec);
         }
         if (simulator_random(random_state, 1000) < LIVENESS_LARGE_JOB_PERMILLE) {
             simulator_random_spec(random_state, mix->job_count++, &spec);
-            simulator_submit_job(simulator, &spec);
+            submit_mixed_job(simulator, mix, &spec);
         }
         simulator_run(simulator, LIVENESS_ROUND_MS);
     }
@@ -203,6 +230,10 @@
     }
     struct job_mix mix = {.small_tasks_max = 4 + simulator_random(&random_state, 20)};
     struct simulator *simulator = simulator_new(seed, LIVENESS_SERVER_COUNT, &faults, trace);
+    if (mode->weights) {
+        mix.account_count = WEIGHTS_ACCOUNT_COUNT;
+        set_weights(simulator, &random_state, &mix);
+    }
     simulator_set_liveness(simulator, mode->liveness);
     submit_mixed_jobs(simulator, &random_state, FAULTS_DURATION_MS, &mix);
     if (mode->takeovers) {
@@ -244,9 +275,9 @@
         argv++;
     }
     if (argc != 3 && argc != 4) {
-        fprintf(stderr,
-                "usage: batch-fuzz [liveness | starvation | takeovers | frequent] FIRST LAST"
-                " [trace]\n");
+        fprintf(stderr, "usage: batch-fuzz [liveness | starvation | takeovers | weights | frequent]"
+                        " FIRST LAST"
+                        " [trace]\n");
         return 2;
     }
     uint64_t first = strtoull(argv[1], NULL, 10);
