--- a/src/batch/account.h
+++ b/src/batch/account.h
@@ -13,6 +13,7 @@
 #define MS_BATCH_ACCOUNT_H
 
 #include "batch/policy.h"
+#include "core/list.h"
 
 /* A client account with at least one stored job. */
 struct ms_batch_account {
@@ -20,12 +21,15 @@
     const struct ms_account_rule *rule; /* from the current policy, or NULL */
     bool capped;                        /* the rule limits at least one resource */
     struct ms_resources allocated;      /* of its tasks that are assigned to a server */
+    struct ms_list_link jobs; /* struct ms_batch_job, known ones by arrival, also ended ones */
+    bool jobs_unsorted;       /* JOBS are to be sorted, and their virtual arrivals computed */
     /* Valid within one placement pass only. */
     struct ms_resources releasing; /* of its tasks being stopped on servers that answer */
     struct ms_resources reserved;  /* room under the cap for its units that wait */
     /* Of the last placement pass. */
     uint32_t waiting_tasks; /* ready to be placed, and not placed */
     uint32_t delayed_units; /* units that the cap kept from starting, in whole or in part */
+    int64_t relative_share; /* see account_order.h; only with weights */
 };
 
 /* Looks up the rule of ACCOUNT in POLICY, which may be NULL and has to outlive the rule. */
--- a/src/batch/engine_explain.c
+++ b/src/batch/engine_explain.c
@@ -141,6 +141,20 @@
         engine->now - step->unplaced_since);
 }
 
+/* Appends the account of STEP, and its place in the order between accounts if any has a weight. */
+static void
+append_account(const struct ms_engine *engine, GString *line, const struct ms_batch_step *step)
+{
+    const struct ms_batch_account *account = step->occurrence->job->account;
+    if (account->capped || engine->has_weights) {
+        g_string_append_printf(line, " account=%s", account->name);
+    }
+    if (engine->has_weights) {
+        g_string_append_printf(line, " share=%" G_GINT64_FORMAT " ahead_ms=%" G_GINT64_FORMAT,
+                               account->relative_share, ms_order_step_ahead_ms(engine, step));
+    }
+}
+
 /* Appends what each level said of the current unit. */
 static void
 append_outcomes(GString *line, const struct ms_level_outcomes *outcomes)
@@ -166,9 +180,9 @@
     }
 }
 
-/* Appends the account of the current unit, what it uses and its cap, if the unit exceeds that. */
+/* Appends what the account of the current unit uses and its cap, if the unit exceeds that. */
 static void
-append_account(const struct ms_placement_pass *pass, GString *line)
+append_cap(const struct ms_placement_pass *pass, GString *line)
 {
     const struct ms_batch_account *account = pass->unit->step->occurrence->job->account;
     if (pass->outcomes.by_level[MS_LEVEL_FREE] != MS_OUTCOME_OVER_CAP) {
@@ -177,12 +191,11 @@
     const struct ms_resources *used = &account->allocated;
     const struct ms_resources *cap = &account->rule->cap;
     g_string_append_printf(line,
-                           " account=%s used_cpu_millis=%" G_GINT64_FORMAT
-                           " used_memory_mb=%" G_GINT64_FORMAT " used_accels=%" G_GINT64_FORMAT
-                           " cap_cpu_millis=%" G_GINT64_FORMAT " cap_memory_mb=%" G_GINT64_FORMAT
-                           " cap_accels=%" G_GINT64_FORMAT,
-                           account->name, used->cpu_millis, used->memory_mb, used->accels,
-                           cap->cpu_millis, cap->memory_mb, cap->accels);
+                           " used_cpu_millis=%" G_GINT64_FORMAT " used_memory_mb=%" G_GINT64_FORMAT
+                           " used_accels=%" G_GINT64_FORMAT " cap_cpu_millis=%" G_GINT64_FORMAT
+                           " cap_memory_mb=%" G_GINT64_FORMAT " cap_accels=%" G_GINT64_FORMAT,
+                           used->cpu_millis, used->memory_mb, used->accels, cap->cpu_millis,
+                           cap->memory_mb, cap->accels);
 }
 
 /* Logs LINE and frees it. */
@@ -203,9 +216,10 @@
     mark_explained(pass, unit->step);
     GString *line = g_string_new("event=waiting");
     append_need(pass->engine, line, unit->tasks[0], unit->count);
+    append_account(pass->engine, line, unit->step);
     append_servers(pass, line);
     append_outcomes(line, &pass->outcomes);
-    append_account(pass, line);
+    append_cap(pass, line);
     log_line(pass->engine, line);
 }
 
@@ -233,6 +247,7 @@
     mark_explained(pass, step);
     GString *line = g_string_new("event=waiting");
     append_need(engine, line, first, step->waiting);
+    append_account(engine, line, step);
     append_servers(pass, line);
     g_string_append_printf(line, " free=backoff backoff=%u backoff_ms=%" G_GINT64_FORMAT,
                            backoff_count, backoff_ms);
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -368,6 +368,8 @@
     remaining.count -= over_cap;
     pass->unit = &remaining;
     pass->within_guarantee = unit->step->within_guarantee;
+    pass->own_account_only =
+        !pass->within_guarantee && unit->step->rank.order_class == MS_ORDER_BEYOND_RATE;
     pass->may_preempt_top = pass->within_guarantee &&
                             pass->engine->now - unit->step->ready_since >= PREEMPT_EQUAL_WAIT_MS;
     while (remaining.count > 0 && ms_plan_unit(pass, MS_LEVEL_FREE) != MS_NO_PLAN) {
@@ -394,6 +396,7 @@
         return;
     }
     pass->engine->units_waiting++;
+    pass->engine->units_over_share += ms_order_is_delayed(remaining.step);
     ms_explain_begin_unit(pass, no_plan_outcome(pass));
     if (wait_for_servers(pass, &remaining, &part)) {
         ms_cap_reserve(pass);
@@ -448,6 +451,7 @@
     ms_collect_servers(&pass);
     ms_collect_steps(&pass, steps);
     engine->units_waiting = 0;
+    engine->units_over_share = 0;
     ms_explain_begin_pass(&pass, steps);
     for (guint i = 0; i < steps->len; i++) {
         place_step(&pass, g_ptr_array_index(steps, i));
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -4,8 +4,8 @@
  *
  * A pass places units: a gang, or the waiting tasks of one step that are
  * interchangeable.  Units are tried in order of their queue's priority, then of
- * their account's guarantee, then of arrival.  Each unit is tried at these levels
- * until one succeeds:
+ * their account's guarantee, then as account_order.h says.  Each unit is tried at these
+ * levels until one succeeds:
  *
  *     free        it fits into free capacity: it starts
  *     idle        it fits into idle capacity, reserved or not: it starts there if it has
@@ -52,13 +52,15 @@
     const struct ms_unit *unit;  /* the unit being placed */
     bool within_guarantee;       /* its account requests no more than its guarantee */
     bool may_preempt_top;        /* it may also stop tasks of the top priority */
+    bool own_account_only;       /* it may only stop tasks of its own account */
     int64_t reserved_idle;       /* free capacity reserved at that level, 1/1000 of a server */
     uint32_t waiting_unit_count; /* units not within a guarantee tried beyond the free level */
-    /* `preemptible` of the servers is up to date for units with these two properties. */
+    /* `preemptible` of the servers is up to date for units with these properties. */
     bool preemptible_valid;
     uint32_t preemptible_priority;
     bool preemptible_top;
-    struct ms_level_outcomes outcomes; /* of the current unit, for its log line */
+    const struct ms_batch_account *preemptible_account; /* OWN_ACCOUNT_ONLY, else NULL */
+    struct ms_level_outcomes outcomes;                  /* of the current unit, for its log line */
     struct ms_explained_steps explained;
     GPtrArray *blocked_gangs;   /* struct ms_batch_step whose active members keep it waiting */
     GHashTable *cap_candidates; /* engine_cap.c: account -> tasks to preempt; NULL: none yet */
@@ -79,6 +81,11 @@
 /* Collects in STEPS the steps with tasks ready to be placed, in the order of the pass. */
 void ms_collect_steps(struct ms_placement_pass *pass, GPtrArray *steps);
 
+/* engine_order.c */
+
+/* Computes missing virtual arrivals, and the relative shares, if any account has a weight. */
+void ms_order_begin_pass(const struct ms_placement_pass *pass);
+
 /* engine_capacity.c: capacity of servers, and the cost of using it. */
 
 /* Priority of JOB's queue; UINT32_MAX (the lowest) if the policy no longer has the queue. */
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -35,5 +35,6 @@
 TCase *open_restart_cases(void); /* of an open fault, for open_faults.c */
 TCase *lost_answer_cases(void);
 TCase *account_cases(void);
+TCase *account_order_cases(void);
 
 #endif
