Batch: a stop of a run on a slow server has to pay

Most of them left sound servers: a task with 7 times the work of its siblings looked like one on a slow server, and neither the wait for room nor the lost work was counted.

With weigh_slow_stops a server is slow on the evidence of its runs' own earlier rates, or of several runs of several steps, and a stop is weighed against what it throws away. The setting is off by default.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,9 @@
 $(BUILD)/bench-policy: $(BUILD)/bench/policy.o $(BUILD)/tests/naive/simulator.o $(BUILD)/tests/naive/simulator_action.o $(BUILD)/tests/naive/simulator_scenario.o $(BUILD)/tests/naive/simulator_server.o $(BUILD)/tests/naive/reference_scheduler.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/bench-slow-servers: $(BUILD)/bench/slow_servers.o $(SIMULATOR_OBJECTS) $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bench-detector: $(BUILD)/bench/failure_detectors.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -21,6 +21,7 @@
     limits->gang_start_ms = 2200;
     limits->stop_grace_ms = 900;
     limits->start_early_ms = 0;
+    limits->weigh_slow_stops = false;
     limits->ended_retention_ms = 150000;
 }
 
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -35,6 +35,8 @@
     int64_t stop_grace_ms;      /* maximum time that stopping a run takes */
     int64_t start_early_ms;     /* occurrences may start this long before they are due */
     int64_t ended_retention_ms; /* how long the states of ended jobs stay in the log */
+    /* Stops of runs on slow servers are weighed (engine_speed.c), or compare siblings only. */
+    bool weigh_slow_stops;
 };
 
 enum ms_engine_action_kind {
--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -111,15 +111,9 @@
     server->restricted_until = engine->now + RESTRICTION_MS;
 }
 
-/*
- * Whether tasks of STEP may run on SERVER at all, whatever capacity it has.  Best-effort
- * tasks would lengthen the response times of tasks with a latency target.  After a
- * preemption on the server, tasks of a lower priority than that of the preempting work
- * would only be preempted again; the idle level ignores this.
- */
-static bool
-is_eligible(const struct ms_engine *engine, const struct ms_batch_step *step,
-            const struct ms_batch_server *server, enum ms_placement_level level)
+bool
+ms_capacity_is_eligible(const struct ms_engine *engine, const struct ms_batch_step *step,
+                        const struct ms_batch_server *server, enum ms_placement_level level)
 {
     if (level != MS_LEVEL_IDLE && engine->now < server->restricted_until &&
         ms_batch_job_priority(step->occurrence->job) > server->restricted_priority) {
@@ -137,7 +131,7 @@
                       enum ms_placement_level level, uint32_t limit)
 {
     const struct ms_batch_step *step = pass->unit->step;
-    if (!is_eligible(pass->engine, step, server, level)) {
+    if (!ms_capacity_is_eligible(pass->engine, step, server, level)) {
         return 0;
     }
     if (step->spec->per_server_max > 0) {
@@ -171,7 +165,7 @@
     uint32_t fitting = 0;
     for (guint i = 0; i < pass->servers->len; i++) {
         const struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
-        if (!is_eligible(pass->engine, pass->unit->step, server, MS_LEVEL_IDLE)) {
+        if (!ms_capacity_is_eligible(pass->engine, pass->unit->step, server, MS_LEVEL_IDLE)) {
             continue;
         }
         ms_resources_add(&capacity, &server->entry.capacity, 1);
--- a/src/batch/engine_health.c
+++ b/src/batch/engine_health.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "batch/engine_private.h"
+#include "batch/engine_speed.h"
 
 #define STALL_MS 1500               /* a run without progress for this long is stalled */
 #define STALL_COSTLY_MS 3500        /* the same for a run whose loss is costly */
@@ -163,6 +164,10 @@
 {
     uint32_t slow = 0;
     uint32_t normal = 0;
+    if (engine->limits.weigh_slow_stops) {
+        ms_speed_update_server(engine, server);
+        return;
+    }
     MS_LIST_FOREACH(link, &server->tasks)
     {
         const struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
@@ -197,6 +202,20 @@
     return ms_batch_task_remaining_ms(engine, task) > restart_ms + restart_ms / 2 + RESTART_COST_MS;
 }
 
+/* Stops TASK if its server is slow and it should end sooner elsewhere; returns whether it did. */
+static bool
+leave_slow_server(struct ms_engine *engine, struct ms_batch_task *task)
+{
+    if (engine->limits.weigh_slow_stops) {
+        return ms_speed_leave_slow_server(engine, task);
+    }
+    if (!is_faster_elsewhere(engine, task)) {
+        return false;
+    }
+    ms_batch_task_stop_unit(engine, task, "slow_server");
+    return true;
+}
+
 /*
  * Whether TASK has to be stopped now because its draining server may shut down before the
  * task ends.  A task with checkpoints is stopped as late as possible; one without is
@@ -229,10 +248,7 @@
         }
         ms_batch_task_stop_unit(engine, task, "no_progress");
     }
-    else if (is_faster_elsewhere(engine, task)) {
-        ms_batch_task_stop_unit(engine, task, "slow_server");
-    }
-    else if (must_leave_server(engine, task)) {
+    else if (!leave_slow_server(engine, task) && must_leave_server(engine, task)) {
         ms_batch_task_stop_unit(engine, task, "server_leaves");
     }
 }
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "batch/engine_placement.h"
+#include "batch/engine_speed.h"
 
 /*
  * When a unit may preempt, and at what cost in core-seconds.  A unit of the top priority
@@ -277,6 +278,7 @@
     struct ms_level_outcomes *outcomes = &pass->outcomes;
     int64_t waited_ms = engine->now - unit->step->ready_since;
     engine->units_waiting++;
+    ms_speed_note_waiting(engine, unit->step);
     if (!may_try_other_levels(pass)) {
         return;
     }
@@ -385,6 +387,7 @@
     ms_collect_servers(&pass);
     ms_collect_steps(&pass, steps);
     engine->units_waiting = 0;
+    ms_speed_begin_pass(engine);
     ms_explain_begin_pass(&pass, steps);
     for (guint i = 0; i < steps->len; i++) {
         place_step(&pass, g_ptr_array_index(steps, i));
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -103,6 +103,15 @@
  */
 bool ms_capacity_is_ample(const struct ms_placement_pass *pass);
 
+/*
+ * Whether tasks of STEP may run on SERVER at all, whatever capacity it has.  Best-effort
+ * tasks would lengthen the response times of tasks with a latency target.  After a
+ * preemption on the server, tasks of a lower priority than that of the preempting work
+ * would only be preempted again; the idle level ignores this.
+ */
+bool ms_capacity_is_eligible(const struct ms_engine *engine, const struct ms_batch_step *step,
+                             const struct ms_batch_server *server, enum ms_placement_level level);
+
 /* How many tasks of the unit's step SERVER can take at LEVEL, at most LIMIT. */
 uint32_t ms_capacity_max_tasks(const struct ms_placement_pass *pass,
                                const struct ms_batch_server *server, enum ms_placement_level level,
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -8,6 +8,7 @@
 
 #include "batch/account.h"
 #include "batch/engine.h"
+#include "batch/run_speed.h"
 #include "core/list.h"
 
 /* Fencing tokens of a server per epoch, one for each of its incarnations. */
@@ -16,6 +17,9 @@
 /* A task avoids this many servers: the latest ones where it failed or was refused. */
 #define MS_AVOIDED_SERVERS_MAX 6
 
+/* Lower priorities count as the last of these where waits are observed. */
+#define MS_PRIORITIES_OBSERVED 8u
+
 /* So many runs that were declared lost are kept for each task: a late failure of these counts. */
 #define MS_LOST_RUNS_MAX 4
 
@@ -60,6 +64,10 @@
     int64_t waited_ms;         /* from when its step was ready to its latest placement */
     uint32_t avoided_server_count; /* entries ever added to `avoided_servers` */
     char avoided_servers[MS_AVOIDED_SERVERS_MAX][MS_NAME_MAX]; /* ring of ids of servers to avoid */
+
+    struct ms_run_speed speed;   /* of the current run */
+    uint32_t checkpoint_percent; /* progress when `checkpoint` was reported, 0: not known */
+    uint32_t slow_stops;         /* how often it has been stopped because of a slow server */
 };
 
 /* One step of one occurrence of a job. */
@@ -79,6 +87,9 @@
     bool advice_pending;         /* the advice service was asked and has not answered */
     int64_t advice_retry_at;     /* the advice service is not asked again before then */
     bool within_guarantee;       /* last pass: top priority, and the account within its guarantee */
+
+    int64_t peer_rate;    /* median rate of its runs, see engine_speed.c */
+    int64_t peer_rate_at; /* when `peer_rate` was computed, 0: not yet */
 };
 
 /* One execution of all steps of a job; a repeated job has several. */
@@ -170,6 +181,12 @@
     struct ms_resources releasing;   /* freed when the stops in progress are done */
     struct ms_resources preemptible; /* of tasks that the unit being placed may preempt */
     uint32_t planned_task_count;     /* tasks of the unit being placed that are planned here */
+
+    /* See engine_speed.c. */
+    int64_t slow_since;          /* until `slow_until`: since when it is slow */
+    int64_t slowdown;            /* the same: see slow_stop.h, 0: not known for certain */
+    struct ms_resources claimed; /* for runs that leave slow servers */
+    int64_t claimed_until;       /* `claimed` is valid until then */
 };
 
 struct ms_engine {
@@ -208,6 +225,9 @@
     GQueue *actions;                /* struct ms_engine_action, oldest first */
     void (*log_callback)(void *opaque, const char *text);
     void *log_opaque;
+
+    /* By priority: since when a unit that the last pass did not place has waited, 0: none. */
+    int64_t waiting_since[MS_PRIORITIES_OBSERVED];
 };
 
 /* engine.c */
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "batch/engine_private.h"
+#include "batch/engine_speed.h"
 
 #define ENDED_ROWS_MAX 500    /* a report with this many ends may be truncated */
 #define WITHHELD_ROWS_MAX 100 /* ends that may gather from a withheld one on */
@@ -147,6 +148,7 @@
         task->progress_percent = row->percent;
         task->last_progress_at = engine->now;
     }
+    ms_speed_on_progress(engine, task, row->checkpoint);
     ms_batch_task_set_checkpoint(task, row->checkpoint);
 }
 
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -80,6 +80,7 @@
     task->last_answer_at = 0;
     task->running_since = 0;
     task->resumed_percent = 0;
+    memset(&task->speed, 0, sizeof(task->speed));
     task->progress_percent = 0;
     task->last_progress_at = engine->now;
     ms_list_append(&server->tasks, &task->server_link);
--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -226,6 +226,7 @@
     limits.lease_max_ms = entry->settings->lease_max_ms;
     limits.gang_start_ms = (int64_t)((double)entry->settings->gang_start_max_ms * GANG_START_SHARE);
     limits.stop_grace_ms = entry->settings->stop_grace_ms;
+    limits.weigh_slow_stops = entry->settings->weigh_slow_stops;
     limits.ended_retention_ms =
         (entry->settings->ended_retention_s + ENDED_RETENTION_MARGIN_S) * 1000;
     int64_t earlier_leases_until = entry->term_epoch > 1 ? entry->earlier_leases_until : 0;
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -29,6 +29,12 @@
     int64_t fallback; /* when the setting is absent; 0: it must be there */
 };
 
+/* A setting that is true or false, false if it is absent; its field is a bool. */
+struct flag_key {
+    const char *key;
+    size_t offset;
+};
+
 #define DESCRIPTORS_DEFAULT 4096
 /* Descriptors for files, the log, other entry hosts, metrics and the readiness probe. */
 #define DESCRIPTORS_RESERVED 264
@@ -68,6 +74,10 @@
      "file descriptors", DESCRIPTORS_DEFAULT},
 };
 
+static const struct flag_key flag_keys[] = {
+    {"weigh_slow_stops", offsetof(struct ms_entry_settings, weigh_slow_stops)},
+};
+
 static bool
 is_known_key(const char *key)
 {
@@ -81,6 +91,11 @@
             return true;
         }
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(flag_keys); i++) {
+        if (strcmp(key, flag_keys[i].key) == 0) {
+            return true;
+        }
+    }
     return strcmp(key, "cpu_share") == 0;
 }
 
@@ -124,6 +139,14 @@
         }
         *(int64_t *)(void *)((char *)settings + number->offset) = (int64_t)parsed;
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(flag_keys); i++) {
+        const json_t *given = json_object_get(root, flag_keys[i].key);
+        if (given != NULL && !json_is_boolean(given)) {
+            snprintf(error, size, "%s: must be true or false", flag_keys[i].key);
+            return MS_E_INVALID;
+        }
+        *(bool *)(void *)((char *)settings + flag_keys[i].offset) = json_is_true(given);
+    }
     settings->cpu_cores = json_number_value(json_object_get(root, "cpu_share"));
     if (settings->cpu_cores <= 0.0) {
         snprintf(error, size, "cpu_share: must be a number of cores above 0");
--- a/tests/batch/engine_fuzz.c
+++ b/tests/batch/engine_fuzz.c
@@ -103,7 +103,9 @@
         faults.leader_change = 60;
         faults.server_silence = 5;
     }
-    struct simulator *simulator = simulator_new(seed, SERVER_COUNT, &faults, trace);
+    const struct simulator_speeds speeds = {.weigh_slow_stops = seed % 2 == 1};
+    struct simulator *simulator =
+        simulator_new_with_speeds(seed, SERVER_COUNT, &faults, &speeds, trace);
     for (uint32_t i = 0; i < JOB_COUNT; i++) {
         struct ms_batch_spec spec;
         simulator_random_spec(&random_state, i, &spec);
@@ -202,7 +204,9 @@
         faults.gang_server_loss = TAKEOVERS_SERVER_LOSS_PERMILLE;
     }
     struct job_mix mix = {.small_tasks_max = 4 + simulator_random(&random_state, 20)};
-    struct simulator *simulator = simulator_new(seed, LIVENESS_SERVER_COUNT, &faults, trace);
+    const struct simulator_speeds speeds = {.weigh_slow_stops = seed % 2 == 1};
+    struct simulator *simulator =
+        simulator_new_with_speeds(seed, LIVENESS_SERVER_COUNT, &faults, &speeds, trace);
     simulator_set_liveness(simulator, mode->liveness);
     submit_mixed_jobs(simulator, &random_state, FAULTS_DURATION_MS, &mix);
     if (mode->takeovers) {
@@ -253,7 +257,7 @@
     uint64_t last = strtoull(argv[2], NULL, 10);
     FILE *trace = argc == 4 ? stdout : NULL;
     uint64_t failed = 0;
-    struct simulator_counts totals = {0, 0, 0, 0, 0, 0};
+    struct simulator_counts totals = {0};
     for (uint64_t seed = first; seed <= last; seed++) {
         bool passed = mode != NULL ? run_liveness_seed(seed, mode, &totals, trace)
                                    : run_seed(seed, frequent_takeovers, &totals, trace);
--- a/tests/batch/simulated_server.c
+++ b/tests/batch/simulated_server.c
@@ -8,6 +8,7 @@
 
 #define GANG_START_TIMEOUT_MS 3000 /* a member ends if its gang is not complete by then */
 #define STOP_DURATION_MS 300       /* from a stop order to the end of the run */
+#define GANG_RATE_INTERVAL_MS 10   /* the rate of a gang is computed this often */
 #define SLOW_CLOCK_PERCENT 98      /* rate of the clock of each second server */
 
 bool
@@ -88,6 +89,11 @@
         simulator_note_fault(simulator, simulator->now);
     }
     simulator->counts.stopped += how == MS_RUN_END_STOPPED;
+    const struct ms_step *step = simulator_find_step(simulator, run->task);
+    if (how == MS_RUN_END_STOPPED && step != NULL) {
+        simulator->counts.stopped_core_ms +=
+            step->task_resources.cpu_millis * (simulator->now - run->begun_at) / 1000;
+    }
     g_array_remove_index(server->runs, index);
 }
 
@@ -120,6 +126,16 @@
     }
 }
 
+/* Run time of TASK, or of its gang, at the normal speed. */
+static int64_t
+run_time_ms(struct simulator *simulator, const char *task, bool gang)
+{
+    if (simulator->speeds.run_ms != NULL) {
+        return simulator->speeds.run_ms(simulator->speeds.opaque, task);
+    }
+    return gang ? 1500 : 500 + simulator_random(&simulator->random_state, 2500);
+}
+
 /* Schedules the end of the gang's run once all its members have started. */
 static void
 start_gang_if_complete(struct simulator *simulator, const char *task, uint32_t run_number,
@@ -137,7 +153,10 @@
                 }
                 started += pass == 0;
                 if (pass == 1) {
-                    run->ends_at = simulator->now + 1500;
+                    char *first = g_strdup_printf("%.*s0", (int)length, task);
+                    run->started_at = simulator->now;
+                    run->ends_at = simulator->now + run_time_ms(simulator, first, true);
+                    g_free(first);
                 }
             }
         }
@@ -236,13 +255,12 @@
     const struct ms_step *step = simulator_find_step(simulator, action->task);
     struct run run = {.run = action->run,
                       .started_at = simulator->now,
+                      .begun_at = simulator->now,
                       .gang = step->gang,
                       .unfenced = unfenced_late};
     g_strlcpy(run.task, action->task, sizeof(run.task));
     run.will_fail = simulator_chance(simulator, simulator->faults.run_failure);
-    run.ends_at = step->gang
-                      ? INT64_MAX
-                      : simulator->now + 500 + simulator_random(&simulator->random_state, 2500);
+    run.ends_at = step->gang ? INT64_MAX : simulator->now + run_time_ms(simulator, run.task, false);
     g_array_append_val(server->runs, run);
     simulator->counts.starts++;
     if (step->gang) {
@@ -338,12 +356,64 @@
     }
 }
 
+/* Rate of progress on SERVER at present, in percent of the normal one. */
+static int64_t
+server_rate(const struct simulator *simulator, const struct simulated_server *server)
+{
+    int64_t speed = server->speed > 0 ? server->speed : 100;
+    return simulator->now < server->slow_until ? speed / server->slow_factor : speed;
+}
+
+/* The rate of the slowest member of the gang of RUN. */
+static int64_t
+gang_rate(const struct simulator *simulator, const struct run *run)
+{
+    size_t length = gang_prefix_length(run->task);
+    int64_t rate = INT64_MAX;
+    for (size_t s = 0; s < simulator->server_count; s++) {
+        const struct simulated_server *server = &simulator->servers[s];
+        for (guint i = 0; i < server->runs->len; i++) {
+            const struct run *other = &g_array_index(server->runs, struct run, i);
+            if (other->run == run->run && strncmp(other->task, run->task, length) == 0) {
+                rate = MIN(rate, server_rate(simulator, server));
+            }
+        }
+    }
+    return rate;
+}
+
+/* Lets the runs on SERVER progress by their rates instead of by one millisecond. */
+static void
+apply_rates(const struct simulator *simulator, struct simulated_server *server)
+{
+    for (guint i = 0; i < server->runs->len; i++) {
+        struct run *run = &g_array_index(server->runs, struct run, i);
+        if (run->ends_at == INT64_MAX || run->stopping) {
+            continue;
+        }
+        if (!run->gang) {
+            run->rate = server_rate(simulator, server);
+        }
+        else if (run->rate == 0 || simulator->now % GANG_RATE_INTERVAL_MS == 0) {
+            run->rate = gang_rate(simulator, run);
+        }
+        run->lag += 100 - run->rate;
+        int64_t shift = run->lag / 100;
+        run->lag -= shift * 100;
+        run->started_at += shift;
+        run->ends_at += shift;
+    }
+}
+
 void
 simulated_server_tick(struct simulator *simulator, struct simulated_server *server)
 {
     if (simulator->now < server->stalled_until) {
         stall_runs(server);
     }
+    else {
+        apply_rates(simulator, server);
+    }
     if (server->runs->len > 0 &&
         simulated_server_clock(simulator, server) >= server->lease_deadline) {
         /* Earlier ends stay valid if no run is in progress when the lease expires. */
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -84,6 +84,7 @@
     struct ms_engine_limits limits;
     ms_engine_limits_defaults(&limits);
     limits.lease_ms = SIMULATOR_LEASE_MS;
+    limits.weigh_slow_stops = simulator->speeds.weigh_slow_stops;
 
     simulator->epoch++;
     simulator->generation++;
@@ -94,6 +95,9 @@
     if (simulator->trace != NULL) {
         ms_engine_set_log(simulator->engine, trace_engine_event, simulator);
     }
+    if (simulator->log_callback != NULL) {
+        ms_engine_set_log(simulator->engine, simulator->log_callback, simulator->log_opaque);
+    }
     ms_engine_set_policy(simulator->engine, simulator->policy);
     for (size_t i = 0; i < simulator->server_count; i++) {
         struct simulated_server *server = &simulator->servers[i];
@@ -122,8 +126,17 @@
 
 struct simulator *
 simulator_new(uint64_t seed, size_t servers, const struct simulator_faults *faults, FILE *trace)
+{
+    const struct simulator_speeds speeds = {0};
+    return simulator_new_with_speeds(seed, servers, faults, &speeds, trace);
+}
+
+struct simulator *
+simulator_new_with_speeds(uint64_t seed, size_t servers, const struct simulator_faults *faults,
+                          const struct simulator_speeds *speeds, FILE *trace)
 {
     struct simulator *simulator = g_new0(struct simulator, 1);
+    simulator->speeds = *speeds;
     simulator->random_state = seed * 0x9e3779b97f4a7c15u + 1;
     simulator->faults = *faults;
     simulator->trace = trace;
@@ -468,6 +481,30 @@
     store_record(simulator, MS_KEY_CANCEL, id, mark, 1);
 }
 
+void
+simulator_set_speed(struct simulator *simulator, size_t index, int64_t percent)
+{
+    simulator->servers[index].speed = percent;
+}
+
+void
+simulator_slow_server(struct simulator *simulator, size_t index, int64_t factor, int64_t ms)
+{
+    simulator->servers[index].slow_factor = factor;
+    simulator->servers[index].slow_until = simulator->now + ms;
+}
+
+void
+simulator_set_log(struct simulator *simulator, void (*line)(void *opaque, const char *text),
+                  void *opaque)
+{
+    simulator->log_callback = line;
+    simulator->log_opaque = opaque;
+    if (simulator->engine != NULL) {
+        ms_engine_set_log(simulator->engine, line, opaque);
+    }
+}
+
 const char *
 simulator_violation(const struct simulator *simulator)
 {
--- a/tests/batch/simulator.h
+++ b/tests/batch/simulator.h
@@ -13,7 +13,7 @@
 
 #include "batch/engine.h"
 
-#define SIMULATOR_SERVERS_MAX 24
+#define SIMULATOR_SERVERS_MAX 48
 #define SIMULATOR_TEXT_MAX 256 /* bytes of the text of a violation, with its NUL */
 
 /*
@@ -54,12 +54,24 @@
 
 struct simulator;
 
+/* How fast runs are.  All zero: a single task takes 500 to 3,000 ms, a gang 1,500 ms. */
+struct simulator_speeds {
+    bool weigh_slow_stops; /* limits.weigh_slow_stops of the engine */
+    /* Run time of a task, of a gang that of its first task, on a server of the speed 1. */
+    int64_t (*run_ms)(void *opaque, const char *task);
+    void *opaque;
+};
+
 /*
  * Creates a simulator with an engine and SERVERS (at most SIMULATOR_SERVERS_MAX) backend
  * servers with 8 accelerators each.  A trace is written to TRACE unless it is NULL.
  */
 struct simulator *simulator_new(uint64_t seed, size_t servers,
                                 const struct simulator_faults *faults, FILE *trace);
+/* The same, with SPEEDS. */
+struct simulator *simulator_new_with_speeds(uint64_t seed, size_t servers,
+                                            const struct simulator_faults *faults,
+                                            const struct simulator_speeds *speeds, FILE *trace);
 void simulator_free(struct simulator *simulator);
 
 /* Stores a job without delay.  Takes ownership of what SPEC owns and sets SPEC to zero. */
@@ -108,6 +120,16 @@
 /* Keeps the runs on server INDEX from making progress for MS. */
 void simulator_stall_runs(struct simulator *simulator, size_t index, int64_t ms);
 
+/* Server INDEX has this speed, in percent of the normal one, except while it is slow. */
+void simulator_set_speed(struct simulator *simulator, size_t index, int64_t percent);
+
+/* Makes the runs on server INDEX progress FACTOR times more slowly for MS, gangs as a whole. */
+void simulator_slow_server(struct simulator *simulator, size_t index, int64_t factor, int64_t ms);
+
+/* Calls CALLBACK for each line that the engine logs; overrides the trace of these. */
+void simulator_set_log(struct simulator *simulator, void (*line)(void *opaque, const char *text),
+                       void *opaque);
+
 /*
  * Makes server INDEX drain and unreachable for MS, and removes it from the directory,
  * as happens when its entry expires.
@@ -132,6 +154,7 @@
     uint32_t done;
     uint32_t failed;
     uint32_t stopped;
+    int64_t stopped_core_ms; /* work of the stopped runs */
     uint32_t leader_changes;
     int64_t idle_ms_max; /* the longest time that a job could run and did not, if checked */
 };
--- a/tests/batch/simulator_private.h
+++ b/tests/batch/simulator_private.h
@@ -27,8 +27,11 @@
     int64_t started_at; /* moves with the clock while the run is stalled */
     int64_t ends_at;    /* INT64_MAX until all members of the gang have started */
     bool stopping;
-    bool will_fail; /* ends as failed, not as done */
-    bool unfenced;  /* a late order that nothing could refuse; see simulated_server_start() */
+    bool will_fail;   /* ends as failed, not as done */
+    int64_t begun_at; /* when it started; does not move */
+    int64_t rate;     /* of its progress, in percent of the normal one; 0: not yet known */
+    int64_t lag;      /* hundredths of a millisecond by which it is late */
+    bool unfenced;    /* a late order that nothing could refuse; see simulated_server_start() */
 };
 
 /* A backend server; simulated_server_clear() resets the state that a restart loses. */
@@ -48,6 +51,9 @@
     int64_t unreachable_until;
     int64_t silent_until; /* its answers are lost until then */
     int64_t stalled_until;
+    int64_t speed;      /* in percent, 0: 100 */
+    int64_t slow_until; /* its runs are slower by `slow_factor` until then */
+    int64_t slow_factor;
     int64_t shutdown_at; /* when a draining server shuts down, 0: never */
     int64_t unlist_at;   /* of a lost server, or if RELIST_AT is set: when its entry expires */
     int64_t relist_at;   /* when its expired entry returns, 0: its entry does not expire */
@@ -80,6 +86,9 @@
 struct simulator {
     uint64_t random_state; /* of simulator_random() */
     struct simulator_faults faults;
+    struct simulator_speeds speeds;
+    void (*log_callback)(void *opaque, const char *text); /* or NULL */
+    void *log_opaque;
     int64_t now;
     struct ms_engine *engine; /* NULL while there is no leader */
     uint64_t epoch;
