--- a/Makefile
+++ b/Makefile
@@ -75,6 +75,9 @@
 $(BUILD)/bench-account-order: $(BUILD)/bench/account_order.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/bench-slow-servers: $(BUILD)/bench/slow_servers.o $(SIMULATOR_OBJECTS) $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bench-detector: $(BUILD)/bench/failure_detectors.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -6,6 +6,7 @@
 
 #include "batch/engine_cap.h"
 #include "batch/engine_placement.h"
+#include "batch/engine_speed.h"
 
 /*
  * When a unit may preempt, and at what cost in core-seconds.  A unit of the top priority
@@ -282,6 +283,7 @@
     struct ms_engine *engine = pass->engine;
     struct ms_level_outcomes *outcomes = &pass->outcomes;
     int64_t waited_ms = engine->now - pass->unit->step->ready_since;
+    ms_speed_note_waiting(engine, pass->unit->step);
     if (!may_try_other_levels(pass)) {
         return false;
     }
@@ -452,6 +454,7 @@
     ms_collect_steps(&pass, steps);
     engine->units_waiting = 0;
     engine->units_over_share = 0;
+    ms_speed_begin_pass(engine);
     ms_explain_begin_pass(&pass, steps);
     for (guint i = 0; i < steps->len; i++) {
         place_step(&pass, g_ptr_array_index(steps, i));
--- a/tests/batch/engine_fuzz.c
+++ b/tests/batch/engine_fuzz.c
@@ -152,7 +152,9 @@
     }
     uint64_t cap_random = seed * 31337u + 3;
     uint64_t *cap_state = seed % CAPS_EVERY == 0 ? &cap_random : NULL;
-    struct simulator *simulator = simulator_new(seed, SERVER_COUNT, &faults, trace);
+    const struct simulator_speeds speeds = {.weigh_slow_stops = seed % 2 == 1};
+    struct simulator *simulator =
+        simulator_new_with_speeds(seed, SERVER_COUNT, &faults, &speeds, trace);
     for (uint32_t i = 0; i < JOB_COUNT; i++) {
         struct ms_batch_spec spec;
         simulator_random_spec(&random_state, i, &spec);
@@ -281,7 +283,9 @@
     struct job_mix mix = {.small_tasks_max = 4 + simulator_random(&random_state, 20)};
     uint64_t cap_random = seed * 31337u + 3;
     uint64_t *cap_state = seed % CAPS_EVERY == 0 ? &cap_random : NULL;
-    struct simulator *simulator = simulator_new(seed, LIVENESS_SERVER_COUNT, &faults, trace);
+    const struct simulator_speeds speeds = {.weigh_slow_stops = seed % 2 == 1};
+    struct simulator *simulator =
+        simulator_new_with_speeds(seed, LIVENESS_SERVER_COUNT, &faults, &speeds, trace);
     if (mode->weights) {
         mix.account_count = WEIGHTS_ACCOUNT_COUNT;
         set_weights(simulator, &random_state, &mix);
@@ -342,7 +346,7 @@
     uint64_t last = strtoull(argv[2], NULL, 10);
     FILE *trace = argc == 4 ? stdout : NULL;
     uint64_t failed = 0;
-    struct simulator_counts totals = {0, 0, 0, 0, 0, 0};
+    struct simulator_counts totals = {0};
     for (uint64_t seed = first; seed <= last; seed++) {
         bool passed = mode != NULL ? run_liveness_seed(seed, mode, &totals, trace)
                                    : run_seed(seed, frequent_takeovers, &totals, trace);
