Batch: an urgent state does not store all other states again

Cause: each stored start, several a second, also stored the states of all jobs with ends that were not urgent. A wide step whose tasks end one by one was stored again each time, with all its tasks: 9 records of 930 bytes a job, 88 % of the jobs stream, which every host reads. Change: an urgent store holds the urgent jobs only; the others are stored together after 300 ms (100 before). Ends are acknowledged, as before, once all that is dirty has been stored.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -11,7 +11,11 @@
 #define PLACE_INTERVAL_MAX_MS 300   /* maximum time between two placement passes */
 #define SCAN_INTERVAL_MAX_MS 200    /* maximum time between two scans of all servers and jobs */
 #define SCAN_INTERVAL_MIN_MS 20     /* minimum time between two scans */
-#define STORE_DELAY_MS 100 /* changes that are not urgent are stored together after this time */
+/*
+ * Changes that are not urgent are stored together after this time.  Each end of a task of a wide
+ * step would otherwise store the states of all its tasks again, which every host reads.
+ */
+#define STORE_DELAY_MS 300
 
 void
 ms_engine_limits_defaults(struct ms_engine_limits *limits)
@@ -201,6 +205,7 @@
     }
     ms_list_remove(&job->dirty_link);
     ms_list_append(&engine->dirty, &job->dirty_link);
+    job->store_urgent |= urgent;
     engine->dirty_urgent |= urgent;
 }
 
@@ -522,9 +527,10 @@
         engine->last_placement_at = engine->now;
         ms_engine_run_placement(engine);
     }
+    bool all_due = engine->now - engine->dirty_since >= STORE_DELAY_MS;
     if (!engine->store_pending && !ms_list_is_empty(&engine->dirty) &&
-        (engine->dirty_urgent || engine->now - engine->dirty_since >= STORE_DELAY_MS)) {
-        ms_engine_store_dirty_jobs(engine);
+        (engine->dirty_urgent || all_due)) {
+        ms_engine_store_dirty_jobs(engine, all_due);
     }
 }
 
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -117,6 +117,7 @@
     int64_t virtual_us;               /* virtual arrival, see account_order.h */
     struct ms_list_link dirty_link;   /* in engine->dirty while its state has to be stored */
     bool store_pending;               /* the store in progress contains its state */
+    bool store_urgent;                /* dirty: its state has to be stored without delay */
     bool removing;                    /* its records are to be removed from the log */
     uint32_t active_count;            /* tasks assigned to a server */
     int64_t ended_at;                 /* when the engine learned of its end */
@@ -429,8 +430,8 @@
 void ms_engine_run_placement(struct ms_engine *engine);
 
 /* engine_store.c */
-/* Queues a STORE with the states of the dirty jobs. */
-void ms_engine_store_dirty_jobs(struct ms_engine *engine);
+/* Queues a STORE with the states of the dirty jobs, of the urgent ones only unless ALL. */
+void ms_engine_store_dirty_jobs(struct ms_engine *engine, bool all);
 /*
  * Restores the tasks of JOB from its StateRecord, read at READ_AT; one that is malformed is
  * logged and ignored.
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -164,18 +164,24 @@
 }
 
 void
-ms_engine_store_dirty_jobs(struct ms_engine *engine)
+ms_engine_store_dirty_jobs(struct ms_engine *engine, bool all)
 {
     struct ms_engine_action *action = ms_engine_push_action(engine, MS_ENGINE_STORE, NULL);
     size_t bytes = 0;
+    bool more_urgent = false;
     action->records = g_ptr_array_new();
     MS_LIST_FOREACH(link, &engine->dirty)
     {
         struct ms_batch_job *job = MS_CONTAINER_OF(link, struct ms_batch_job, dirty_link);
         if (bytes > STORE_BYTES_MAX) {
+            more_urgent = engine->dirty_urgent;
             break;
         }
+        if (!all && !job->store_urgent) {
+            continue;
+        }
         ms_list_remove(&job->dirty_link);
+        job->store_urgent = false;
         if (job->removing) {
             add_store_record(action->records, MS_KEY_CANCEL, job->id, NULL);
             add_store_record(action->records, MS_KEY_STATE, job->id, NULL);
@@ -190,9 +196,8 @@
         add_store_record(action->records, MS_KEY_STATE, job->id, value);
     }
     engine->store_pending = true;
-    bool more_dirty = !ms_list_is_empty(&engine->dirty);
-    engine->dirty_urgent = more_dirty && engine->dirty_urgent;
-    if (more_dirty) {
+    engine->dirty_urgent = more_urgent;
+    if (!ms_list_is_empty(&engine->dirty)) {
         return; /* ends_storing stays: ends of the remaining jobs are not stored yet */
     }
     MS_LIST_FOREACH(server_link, &engine->servers)
