Entry: jobs and their states can be stored compressed

Cause: at 302 hosts half of them read the jobs stream over the link between the regions. Change: setting compress_records; readers take both forms. zlib is declared as a library. Weighed: a stream of its own for states, which only the leader reads, and reading through one host of each data centre. Both save more and change how a leader takes over; not built.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 CXX = g++
 OPTIMISE ?= -O2 -g
 SANITIZE ?=
-PACKAGES = glib-2.0 jansson libmicrohttpd libcurl ck libprotobuf-c
+PACKAGES = glib-2.0 jansson libmicrohttpd libcurl ck libprotobuf-c zlib
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Werror
 CPPFLAGS += -D_GNU_SOURCE -DG_LOG_DOMAIN='"mustardspread"' -Iinclude -Isrc
 CFLAGS = -std=c11 $(OPTIMISE) $(WARN) $(SANITIZE) $(shell pkg-config --cflags $(PACKAGES))
--- a/src/entry/actions.c
+++ b/src/entry/actions.c
@@ -4,6 +4,7 @@
 #include "entry/private.h"
 #include "obs/log.h"
 #include "ports/servers.h"
+#include "wire/compress.h"
 
 void
 ms_actions_log(void *opaque, const char *text)
@@ -20,7 +21,11 @@
     append->epoch = entry->term_epoch;
     append->queued_at = entry->now;
     for (guint i = 0; i < action->records->len; i++) {
-        g_ptr_array_add(append->records, g_ptr_array_index(action->records, i));
+        struct ms_store_record *record = g_ptr_array_index(action->records, i);
+        if (entry->settings->compress_records && record->value != NULL) {
+            record->value = ms_value_compress(record->value);
+        }
+        g_ptr_array_add(append->records, record);
     }
     g_ptr_array_set_size(action->records, 0);
     if (!ms_appender_push(entry->fenced_appender, append)) {
--- a/src/entry/log_streams.c
+++ b/src/entry/log_streams.c
@@ -6,6 +6,7 @@
 #include "entry/private.h"
 #include "obs/log.h"
 #include "ports/operator_records.h"
+#include "wire/compress.h"
 
 static const char *const stream_names[MS_STREAM_COUNT] = {"jobs", "rules", "servers"};
 
@@ -82,6 +83,30 @@
     return snapshot && batch->complete && entry->engine == NULL;
 }
 
+/* Applies RECORD to the table and passes the change on. */
+static void
+apply_job_record(struct ms_entry *entry, const struct ms_keyed_log_record *record)
+{
+    struct ms_stored_job *job = NULL;
+    gsize length = 0;
+    const uint8_t *data = NULL;
+    GBytes *value = record->value != NULL ? ms_value_expand(record->value) : NULL;
+    enum ms_table_change change = MS_CHANGED_UNREADABLE;
+    if (value != NULL || record->value == NULL) {
+        data = value != NULL ? g_bytes_get_data(value, &length) : NULL;
+        change = ms_job_table_apply(entry->table, record->key, data, length, &job);
+    }
+    if (change == MS_CHANGED_UNREADABLE) {
+        ms_log(MS_LOG_WARNING, "event=record_unreadable stream=jobs key=%s bytes=%zu", record->key,
+               record->value != NULL ? g_bytes_get_size(record->value) : 0);
+    }
+    if (change == MS_CHANGED_HOST) {
+        note_host_record(entry, record->key + strlen(MS_KEY_HOST));
+    }
+    handle_change(entry, change, job);
+    g_clear_pointer(&value, g_bytes_unref);
+}
+
 static void
 apply_jobs(struct ms_entry *entry, const struct ms_keyed_log_batch *batch, bool snapshot)
 {
@@ -90,22 +115,7 @@
         ms_job_table_begin_snapshot(entry->table);
     }
     for (guint i = 0; i < batch->records->len; i++) {
-        const struct ms_keyed_log_record *record =
-            &g_array_index(batch->records, struct ms_keyed_log_record, i);
-        struct ms_stored_job *job = NULL;
-        gsize length = 0;
-        const uint8_t *value =
-            record->value != NULL ? g_bytes_get_data(record->value, &length) : NULL;
-        enum ms_table_change change =
-            ms_job_table_apply(entry->table, record->key, value, length, &job);
-        if (change == MS_CHANGED_UNREADABLE) {
-            ms_log(MS_LOG_WARNING, "event=record_unreadable stream=jobs key=%s bytes=%zu",
-                   record->key, length);
-        }
-        if (change == MS_CHANGED_HOST) {
-            note_host_record(entry, record->key + strlen(MS_KEY_HOST));
-        }
-        handle_change(entry, change, job);
+        apply_job_record(entry, &g_array_index(batch->records, struct ms_keyed_log_record, i));
     }
     if (replace) {
         guint dropped = ms_job_table_end_snapshot(entry->table);
--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -14,6 +14,7 @@
 #include "entry/private.h"
 #include "obs/log.h"
 #include "ports/caller_api.h"
+#include "wire/compress.h"
 
 #define ANSWER_MARGIN_MS 150      /* answers are sent this long before the caller's timeout */
 #define APPEND_FORWARDABLE_MS 350 /* time for appends here while another host can take the call */
@@ -245,7 +246,11 @@
     }
     size_t length = 0;
     uint8_t *bytes = ms_batch_spec_pack(spec, &length);
-    ms_requests_append(entry, call, MS_APPEND_ACCEPT, id, g_bytes_new_take(bytes, length));
+    GBytes *value = g_bytes_new_take(bytes, length);
+    if (entry->settings->compress_records) {
+        value = ms_value_compress(value);
+    }
+    ms_requests_append(entry, call, MS_APPEND_ACCEPT, id, value);
 }
 
 /* Checks the configuration, the queue and the API key, then handles CALL by its method. */
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -76,6 +76,7 @@
 
 static const struct flag_key flag_keys[] = {
     {"weigh_slow_stops", offsetof(struct ms_entry_settings, weigh_slow_stops)},
+    {"compress_records", offsetof(struct ms_entry_settings, compress_records)},
 };
 
 static bool
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -25,6 +25,7 @@
     int64_t gang_start_max_ms;           /* a server stops a gang that is incomplete after this */
     int64_t stop_grace_ms;               /* longest time that stopping a run takes */
     bool weigh_slow_stops;               /* a stop of a run on a slow server has to pay */
+    bool compress_records;               /* jobs and their states are stored compressed */
     int64_t unknown_after_ms;            /* every host knows an accepted job after this */
     double cpu_cores;                    /* CPU cores that this host may use; may be a fraction */
     int64_t ended_retention_s;           /* how long the state of an ended job can be queried */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -358,6 +358,7 @@
     suite_add_tcase(suite, cases);
     suite_add_tcase(suite, core_health_cases());
     suite_add_tcase(suite, http_loop_cases());
+    suite_add_tcase(suite, compress_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -12,4 +12,7 @@
 /* http_loop.c: timeouts of HTTP exchanges when the loop's thread is delayed. */
 TCase *http_loop_cases(void);
 
+/* compress.c: compression of records in the log. */
+TCase *compress_cases(void);
+
 #endif
