Batch: a unit with a reservation of servers gets room under its account's cap

Cause: a gang that fitted under the cap and waited for servers with a reservation got no room under the cap. Its account's small tasks took the room, so that the gang waited for the cap when the servers were free, and lost the servers meanwhile.

Change: room under the cap is reserved for a unit as soon as capacity of servers is, also at the reserve level, where at most 6 units in a pass have a reservation. A unit without one still reserves no room.

--- a/src/batch/engine_cap.h
+++ b/src/batch/engine_cap.h
@@ -27,10 +27,7 @@
 /* How many of UNIT's tasks its account's cap allows to start now; all or none of a gang. */
 uint32_t ms_cap_max_tasks(const struct ms_unit *unit);
 
-/*
- * Reserves room under the cap for the current unit, which waits for servers that are being
- * freed for it.
- */
+/* Reserves room under the cap for the current unit, for which capacity of servers is reserved. */
 void ms_cap_reserve(const struct ms_placement_pass *pass);
 
 /*
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -319,22 +319,30 @@
  * Tries UNIT, which waits for servers, at the other levels.  Capacity is freed for one of its tasks
  * at a time, unless it is a gang, or within a guarantee and its account has a cap: it may have
  * waited for stops under the cap already, so the guarantee leaves no time for a stop after the
- * other.  Returns whether capacity is being freed for it; *PART is set to what it was tried with.
+ * other.  *PART is set to what it was tried with.
  */
-static bool
+static void
 wait_for_servers(struct ms_placement_pass *pass, const struct ms_unit *unit, struct ms_unit *part)
 {
     bool capped = unit->step->occurrence->job->account->capped;
     *part = *unit;
     pass->unit = part;
-    if (unit->gang) {
-        return try_other_levels(pass);
-    }
-    if (capped && pass->within_guarantee && unit->count > 1 && try_other_levels(pass)) {
-        return true;
+    bool at_once = unit->gang || (capped && pass->within_guarantee && unit->count > 1);
+    if (at_once && (try_other_levels(pass) || unit->gang)) {
+        return;
     }
     part->count = 1;
-    return try_other_levels(pass);
+    try_other_levels(pass);
+}
+
+/* Whether capacity of servers is reserved for the current unit, which has been tried. */
+static bool
+has_reservation(const struct ms_placement_pass *pass)
+{
+    const enum ms_level_outcome *by_level = pass->outcomes.by_level;
+    return by_level[MS_LEVEL_RELEASING] == MS_OUTCOME_GRANTED ||
+           by_level[MS_LEVEL_PREEMPT] == MS_OUTCOME_GRANTED ||
+           by_level[MS_LEVEL_RESERVE] == MS_OUTCOME_GRANTED;
 }
 
 /*
@@ -395,7 +403,8 @@
     }
     pass->engine->units_waiting++;
     ms_explain_begin_unit(pass, no_plan_outcome(pass));
-    if (wait_for_servers(pass, &remaining, &part)) {
+    wait_for_servers(pass, &remaining, &part);
+    if (has_reservation(pass)) {
         ms_cap_reserve(pass);
     }
     ms_explain_unit(pass);
--- a/tests/batch/unit_placement.c
+++ b/tests/batch/unit_placement.c
@@ -304,10 +304,53 @@
 }
 END_TEST
 
+/* Submits COUNT jobs of ACCOUNT, numbered from *NEXT on, each of one small task. */
+static void
+submit_load(struct simulator *simulator, const char *account, uint32_t count, uint32_t *next)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        struct ms_batch_spec spec;
+        char id[MS_JOB_ID_MAX];
+        snprintf(id, sizeof(id), "%s%u", account, (*next)++);
+        simple_spec(&spec, id, "q1", 1, 1);
+        g_strlcpy(spec.account, account, sizeof(spec.account));
+        spec.steps[0].task_resources = (struct ms_resources){4000, 29000, 1};
+        simulator_submit_job(simulator, &spec);
+    }
+}
+
+/*
+ * A gang that needs much of its account's cap, and many servers, must not wait for one and then for
+ * the other for good while small tasks of its account take the one that it does not wait for.
+ */
+START_TEST(gang_gets_servers_and_room_under_cap)
+{
+    struct simulator *simulator = simulator_new(36, 8, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    uint32_t own = 0;
+    uint32_t others = 0;
+    simulator_set_cap(simulator, "account", (struct ms_resources){0, 1024000, 0}, 0);
+    for (int i = 0; i < 170; i++) {
+        if (i == 20) {
+            simple_spec(&spec, "gang", "q1", 6, 1);
+            spec.steps[0].task_resources = (struct ms_resources){26000, 140000, 1};
+            spec.steps[0].gang = true;
+            simulator_submit_job(simulator, &spec);
+        }
+        submit_load(simulator, "account", 2, &own);
+        submit_load(simulator, "other", 4, &others);
+        simulator_run(simulator, 200);
+    }
+    expect_phase(simulator, "gang", MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 placement_cases(void)
 {
     TCase *cases = tcase_create("placement");
+    tcase_add_test(cases, gang_gets_servers_and_room_under_cap);
     tcase_add_test(cases, clock_of_accepting_host_does_not_lengthen_wait);
     tcase_add_test(cases, gang_that_waits_for_long_running_tasks_does_not_starve_others);
     tcase_add_test(cases, gang_waits_for_its_rack_after_leader_change);
