Bench: processor time of the engine at 3,000 servers

bench-leader runs the engine alone in simulated time, with the load of docs/design/hard-load.md and a loss of the leader in the middle, and prints processor time for each duty, the longest step, and the orders and renewals a second. Hashes over all actions show whether two builds decide alike.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   make            optimised build in build/
 #   make run        the example deployment on loopback, with a table of outcomes
 #   make check      all tests; ends with "N passed, N failed"
+#   make bench-leader  processor time of the engine at 3,000 servers
 #   make lint       clang-format and clang-tidy
 #   make format     reformats the C and C++ sources
 #   make mutants    checks that the tests catch deliberate faults
@@ -75,6 +76,12 @@
 $(BUILD)/bench-detector: $(BUILD)/bench/failure_detectors.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+# The linker redirects two functions of the engine to those that measure them.
+LEADER_COST_WRAP = -Wl,--wrap=ms_engine_run_placement -Wl,--wrap=ms_engine_store_dirty_jobs
+
+$(BUILD)/bench-leader: $(BUILD)/bench/leader_cost.o $(LIB)
+	@echo LD $@; $(CC) $(LDFLAGS) $(LEADER_COST_WRAP) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/example-%: $(BUILD)/examples/%.o $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -131,7 +138,11 @@
 	@$(MAKE) --no-print-directory $(BUILD)/bench-policy
 	$(BUILD)/bench-policy
 
-.PHONY: bench
+bench-leader: deps
+	@$(MAKE) --no-print-directory $(BUILD)/bench-leader
+	$(BUILD)/bench-leader
+
+.PHONY: bench bench-leader
 
 bench-path: deps
 	@$(MAKE) --no-print-directory all
