Batch: scans leave out servers on which nothing can become due

The leader walked all servers, their tasks and all jobs, also ended ones kept for 150 s, every 20 ms, for each stored record, and at each wake-up for the time of the next one. A server that only runs tasks and has a renewal under way has no timer. The engine now keeps a bit for each server that has one (engine_attention.c), a list of the jobs that a store contains, and ended jobs in a list of their own, in the order of their ends. All servers are still scanned each 200 ms.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -9,7 +9,7 @@
 #define PLACE_INTERVAL_MIN_MS 20    /* minimum time between two placement passes */
 #define SERVERS_EXAMINED_PER_MS 400 /* servers examined that lengthen this time by one ms */
 #define PLACE_INTERVAL_MAX_MS 300   /* maximum time between two placement passes */
-#define SCAN_INTERVAL_MAX_MS 200    /* maximum time between two scans of all servers and jobs */
+#define SCAN_INTERVAL_MAX_MS 200    /* maximum time between two scans of all servers */
 #define SCAN_INTERVAL_MIN_MS 20     /* minimum time between two scans */
 #define STORE_DELAY_MS 100 /* changes that are not urgent are stored together after this time */
 
@@ -68,7 +68,11 @@
     engine->jobs_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
     engine->servers_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     engine->accounts_by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    engine->servers_by_index = g_ptr_array_new();
+    engine->attention = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    engine->storing = g_ptr_array_new();
     ms_list_link_init(&engine->jobs);
+    ms_list_link_init(&engine->ended_jobs);
     ms_list_link_init(&engine->servers);
     ms_list_link_init(&engine->dirty);
     engine->actions = g_queue_new();
@@ -89,6 +93,9 @@
     g_hash_table_destroy(engine->jobs_by_id);
     g_hash_table_destroy(engine->servers_by_id);
     g_hash_table_destroy(engine->accounts_by_name);
+    g_ptr_array_unref(engine->servers_by_index);
+    g_array_unref(engine->attention);
+    g_ptr_array_unref(engine->storing);
     g_free(engine);
 }
 
@@ -304,13 +311,14 @@
 void
 ms_engine_set_policy(struct ms_engine *engine, const struct ms_policy *policy)
 {
-    engine->policy = policy;
-    MS_LIST_FOREACH(link, &engine->jobs)
-    {
-        resolve_queue(engine, MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link));
-    }
     GHashTableIter iterator;
+    gpointer job = NULL;
     gpointer account = NULL;
+    engine->policy = policy;
+    g_hash_table_iter_init(&iterator, engine->jobs_by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &job)) {
+        resolve_queue(engine, job);
+    }
     g_hash_table_iter_init(&iterator, engine->accounts_by_name);
     while (g_hash_table_iter_next(&iterator, NULL, &account)) {
         ms_account_set_policy(account, policy);
@@ -342,13 +350,14 @@
     job->occurrences = g_ptr_array_new_with_free_func(free_occurrence);
     ms_list_link_init(&job->dirty_link);
     ms_list_link_init(&job->jobs_link);
-    ms_list_append(&engine->jobs, &job->jobs_link);
+    job->sequence = ++engine->last_job_sequence;
     g_hash_table_insert(engine->jobs_by_id, job->id, job);
     if (job->phase != MS_PHASE_OPEN) {
         /* An earlier leader has not removed its records yet: ended_retention_ms starts anew. */
-        job->ended_at = engine->now;
+        ms_engine_note_job_ended(engine, job);
         return;
     }
+    ms_list_append(&engine->jobs, &job->jobs_link);
     resolve_queue(engine, job);
     if (stored->state != NULL) {
         ms_engine_restore_job(engine, job, stored->state, stored->state_read_at);
@@ -376,12 +385,20 @@
         return;
     }
     job->phase = MS_PHASE_CANCELLED;
-    job->ended_at = engine->now;
+    ms_engine_note_job_ended(engine, job);
     ms_engine_log_event(engine, "event=job_cancel id=%s active=%u", id, job->active_count);
     ms_batch_job_stop_tasks(engine, job, "cancelled");
     ms_engine_mark_dirty(engine, job, false);
 }
 
+void
+ms_engine_note_job_ended(struct ms_engine *engine, struct ms_batch_job *job)
+{
+    job->ended_at = engine->now;
+    ms_list_remove(&job->jobs_link);
+    ms_list_append(&engine->ended_jobs, &job->jobs_link);
+}
+
 void
 ms_engine_remove_job(struct ms_engine *engine, struct ms_batch_job *job)
 {
@@ -397,6 +414,7 @@
     if (server->ends_storing > server->ends_stored) {
         server->ends_stored = server->ends_storing;
         server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
+        ms_attention_add(engine, server);
     }
     if (server->unfreeze_storing) {
         ms_batch_server_finish_unfreeze(engine, server);
@@ -411,6 +429,7 @@
         struct ms_batch_task *task = &step->tasks[i];
         if (task->state == MS_BATCH_TASK_RECORDING && task->store_pending) {
             task->state = MS_BATCH_TASK_STARTING;
+            ms_attention_add(engine, task->server);
             task->next_order_at = engine->now;
             ms_batch_task_send_order(engine, task);
         }
@@ -430,59 +449,66 @@
     }
 }
 
+/* Orders jobs as the engine learned of them. */
+static gint
+compare_sequences(gconstpointer left, gconstpointer right)
+{
+    const struct ms_batch_job *a = *(struct ms_batch_job *const *)left;
+    const struct ms_batch_job *b = *(struct ms_batch_job *const *)right;
+    return a->sequence < b->sequence ? -1 : a->sequence > b->sequence;
+}
+
 void
 ms_engine_on_stored(struct ms_engine *engine, int64_t now)
 {
+    struct ms_batch_server *server = NULL;
     engine->now = MAX(engine->now, now);
     engine->store_pending = false;
-    MS_LIST_FOREACH(server_link, &engine->servers)
-    {
-        note_server_stored(engine,
-                           MS_CONTAINER_OF(server_link, struct ms_batch_server, servers_link));
+    /* A server whose ends are not all stored, or whose lease is not NORMAL, needs attention. */
+    for (uint32_t i = 0; (server = ms_attention_next(engine, i)) != NULL; i = server->index + 1) {
+        note_server_stored(engine, server);
     }
-    MS_LIST_FOREACH(link, &engine->jobs)
-    {
-        struct ms_batch_job *job = MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link);
-        if (job->store_pending) {
-            note_job_stored(engine, job);
-        }
+    g_ptr_array_sort(engine->storing, compare_sequences);
+    for (guint i = 0; i < engine->storing->len; i++) {
+        note_job_stored(engine, g_ptr_array_index(engine->storing, i));
     }
+    g_ptr_array_set_size(engine->storing, 0);
 }
 
-/* Marks JOB for removal from the log ended_retention_ms after its end. */
+/* Marks jobs for removal from the log ended_retention_ms after their ends. */
 static void
-remove_if_expired(struct ms_engine *engine, struct ms_batch_job *job)
+remove_expired_jobs(struct ms_engine *engine)
 {
-    if (job->phase != MS_PHASE_OPEN && job->active_count == 0 && !job->store_pending &&
-        engine->now - job->ended_at > engine->limits.ended_retention_ms && !job->removing) {
-        job->removing = true;
-        ms_engine_mark_dirty(engine, job, false);
+    MS_LIST_FOREACH(link, &engine->ended_jobs)
+    {
+        struct ms_batch_job *job = MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link);
+        if (engine->now - job->ended_at <= engine->limits.ended_retention_ms) {
+            return;
+        }
+        if (job->active_count == 0 && !job->store_pending && !job->removing) {
+            job->removing = true;
+            ms_engine_mark_dirty(engine, job, false);
+        }
     }
 }
 
+/* Runs the timers of the servers that need attention, of all servers if ALL, and of jobs. */
 static void
-tick_job(struct ms_engine *engine, struct ms_batch_job *job)
+scan(struct ms_engine *engine, bool all)
 {
-    if (job->phase != MS_PHASE_OPEN) {
-        remove_if_expired(engine, job);
+    struct ms_batch_server *server = NULL;
+    for (guint i = 0; all && i < engine->servers_by_index->len; i++) {
+        ms_batch_server_tick(engine, g_ptr_array_index(engine->servers_by_index, i));
     }
-    else {
-        add_due_occurrences(engine, job);
-    }
-}
-
-static void
-scan_all(struct ms_engine *engine)
-{
-    MS_LIST_FOREACH(server_link, &engine->servers)
-    {
-        ms_batch_server_tick(engine,
-                             MS_CONTAINER_OF(server_link, struct ms_batch_server, servers_link));
+    for (uint32_t i = 0; !all && (server = ms_attention_next(engine, i)) != NULL;
+         i = server->index + 1) {
+        ms_batch_server_tick(engine, server);
     }
     MS_LIST_FOREACH(link, &engine->jobs)
     {
-        tick_job(engine, MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link));
+        add_due_occurrences(engine, MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link));
     }
+    remove_expired_jobs(engine);
 }
 
 /* Minimum time until the next placement pass; longer after a pass that took much work. */
@@ -500,8 +526,10 @@
     engine->now = MAX(engine->now, now);
     engine->unix_ms = unix_ms + engine->limits.start_early_ms;
     if (engine->now - engine->last_scan_at >= SCAN_INTERVAL_MIN_MS) {
+        bool all = engine->now - engine->last_full_scan_at >= SCAN_INTERVAL_MAX_MS;
         engine->last_scan_at = engine->now;
-        scan_all(engine);
+        engine->last_full_scan_at = all ? engine->now : engine->last_full_scan_at;
+        scan(engine, all);
     }
     if (engine->now - engine->last_placement_at >= PLACE_INTERVAL_MAX_MS) {
         /* A unit may have waited long enough to preempt others or to leave its preferred rack. */
@@ -534,13 +562,13 @@
         int64_t due = engine->dirty_urgent ? engine->now : engine->dirty_since + STORE_DELAY_MS;
         next = MIN(next, due);
     }
-    MS_LIST_FOREACH(link, &engine->servers)
-    {
-        const struct ms_batch_server *server =
-            MS_CONTAINER_OF(link, struct ms_batch_server, servers_link);
+    int64_t next_scan_at = engine->last_scan_at + SCAN_INTERVAL_MIN_MS;
+    const struct ms_batch_server *server = NULL;
+    /* A server with a renewal that is due at some time needs attention. */
+    for (uint32_t i = 0; next > next_scan_at && (server = ms_attention_next(engine, i)) != NULL;
+         i = server->index + 1) {
         if (!server->renewal_pending) {
-            next = MIN(next,
-                       MAX(server->next_renewal_at, engine->last_scan_at + SCAN_INTERVAL_MIN_MS));
+            next = MIN(next, MAX(server->next_renewal_at, next_scan_at));
         }
     }
     return next;
@@ -550,11 +578,12 @@
 ms_engine_stats(const struct ms_engine *engine, struct ms_engine_stats *stats)
 {
     memset(stats, 0, sizeof(*stats));
-    MS_LIST_FOREACH(job_link, &engine->jobs)
-    {
+    GHashTableIter iterator;
+    gpointer job = NULL;
+    g_hash_table_iter_init(&iterator, engine->jobs_by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &job)) {
         stats->jobs++;
-        stats->tasks_active +=
-            MS_CONTAINER_OF(job_link, struct ms_batch_job, jobs_link)->active_count;
+        stats->tasks_active += ((const struct ms_batch_job *)job)->active_count;
     }
     MS_LIST_FOREACH(link, &engine->servers)
     {
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -100,9 +100,10 @@
     bool started;                   /* a task has been assigned to a server */
     GPtrArray *occurrences;         /* struct ms_batch_occurrence *, those due so far, in order */
     uint32_t occurrences_done;      /* complete ones */
-    struct ms_list_link jobs_link;  /* in engine->jobs */
+    uint64_t sequence;              /* rises with each job that the engine learns of */
+    struct ms_list_link jobs_link;  /* in engine->jobs, or engine->ended_jobs once it has ended */
     struct ms_list_link dirty_link; /* in engine->dirty while its state has to be stored */
-    bool store_pending;             /* the store in progress contains its state */
+    bool store_pending;             /* in engine->storing: the store in progress has its state */
     bool removing;                  /* its records are to be removed from the log */
     uint32_t active_count;          /* tasks assigned to a server */
     int64_t ended_at;               /* when the engine learned of its end */
@@ -128,6 +129,7 @@
     char id[MS_NAME_MAX];
     struct ms_directory_entry entry;  /* latest directory entry */
     struct ms_list_link servers_link; /* in engine->servers */
+    uint32_t index;                   /* in engine->servers_by_index */
     bool listed;                      /* the directory contains it */
     bool fence_confirmed;             /* this incarnation has answered a renewal of this epoch */
     bool unresponsive;                /* the last call had no answer */
@@ -184,18 +186,24 @@
     GHashTable *jobs_by_id;         /* owns the jobs */
     GHashTable *servers_by_id;      /* owns the servers */
     GHashTable *accounts_by_name;   /* owns the accounts, struct ms_batch_account */
-    struct ms_list_link jobs;       /* struct ms_batch_job */
+    struct ms_list_link jobs;       /* struct ms_batch_job: those that are open */
+    struct ms_list_link ended_jobs; /* struct ms_batch_job: ended, oldest first */
     struct ms_list_link servers;    /* struct ms_batch_server */
+    GPtrArray *servers_by_index;    /* the same, in the same order */
+    GArray *attention;              /* uint64_t: a bit for each server, see engine_attention.c */
     struct ms_list_link dirty;      /* struct ms_batch_job whose states have to be stored */
     bool dirty_urgent;              /* a dirty job has to be stored without delay */
     int64_t dirty_since;            /* since when `dirty` is not empty */
     bool store_pending;             /* a STORE awaits ms_engine_on_stored() */
+    GPtrArray *storing;             /* struct ms_batch_job whose states that STORE contains */
+    uint64_t last_job_sequence;     /* highest `sequence` of a job */
     bool placement_due;             /* a change may allow a task to be placed */
     int64_t last_placement_at;      /* time of the last placement pass */
     int64_t next_retry_at;          /* next end of a task's backoff, INT64_MAX: none */
     int64_t plan_cost;              /* of the last plan, without penalties */
     uint64_t servers_examined;      /* servers examined in the last placement pass */
-    int64_t last_scan_at;           /* time of the last scan of all servers and jobs */
+    int64_t last_scan_at;           /* time of the last scan */
+    int64_t last_full_scan_at;      /* time of the last one of all servers */
     int64_t placement_logged_at;    /* time of the last summary line about a pass */
     uint32_t explain_cursor;        /* rotates the long waits that are logged */
     int64_t oldest_unplaced_since;  /* lowest `unplaced_since` after the last pass, 0: none */
@@ -224,6 +232,8 @@
 bool ms_engine_sent_action(struct ms_engine *engine, const struct ms_engine_action *action);
 /* Marks the state of JOB as to be stored: without delay if URGENT. */
 void ms_engine_mark_dirty(struct ms_engine *engine, struct ms_batch_job *job, bool urgent);
+/* JOB, whose phase is no longer OPEN, has ended now. */
+void ms_engine_note_job_ended(struct ms_engine *engine, struct ms_batch_job *job);
 /* Removes JOB, which must have no active tasks, from the engine and frees it. */
 void ms_engine_remove_job(struct ms_engine *engine, struct ms_batch_job *job);
 /* The task called NAME, or NULL when it is unknown or its occurrence is complete. */
@@ -309,6 +319,14 @@
 /* Runs the timers of SERVER and its tasks; declares its runs lost if its lease has expired. */
 void ms_batch_server_tick(struct ms_engine *engine, struct ms_batch_server *server);
 
+/* engine_attention.c: servers that a scan must not leave out. */
+/* The next scan handles SERVER. */
+void ms_attention_add(struct ms_engine *engine, const struct ms_batch_server *server);
+/* Scans leave SERVER out from now on if it needs no attention. */
+void ms_attention_update(struct ms_engine *engine, const struct ms_batch_server *server);
+/* The first server with an index of INDEX or more that the next scan handles, or NULL. */
+struct ms_batch_server *ms_attention_next(const struct ms_engine *engine, uint32_t index);
+
 /* engine_lease.c */
 /* The lease deadline to send to SERVER, on its clock; recorded in lease_deadline_max. */
 int64_t ms_batch_server_new_deadline(struct ms_engine *engine, struct ms_batch_server *server);
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -190,6 +190,9 @@
         ms_list_link_init(&server->tasks);
         ms_list_link_init(&server->servers_link);
         ms_list_append(&engine->servers, &server->servers_link);
+        server->index = engine->servers_by_index->len;
+        g_ptr_array_add(engine->servers_by_index, server);
+        ms_attention_add(engine, server);
         g_hash_table_insert(engine->servers_by_id, server->id, server);
     }
     return server;
@@ -246,6 +249,7 @@
     if (is_of_earlier_incarnation(server, entry)) {
         return;
     }
+    ms_attention_add(engine, server);
     if (restarted) {
         ms_batch_server_on_restart(engine, server, entry->start_unix_ms, entry->clock_ms,
                                    "directory");
@@ -279,6 +283,7 @@
         return;
     }
     server->listed = false;
+    ms_attention_add(engine, server);
     server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
     ms_engine_log_event(engine, "event=server_unlisted server=%s draining=%d tasks=%d", id,
                         server->entry.draining, !ms_list_is_empty(&server->tasks));
@@ -457,6 +462,7 @@
         return;
     }
     server->renewal_pending = false;
+    ms_attention_add(engine, server);
     if (result == MS_ORDER_FENCED) {
         ms_engine_step_down(engine, "fenced_at_server");
         return;
@@ -521,6 +527,7 @@
     }
     ms_batch_server_lease_tick(engine, server);
     renew_if_due(engine, server);
+    ms_attention_update(engine, server);
 }
 
 void
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -185,6 +185,7 @@
             continue;
         }
         job->store_pending = true;
+        g_ptr_array_add(engine->storing, job);
         GBytes *value = pack_job_state(engine, job);
         bytes += g_bytes_get_size(value);
         add_store_record(action->records, MS_KEY_STATE, job->id, value);
@@ -195,10 +196,9 @@
     if (more_dirty) {
         return; /* ends_storing stays: ends of the remaining jobs are not stored yet */
     }
-    MS_LIST_FOREACH(server_link, &engine->servers)
-    {
-        struct ms_batch_server *server =
-            MS_CONTAINER_OF(server_link, struct ms_batch_server, servers_link);
+    struct ms_batch_server *server = NULL;
+    /* The others have no end that is not stored, and a lease that is NORMAL. */
+    for (uint32_t i = 0; (server = ms_attention_next(engine, i)) != NULL; i = server->index + 1) {
         server->ends_storing = server->ends_seen;
         server->unfreeze_storing = server->lease_state == MS_LEASE_UNFREEZING;
     }
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -83,6 +83,7 @@
     task->progress_percent = 0;
     task->last_progress_at = engine->now;
     ms_list_append(&server->tasks, &task->server_link);
+    ms_attention_add(engine, server);
     ms_resources_add(&server->allocated, &task->step->spec->task_resources, 1);
     ms_resources_add(&ms_batch_task_job(task)->account->allocated,
                      &task->step->spec->task_resources, 1);
@@ -95,6 +96,7 @@
     struct ms_batch_server *server = task->server;
     if (server != NULL) {
         ms_list_remove(&task->server_link);
+        ms_attention_add(engine, server);
         ms_resources_add(&server->allocated, &task->step->spec->task_resources, -1);
         ms_resources_add(&ms_batch_task_job(task)->account->allocated,
                          &task->step->spec->task_resources, -1);
@@ -174,6 +176,7 @@
                             task->progress_percent, ms_batch_task_work_core_s(engine, task),
                             task->step->spec->checkpoints);
         set_state(task, MS_BATCH_TASK_STOPPING);
+        ms_attention_add(engine, task->server);
         task->awaits_report = false;
         task->order_pending = false;
         task->stop_confirmed = false;
@@ -258,7 +261,7 @@
         job->phase = MS_PHASE_SUCCEEDED;
     }
     if (job->phase != MS_PHASE_OPEN) {
-        job->ended_at = engine->now;
+        ms_engine_note_job_ended(engine, job);
         ms_engine_log_event(
             engine, "event=job_end id=%s outcome=%s since_seen_ms=%" G_GINT64_FORMAT, job->id,
             failed ? "failed" : "succeeded", engine->now - job->accepted_at);
@@ -576,6 +579,7 @@
     if (server == NULL || server->incarnation != order->incarnation) {
         return;
     }
+    ms_attention_add(engine, server);
     if (result == MS_ORDER_FENCED && !engine->stepped_down) {
         ms_engine_step_down(engine, "fenced_at_server");
         return;
