Batch: a unit is not planned if one that needs no more has failed in this pass

With hundreds of units waiting, a placement pass planned each of them on all servers, at up to five levels; a pass took up to 145 ms. Within a pass capacity only gets less, except after preemptions and stops of best-effort tasks. The pass now keeps what did not fit, at which level (engine_fit.c). Units in queues with advice, with a limit per server, or bound to the rack of their data are always planned. The interval between passes is computed as before.

--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -163,8 +163,11 @@
 }
 
 bool
-ms_capacity_is_ample(const struct ms_placement_pass *pass)
+ms_capacity_is_ample(struct ms_placement_pass *pass)
 {
+    if (ms_fit_has_failed(pass, MS_FIT_AMPLE, MS_FIT_ANYWHERE)) {
+        return false;
+    }
     const uint32_t wanted = 2 * pass->unit->count;
     struct ms_resources capacity = {0, 0, 0};
     struct ms_resources used = {0, 0, 0};
@@ -180,7 +183,11 @@
             fitting += ms_capacity_max_tasks(pass, server, MS_LEVEL_IDLE, wanted - fitting);
         }
     }
-    return fitting == wanted && is_below_half(&used, &capacity);
+    bool ample = fitting == wanted && is_below_half(&used, &capacity);
+    if (!ample) {
+        ms_fit_note_failed(pass, MS_FIT_AMPLE, MS_FIT_ANYWHERE);
+    }
+    return ample;
 }
 
 /* Core-seconds of work lost if TASK, or its whole gang, is stopped, and the overhead of that. */
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -68,7 +68,7 @@
 
 /* Starts the unit's tasks on the planned servers and returns their number. */
 static uint32_t
-start_unit(const struct ms_placement_pass *pass)
+start_unit(struct ms_placement_pass *pass)
 {
     struct ms_engine *engine = pass->engine;
     const struct ms_unit *unit = pass->unit;
@@ -86,6 +86,7 @@
         }
         if (server->planned_task_count > 0 && unit->step->spec->target_latency_ms > 0) {
             stop_best_effort_tasks(engine, server);
+            ms_fit_forget(pass);
         }
     }
     job->started = true;
@@ -136,8 +137,9 @@
 }
 
 static void
-preempt_for_unit(const struct ms_placement_pass *pass)
+preempt_for_unit(struct ms_placement_pass *pass)
 {
+    ms_fit_forget(pass);
     for (guint i = 0; i < pass->servers->len; i++) {
         struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
         if (server->planned_task_count > 0) {
@@ -250,7 +252,7 @@
 
 /* Starts the current unit at the idle level if it has waited long enough for that. */
 static bool
-start_in_ample_capacity(const struct ms_placement_pass *pass)
+start_in_ample_capacity(struct ms_placement_pass *pass)
 {
     int64_t now = pass->engine->now;
     struct ms_batch_step *step = pass->unit->step;
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -41,6 +41,31 @@
     bool gang; /* all tasks start together or none does */
 };
 
+/* What a unit did not fit: a level, or the test for ample capacity. */
+enum ms_fit_test { MS_FIT_AMPLE = MS_LEVEL_RESERVE + 1 };
+
+/* Where it did not fit. */
+enum ms_fit_scope { MS_FIT_ANYWHERE = 0, MS_FIT_IN_ONE_RACK };
+
+/* A unit that did not fit; see engine_fit.c. */
+struct ms_failed_fit {
+    enum ms_fit_test test;
+    enum ms_fit_scope scope;
+    bool gang;
+    bool may_preempt_top;
+    uint32_t count;
+    const struct ms_queue_rule *queue;
+    const struct ms_batch_account *account;
+    const struct ms_step *spec;
+};
+
+#define MS_FAILED_FITS_MAX 64 /* further ones are not kept: this bounds each search */
+
+struct ms_failed_fits {
+    uint32_t count;
+    struct ms_failed_fit items[MS_FAILED_FITS_MAX];
+};
+
 /* State of one placement pass. */
 struct ms_placement_pass {
     struct ms_engine *engine;
@@ -60,6 +85,7 @@
     bool preemptible_top;
     struct ms_level_outcomes outcomes; /* of the current unit, for its log line */
     struct ms_explained_steps explained;
+    struct ms_failed_fits failed_fits;
     GPtrArray *blocked_gangs; /* struct ms_batch_step whose active members keep it waiting */
 };
 
@@ -101,7 +127,7 @@
  * Whether capacity is ample for the current unit: of the servers that may run it, less than half
  * of each resource is in use, and it fits twice into what is idle.
  */
-bool ms_capacity_is_ample(const struct ms_placement_pass *pass);
+bool ms_capacity_is_ample(struct ms_placement_pass *pass);
 
 /* How many tasks of the unit's step SERVER can take at LEVEL, at most LIMIT. */
 uint32_t ms_capacity_max_tasks(const struct ms_placement_pass *pass,
@@ -136,9 +162,22 @@
  * plan's score (costs and penalties; lower is better), or MS_NO_PLAN if the unit does not fit
  * at LEVEL.  The engine's `plan_cost` is set to the costs alone.
  */
-int64_t ms_plan_unit(const struct ms_placement_pass *pass, enum ms_placement_level level);
+int64_t ms_plan_unit(struct ms_placement_pass *pass, enum ms_placement_level level);
 
 /* Whether the current unit still has to wait for capacity in one rack. */
 bool ms_plan_is_bound_to_rack(const struct ms_placement_pass *pass);
 
+/* engine_fit.c */
+
+/* Whether a unit that needs no more than the current one failed TEST in this pass, in SCOPE. */
+bool ms_fit_has_failed(const struct ms_placement_pass *pass, enum ms_fit_test test,
+                       enum ms_fit_scope scope);
+
+/* The current unit has failed TEST in SCOPE. */
+void ms_fit_note_failed(struct ms_placement_pass *pass, enum ms_fit_test test,
+                        enum ms_fit_scope scope);
+
+/* Capacity may have grown: units are tried again. */
+void ms_fit_forget(struct ms_placement_pass *pass);
+
 #endif
--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -213,8 +213,9 @@
     return prefers_rack && !may_leave_rack(pass);
 }
 
-int64_t
-ms_plan_unit(const struct ms_placement_pass *pass, enum ms_placement_level level)
+/* As ms_plan_unit(); BOUND: the unit has to wait for capacity in one rack. */
+static int64_t
+plan(const struct ms_placement_pass *pass, enum ms_placement_level level, bool bound)
 {
     const struct ms_step *spec = pass->unit->step->spec;
     int64_t score = MS_NO_PLAN;
@@ -226,9 +227,32 @@
     else if (spec->rack[0] != '\0') {
         score = plan_in_data_rack(pass, level);
     }
-    if (score != MS_NO_PLAN || (level != MS_LEVEL_IDLE && ms_plan_is_bound_to_rack(pass))) {
+    if (score != MS_NO_PLAN || bound) {
         return score;
     }
     clear_plan(pass);
     return plan_on(pass, pass->servers, level);
 }
+
+int64_t
+ms_plan_unit(struct ms_placement_pass *pass, enum ms_placement_level level)
+{
+    const struct ms_step *spec = pass->unit->step->spec;
+    bool bound = level != MS_LEVEL_IDLE && ms_plan_is_bound_to_rack(pass);
+    bool in_one_rack = spec->same_rack && pass->unit->gang;
+    enum ms_fit_test test = (enum ms_fit_test)level;
+    enum ms_fit_scope scope = bound ? MS_FIT_IN_ONE_RACK : MS_FIT_ANYWHERE;
+    bool comparable = !bound || in_one_rack; /* else it is bound to the rack of its data */
+    if (comparable && ms_fit_has_failed(pass, test, scope)) {
+        /* The interval between passes follows from the servers that plans would examine. */
+        bool twice = in_one_rack && !bound;
+        pass->engine->servers_examined += pass->servers->len * (twice ? 2 : 1);
+        pass->engine->plan_cost = 0;
+        return MS_NO_PLAN;
+    }
+    int64_t score = plan(pass, level, bound);
+    if (comparable && score == MS_NO_PLAN) {
+        ms_fit_note_failed(pass, test, scope);
+    }
+    return score;
+}
