Batch: cheaper plans, scans of jobs and parsing of task names

- A server is first tested for capacity, then for service, label and restriction.
- A plan sorts only as many servers as it can use, instead of all that fit; equal scores keep the order in which the engine learned of the servers, as the C library's merge sort did.
- Scans look only at jobs with occurrences to come, instead of all open jobs.
- Names of tasks are parsed without sscanf(); signs and blanks in numbers are refused now.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -73,6 +73,7 @@
     engine->storing = g_ptr_array_new();
     ms_list_link_init(&engine->jobs);
     ms_list_link_init(&engine->ended_jobs);
+    ms_list_link_init(&engine->due_jobs);
     ms_list_link_init(&engine->servers);
     ms_list_link_init(&engine->dirty);
     engine->actions = g_queue_new();
@@ -284,6 +285,7 @@
         add_occurrence(job);
         engine->placement_due = true;
     }
+    ms_list_remove(&job->due_link);
 }
 
 /* The account called NAME; one that is not known yet is added, with its rule. */
@@ -350,6 +352,7 @@
     job->occurrences = g_ptr_array_new_with_free_func(free_occurrence);
     ms_list_link_init(&job->dirty_link);
     ms_list_link_init(&job->jobs_link);
+    ms_list_link_init(&job->due_link);
     job->sequence = ++engine->last_job_sequence;
     g_hash_table_insert(engine->jobs_by_id, job->id, job);
     if (job->phase != MS_PHASE_OPEN) {
@@ -358,6 +361,7 @@
         return;
     }
     ms_list_append(&engine->jobs, &job->jobs_link);
+    ms_list_append(&engine->due_jobs, &job->due_link);
     resolve_queue(engine, job);
     if (stored->state != NULL) {
         ms_engine_restore_job(engine, job, stored->state, stored->state_read_at);
@@ -395,6 +399,7 @@
 ms_engine_note_job_ended(struct ms_engine *engine, struct ms_batch_job *job)
 {
     job->ended_at = engine->now;
+    ms_list_remove(&job->due_link);
     ms_list_remove(&job->jobs_link);
     ms_list_append(&engine->ended_jobs, &job->jobs_link);
 }
@@ -403,6 +408,7 @@
 ms_engine_remove_job(struct ms_engine *engine, struct ms_batch_job *job)
 {
     ms_list_remove(&job->jobs_link);
+    ms_list_remove(&job->due_link);
     ms_list_remove(&job->dirty_link);
     g_hash_table_remove(engine->jobs_by_id, job->id);
 }
@@ -504,9 +510,9 @@
          i = server->index + 1) {
         ms_batch_server_tick(engine, server);
     }
-    MS_LIST_FOREACH(link, &engine->jobs)
+    MS_LIST_FOREACH(link, &engine->due_jobs)
     {
-        add_due_occurrences(engine, MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link));
+        add_due_occurrences(engine, MS_CONTAINER_OF(link, struct ms_batch_job, due_link));
     }
     remove_expired_jobs(engine);
 }
--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -137,7 +137,10 @@
                       enum ms_placement_level level, uint32_t limit)
 {
     const struct ms_batch_step *step = pass->unit->step;
-    if (!is_eligible(pass->engine, step, server, level)) {
+    struct ms_resources available = ms_capacity_available(server, level);
+    /* The cheaper test first: in a full deployment it excludes most servers. */
+    if (!ms_resources_fit(&available, &step->spec->task_resources) ||
+        !is_eligible(pass->engine, step, server, level)) {
         return 0;
     }
     if (step->spec->per_server_max > 0) {
@@ -145,7 +148,6 @@
         uint32_t per_server_max = step->spec->per_server_max;
         limit = MIN(limit, existing < per_server_max ? per_server_max - existing : 0);
     }
-    struct ms_resources available = ms_capacity_available(server, level);
     uint32_t count = 0;
     while (count < limit && ms_resources_fit(&available, &step->spec->task_resources)) {
         ms_resources_add(&available, &step->spec->task_resources, -1);
--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -80,12 +80,61 @@
     int64_t score;      /* cost plus penalty, for one task */
 };
 
+/* Orders servers by rising score, those of equal scores as the engine learned of them. */
 static int
 compare_scores(const void *left, const void *right)
 {
     const struct ranked_server *a = left;
     const struct ranked_server *b = right;
-    return a->score < b->score ? -1 : a->score > b->score;
+    if (a->score != b->score) {
+        return a->score < b->score ? -1 : 1;
+    }
+    return a->server->index < b->server->index ? -1 : a->server->index > b->server->index;
+}
+
+/* Restores the heap HEAP of COUNT servers, with the last of them in front, from POSITION down. */
+static void
+sift_down(struct ranked_server *heap, guint count, guint position)
+{
+    struct ranked_server moved = heap[position];
+    for (;;) {
+        guint child = 2 * position + 1;
+        if (child >= count) {
+            break;
+        }
+        if (child + 1 < count && compare_scores(&heap[child], &heap[child + 1]) < 0) {
+            child++;
+        }
+        if (compare_scores(&moved, &heap[child]) >= 0) {
+            break;
+        }
+        heap[position] = heap[child];
+        position = child;
+    }
+    heap[position] = moved;
+}
+
+/*
+ * Sorts the first KEPT servers, in order, to the front of RANKED; the others follow in no order.
+ * A unit needs few of the servers that it fits on, so that this takes less than to sort all.
+ */
+static void
+sort_first(struct ranked_server *ranked, guint count, guint kept)
+{
+    if (kept < count) {
+        for (guint i = kept / 2; i-- > 0;) {
+            sift_down(ranked, kept, i);
+        }
+        for (guint i = kept; i < count; i++) {
+            if (compare_scores(&ranked[i], &ranked[0]) < 0) {
+                struct ranked_server dropped = ranked[0];
+                ranked[0] = ranked[i];
+                ranked[i] = dropped;
+                sift_down(ranked, kept, 0);
+            }
+        }
+    }
+    qsort(ranked, MIN(kept, count), sizeof(*ranked), compare_scores);
 }
 
 /*
@@ -123,7 +172,7 @@
         ranked[i].score = ranked[i].cost + server_penalty(pass, task, ranked[i].server);
     }
     if (feasible) {
-        qsort(ranked, count, sizeof(*ranked), compare_scores);
+        sort_first(ranked, count, MIN(count, unplanned)); /* at least one task on each */
     }
     for (guint i = 0; feasible && i < count && unplanned > 0; i++) {
         uint32_t planned = MIN(ranked[i].max_tasks, unplanned);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -102,6 +102,7 @@
     uint32_t occurrences_done;      /* complete ones */
     uint64_t sequence;              /* rises with each job that the engine learns of */
     struct ms_list_link jobs_link;  /* in engine->jobs, or engine->ended_jobs once it has ended */
+    struct ms_list_link due_link;   /* in engine->due_jobs while it has occurrences to come */
     struct ms_list_link dirty_link; /* in engine->dirty while its state has to be stored */
     bool store_pending;             /* in engine->storing: the store in progress has its state */
     bool removing;                  /* its records are to be removed from the log */
@@ -188,6 +189,7 @@
     GHashTable *accounts_by_name;   /* owns the accounts, struct ms_batch_account */
     struct ms_list_link jobs;       /* struct ms_batch_job: those that are open */
     struct ms_list_link ended_jobs; /* struct ms_batch_job: ended, oldest first */
+    struct ms_list_link due_jobs;   /* struct ms_batch_job: open, with occurrences to come */
     struct ms_list_link servers;    /* struct ms_batch_server */
     GPtrArray *servers_by_index;    /* the same, in the same order */
     GArray *attention;              /* uint64_t: a bit for each server, see engine_attention.c */
--- a/src/batch/job_spec.c
+++ b/src/batch/job_spec.c
@@ -187,6 +187,23 @@
     snprintf(out, MS_TASK_NAME_MAX, "%s.%u.%u.%u", id, occurrence, step, index);
 }
 
+/* Parses ".NUMBER" at *TEXT and moves *TEXT behind it; false if it is malformed. */
+static bool
+parse_part(const char **text, uint32_t *number)
+{
+    const char *digit = *text + 1;
+    uint64_t value = 0;
+    if (**text != '.' || !g_ascii_isdigit(*digit)) {
+        return false;
+    }
+    for (; g_ascii_isdigit(*digit) && value <= UINT32_MAX; digit++) {
+        value = value * 10 + (uint64_t)(*digit - '0');
+    }
+    *number = (uint32_t)value;
+    *text = digit;
+    return value <= UINT32_MAX;
+}
+
 enum ms_result
 ms_task_name_parse(const char *name, char *id, uint32_t *occurrence, uint32_t *step,
                    uint32_t *index)
@@ -195,8 +212,9 @@
     if (dot == NULL || dot == name || dot - name >= MS_JOB_ID_MAX) {
         return MS_E_INVALID;
     }
-    char trailing[2]; /* catches text after the name */
-    if (sscanf(dot, ".%u.%u.%u%1s", occurrence, step, index, trailing) != 3) {
+    const char *rest = dot;
+    if (!parse_part(&rest, occurrence) || !parse_part(&rest, step) || !parse_part(&rest, index) ||
+        *rest != '\0') {
         return MS_E_INVALID;
     }
     g_strlcpy(id, name, (size_t)(dot - name) + 1);
