Batch: starts are held back while the leader is behind with its orders

With 300 hosts and 3,000 servers a gang's starts, and the stops of an incomplete gang, waited behind other orders for longer than a gang may wait for its members (rule GANG). Nothing knew how far the orders were behind.

The engine now counts starts and stops without an answer and starts whose runs are being stored, and measures the time per order (order_backlog.c, a pure function). A placement pass starts only so many tasks that all orders are sent within a quarter of gang_start_ms, half of it while more than 64 servers still have to answer a new leader; 256 orders may always be unanswered, so that deployments of a few hundred servers start work as before. A held unit holds back the less urgent ones of the pass. Gangs start whole; one that is wider than the room starts once fewer than 64 orders are unanswered.

Visible as event=placing orders=... orders_held=, event=waiting free=orders_held, and the gauges orders_unanswered, oldest_order_milliseconds and orders_held_passes.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -24,6 +24,12 @@
 # Name, file, text, its replacement, and the property of the scheduler that it violates (printed
 # as `promise`).  The text should occur exactly once in the file.
 MUTANTS = [
+    ("orders_not_counted", "src/batch/order_backlog.c",
+     "    return limit > pending ? limit - pending : 0;", "    return pending < UINT32_MAX ? limit : 0;",
+     "no gang in part"),
+    ("gangs_not_held", "src/batch/engine_place.c",
+     "        count = allowed ? unit->count : 0;", "        count = allowed ? unit->count : unit->count;",
+     "no gang in part"),
     ("stop_keeps_lease", "src/core/gang_end.c",
      "    ms_gang_withhold_lease(sched, task);\n    task->stop_resend_at",
      "    task->stop_resend_at", "no gang in part"),
--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -129,6 +129,10 @@
     struct ms_engine_action *action = g_new0(struct ms_engine_action, 1);
     action->kind = kind;
     action->epoch = engine->epoch;
+    if (kind == MS_ENGINE_START || kind == MS_ENGINE_STOP) {
+        action->queued_at = engine->now;
+        action->orders_ahead = engine->orders.unanswered++;
+    }
     if (server != NULL) {
         g_strlcpy(action->server, server->id, sizeof(action->server));
         g_strlcpy(action->address, server->entry.address, sizeof(action->address));
@@ -435,6 +439,7 @@
         struct ms_batch_task *task = &step->tasks[i];
         if (task->state == MS_BATCH_TASK_RECORDING && task->store_pending) {
             task->state = MS_BATCH_TASK_STARTING;
+            engine->orders.to_come--;
             ms_attention_add(engine, task->server);
             task->next_order_at = engine->now;
             ms_batch_task_send_order(engine, task);
@@ -580,6 +585,24 @@
     return next;
 }
 
+/* When the oldest order was queued that a task waits for, INT64_MAX: none. */
+static int64_t
+oldest_order_at(const struct ms_engine *engine)
+{
+    int64_t oldest = INT64_MAX;
+    const struct ms_batch_server *server = NULL;
+    /* A server of a task with such an order needs attention. */
+    for (uint32_t i = 0; (server = ms_attention_next(engine, i)) != NULL; i = server->index + 1) {
+        MS_LIST_FOREACH(link, (struct ms_list_link *)&server->tasks)
+        {
+            const struct ms_batch_task *task =
+                MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
+            oldest = task->order_pending ? MIN(oldest, task->ordered_at) : oldest;
+        }
+    }
+    return oldest;
+}
+
 void
 ms_engine_stats(const struct ms_engine *engine, struct ms_engine_stats *stats)
 {
@@ -599,6 +622,10 @@
     }
     stats->servers_usable = stats->servers_by_exclusion[MS_SERVER_USABLE];
     stats->units_waiting = engine->units_waiting;
+    stats->orders_unanswered = engine->orders.unanswered;
+    stats->orders_held_total = engine->orders_held_total;
+    int64_t ordered_at = oldest_order_at(engine);
+    stats->oldest_order_ms = ordered_at != INT64_MAX ? engine->now - ordered_at : 0;
     if (engine->oldest_unplaced_since > 0) {
         stats->longest_wait_ms = engine->now - engine->oldest_unplaced_since;
     }
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -72,6 +72,8 @@
     /* START, RENEW_LEASE: end of the lease on the server's clock; 0: the lease is not extended. */
     int64_t deadline_ms;
     uint64_t ack_position; /* RENEW_LEASE: last acknowledged end of a run */
+    int64_t queued_at;     /* START, STOP: when the engine queued it */
+    uint32_t orders_ahead; /* START, STOP: orders that were unanswered then */
     int64_t queue_wait_ms; /* START: from when the task was ready until it was placed */
     /* RENEW_LEASE: how long the server may wait for a run to end before it answers. */
     int64_t long_poll_ms;
@@ -170,6 +172,9 @@
     /* Gangs, and groups of single tasks of one step, that the last pass did not place in full. */
     uint32_t units_waiting;
     int64_t longest_wait_ms; /* longest time for which a step with waiting tasks got none placed */
+    uint32_t orders_unanswered; /* starts and stops that were queued and have no answer yet */
+    int64_t oldest_order_ms;    /* age of the oldest of them that a task waits for, 0: none */
+    uint32_t orders_held_total; /* passes of this engine that held back starts for that reason */
 };
 
 void ms_engine_stats(const struct ms_engine *engine, struct ms_engine_stats *stats);
--- a/src/batch/engine_collect.c
+++ b/src/batch/engine_collect.c
@@ -24,12 +24,14 @@
 ms_collect_servers(struct ms_placement_pass *pass)
 {
     struct ms_engine *engine = pass->engine;
+    engine->orders.opening = 0;
     bool taking_over = engine->now - engine->created_at < FIRST_ANSWERS_WAIT_MS;
     MS_LIST_FOREACH(link, &engine->servers)
     {
         struct ms_batch_server *server =
             MS_CONTAINER_OF(link, struct ms_batch_server, servers_link);
         pass->awaits_servers |= taking_over && is_about_to_answer(server);
+        engine->orders.opening += is_about_to_answer(server);
         memset(&server->reserved, 0, sizeof(server->reserved));
         memset(&server->releasing, 0, sizeof(server->releasing));
         memset(&server->lasting, 0, sizeof(server->lasting));
--- a/src/batch/engine_explain.c
+++ b/src/batch/engine_explain.c
@@ -13,8 +13,8 @@
 outcome_name(enum ms_level_outcome outcome)
 {
     static const char *const names[] = {
-        "not_tried", "granted",    "no_capacity", "off_rack_wait",
-        "not_yet",   "too_costly", "too_many",    "too_much_idle",
+        "not_tried",  "granted",  "no_capacity",   "off_rack_wait", "not_yet",
+        "too_costly", "too_many", "too_much_idle", "orders_held",
     };
     return names[outcome];
 }
@@ -318,13 +318,19 @@
         free += server->entry.capacity.accels - server->allocated.accels;
         restricted += engine->now < server->restricted_until;
     }
+    ms_engine_stats(engine, &stats);
     GString *line = g_string_new("event=placing");
     g_string_append_printf(line,
                            " waiting=%u servers=%u accels_free=%" G_GINT64_FORMAT
                            " keepers=%u kept_servers=%" G_GINT64_FORMAT " restricted=%u",
                            engine->units_waiting, pass->servers->len, free, pass->reservation_count,
                            pass->reserved_idle / MS_WHOLE_SERVER, restricted);
-    ms_engine_stats(engine, &stats);
+    g_string_append_printf(line,
+                           " orders=%u orders_to_come=%u order_us=%.0f oldest_order_ms"
+                           "=%" G_GINT64_FORMAT " orders_held=%d",
+                           stats.orders_unanswered, engine->orders.to_come,
+                           engine->orders.order_ms * 1000, stats.oldest_order_ms,
+                           pass->orders_held);
     for (int i = MS_SERVER_USABLE + 1; i < MS_SERVER_EXCLUSION_COUNT; i++) {
         g_string_append_printf(line, " %s=%u",
                                ms_server_exclusion_name((enum ms_server_exclusion)i),
--- a/src/batch/engine_explain.h
+++ b/src/batch/engine_explain.h
@@ -27,6 +27,7 @@
     MS_OUTCOME_TOO_COSTLY,    /* preemption would cost more than its limit */
     MS_OUTCOME_TOO_MANY,      /* enough units have a reservation */
     MS_OUTCOME_TOO_MUCH_IDLE, /* reservations would leave too much capacity idle */
+    MS_OUTCOME_ORDERS_HELD,   /* orders of other work have to be sent first */
 };
 
 /* What all levels said of the current unit. */
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -311,11 +311,49 @@
     outcomes->by_level[MS_LEVEL_RESERVE] = try_reserve(pass, waited_ms);
 }
 
+/*
+ * How many tasks of UNIT may be started as far as their orders are concerned: all, none, or
+ * some if it is not a gang.  Once a unit is held back, so are all later ones of the pass, which
+ * are less urgent.
+ */
+static uint32_t
+orderable_count(struct ms_placement_pass *pass, const struct ms_unit *unit)
+{
+    const struct ms_engine *engine = pass->engine;
+    int64_t gang_start_ms = engine->limits.gang_start_ms;
+    uint32_t count = 0;
+    if (!pass->orders_held && unit->gang) {
+        bool allowed = ms_order_backlog_allows_gang(&engine->orders, unit->count, gang_start_ms);
+        count = allowed ? unit->count : 0;
+    }
+    else if (!pass->orders_held) {
+        count = MIN(unit->count, ms_order_backlog_room(&engine->orders, gang_start_ms));
+    }
+    pass->orders_held |= count < unit->count;
+    return count;
+}
+
+/* The unit waits until orders of others have been sent. */
+static void
+hold_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
+{
+    pass->unit = unit;
+    pass->engine->units_waiting++;
+    ms_explain_begin_unit(pass, MS_OUTCOME_ORDERS_HELD);
+    ms_explain_unit(pass);
+    pass->unit = NULL;
+}
+
 /* Starts the tasks of the unit that fit into free capacity; the others wait. */
 static void
 place_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
 {
     struct ms_unit remaining = *unit;
+    remaining.count = orderable_count(pass, unit);
+    if (remaining.count == 0) {
+        hold_unit(pass, unit);
+        return;
+    }
     pass->unit = &remaining;
     pass->within_guarantee = unit->step->within_guarantee;
     pass->may_preempt_top = pass->within_guarantee &&
@@ -326,6 +364,7 @@
         remaining.count -= started;
     }
     if (remaining.count == 0) {
+        pass->engine->units_waiting += pass->orders_held; /* the tasks that were held back */
         pass->unit = NULL;
         return;
     }
@@ -392,6 +431,8 @@
         place_step(&pass, g_ptr_array_index(steps, i));
         ms_advice_request(engine, g_ptr_array_index(steps, i));
     }
+    engine->orders_held = pass.orders_held;
+    engine->orders_held_total += pass.orders_held;
     ms_explain_end_pass(&pass, steps);
     g_hash_table_destroy(pass.racks);
     g_hash_table_destroy(pass.accounts);
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -72,6 +72,7 @@
     GPtrArray *servers;          /* usable ms_batch_server */
     GHashTable *racks;           /* rack name -> GPtrArray of ms_batch_server */
     GHashTable *accounts;        /* account name -> struct ms_account_usage */
+    bool orders_held;            /* no more starts: the orders of others have to be sent first */
     bool awaits_servers;         /* servers that may have room are about to answer this leader */
     uint32_t reservation_count;  /* units with a reservation at the reserve level */
     const struct ms_unit *unit;  /* the unit being placed */
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -8,6 +8,7 @@
 
 #include "batch/account.h"
 #include "batch/engine.h"
+#include "batch/order_backlog.h"
 #include "core/list.h"
 
 /* Fencing tokens of a server per epoch, one for each of its incarnations. */
@@ -51,6 +52,7 @@
     uint32_t preemptor_priority; /* PREEMPTED: priority of that work */
     uint32_t preemption_count;   /* how often it has been preempted */
     int64_t next_order_at;       /* no order is sent before then */
+    int64_t ordered_at;          /* if ORDER_PENDING: when the order was queued */
     int64_t last_answer_at;    /* when the start call ended or the stop was confirmed, 0: not yet */
     int64_t running_since;     /* when the run was seen to have started, 0: not yet */
     uint32_t progress_percent; /* last reported progress */
@@ -206,6 +208,9 @@
     uint64_t servers_examined;      /* servers examined in the last placement pass */
     int64_t last_scan_at;           /* time of the last scan */
     int64_t last_full_scan_at;      /* time of the last one of all servers */
+    struct ms_order_backlog orders; /* starts and stops that the servers have to answer */
+    bool orders_held;               /* the last pass held back starts because of these */
+    uint32_t orders_held_total;     /* passes that did so */
     int64_t placement_logged_at;    /* time of the last summary line about a pass */
     uint32_t explain_cursor;        /* rotates the long waits that are logged */
     int64_t oldest_unplaced_since;  /* lowest `unplaced_since` after the last pass, 0: none */
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -249,6 +249,7 @@
      */
     ms_batch_task_assign(engine, task, server);
     task->state = MS_BATCH_TASK_STARTING;
+    engine->orders.to_come--;
     task->awaits_report = true;
     g_strfreev(fields);
 }
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -69,6 +69,7 @@
                      struct ms_batch_server *server)
 {
     set_state(task, MS_BATCH_TASK_RECORDING);
+    engine->orders.to_come++;
     task->server = server;
     task->store_pending = false;
     task->awaits_report = false;
@@ -94,6 +95,9 @@
                       enum ms_batch_task_state state)
 {
     struct ms_batch_server *server = task->server;
+    if (task->state == MS_BATCH_TASK_RECORDING) {
+        engine->orders.to_come--;
+    }
     if (server != NULL) {
         ms_list_remove(&task->server_link);
         ms_attention_add(engine, server);
@@ -147,6 +151,7 @@
         action->deadline_ms = ms_batch_server_new_deadline(engine, server);
     }
     task->order_pending = true;
+    task->ordered_at = engine->now;
     task->next_order_at = engine->now + ORDER_RETRY_MS;
     if (start && !task->order_unanswered) {
         return; /* the first start order has been logged as event=place */
@@ -343,6 +348,7 @@
                         ms_batch_task_name(task, name), task->run, server->id);
     ms_batch_task_assign(engine, task, server);
     task->state = MS_BATCH_TASK_RUNNING;
+    engine->orders.to_come--;
     task->running_since = engine->now;
     ms_engine_mark_dirty(engine, ms_batch_task_job(task), false);
 }
@@ -560,6 +566,22 @@
     }
 }
 
+/* ORDER is not unanswered any more; its time shows how fast orders are sent, if it has arrived. */
+static void
+note_order_answer(struct ms_engine *engine, const struct ms_engine_action *order,
+                  enum ms_order_result result)
+{
+    if (order->queued_at == 0) {
+        return; /* of a report that has confirmed a start */
+    }
+    engine->orders.unanswered -= engine->orders.unanswered > 0;
+    if (result != MS_ORDER_NO_ANSWER) {
+        ms_order_backlog_note_answer(&engine->orders, order->orders_ahead,
+                                     engine->now - order->queued_at);
+    }
+    engine->placement_due |= engine->orders_held;
+}
+
 void
 ms_engine_on_order_answer(struct ms_engine *engine, const struct ms_engine_action *order,
                           enum ms_order_result result, int64_t clock_ms, int64_t now)
@@ -568,6 +590,7 @@
     if (!ms_engine_sent_action(engine, order)) {
         return;
     }
+    note_order_answer(engine, order, result);
     struct ms_batch_server *server = g_hash_table_lookup(engine->servers_by_id, order->server);
     bool start = order->kind == MS_ENGINE_START;
     if (result != MS_ORDER_OK) {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -144,6 +144,9 @@
         ms_counter_set(entry->counters, exclusion_gauges[i], stats.servers_by_exclusion[i]);
     }
     ms_counter_set(entry->counters, MS_GAUGE_TASKS_RUNNING, stats.tasks_active);
+    ms_counter_set(entry->counters, MS_GAUGE_ORDERS_UNANSWERED, stats.orders_unanswered);
+    ms_counter_set(entry->counters, MS_GAUGE_OLDEST_ORDER_MS, (uint64_t)stats.oldest_order_ms);
+    ms_counter_set(entry->counters, MS_GAUGE_ORDERS_HELD_PASSES, stats.orders_held_total);
     ms_counter_set(entry->counters, MS_GAUGE_JOBS_WAITING, stats.units_waiting);
     ms_counter_set(entry->counters, MS_GAUGE_LONGEST_WAIT_MS, (uint64_t)stats.longest_wait_ms);
 }
--- a/src/obs/counters.c
+++ b/src/obs/counters.c
@@ -67,6 +67,13 @@
     [MS_GAUGE_SERVERS_QUARANTINED] = {"servers_quarantined", "gauge", "Servers in quarantine"},
     [MS_GAUGE_SERVERS_DC_OUT] = {"servers_dc_out", "gauge",
                                  "Servers of data centres that are out of service"},
+    [MS_GAUGE_ORDERS_UNANSWERED] = {"orders_unanswered", "gauge",
+                                    "Starts and stops without an answer from their server"},
+    [MS_GAUGE_OLDEST_ORDER_MS] = {"oldest_order_milliseconds", "gauge",
+                                  "Age of the oldest start or stop without an answer"},
+    [MS_GAUGE_ORDERS_HELD_PASSES] = {"orders_held_passes", "gauge",
+                                     "Placement passes of this term that held back starts as"
+                                     " orders were behind"},
     [MS_GAUGE_TASKS_RUNNING] = {"tasks_running", "gauge", "Tasks that hold resources"},
     [MS_GAUGE_ACCELS_STRANDED] = {"accels_stranded", "gauge",
                                   "Free accelerators that the largest waiting gang cannot use"},
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -415,6 +415,7 @@
     suite_add_tcase(suite, closed_cases());
     suite_add_tcase(suite, restart_cases());
     suite_add_tcase(suite, lost_answer_cases());
+    suite_add_tcase(suite, load_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -34,5 +34,6 @@
 TCase *restart_cases(void);
 TCase *open_restart_cases(void); /* of an open fault, for open_faults.c */
 TCase *lost_answer_cases(void);
+TCase *load_cases(void);
 
 #endif
