Order sender: stops go ahead of starts, and orders ahead of renewals

The sender sent what was pushed in its order: stops of an incomplete gang waited behind starts, in the queue of their server and in each round of the loop, and both behind renewals, of which there are three for each start at 3,000 servers. A round now sends stops, then starts, then 64 renewals on open connections, then opens 16 connections. In the queue of a server a stop goes ahead of the starts of other tasks; orders for one task keep their order (order_queue.c).

Not measured on a deployment.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -24,6 +24,9 @@
 # Name, file, text, its replacement, and the property of the scheduler that it violates (printed
 # as `promise`).  The text should occur exactly once in the file.
 MUTANTS = [
+    ("stops_behind_starts", "src/entry/order_queue.c",
+     "    return earlier->kind == MS_ENGINE_START && strcmp", "    return false && strcmp",
+     "no gang in part"),
     ("orders_not_counted", "src/batch/order_backlog.c",
      "    return limit > pending ? limit - pending : 0;", "    return pending < UINT32_MAX ? limit : 0;",
      "no gang in part"),
--- /dev/null
+++ b/src/entry/order_queue.h
@@ -0,0 +1,26 @@
+/*
+ * order_queue.h - the orders to one backend server that have not been sent.
+ */
+#ifndef MS_ENTRY_ORDER_QUEUE_H
+#define MS_ENTRY_ORDER_QUEUE_H
+
+#include "batch/engine.h"
+
+/* An order that has not been sent. */
+struct ms_order_command {
+    struct ms_engine_action *order; /* owned */
+    uint64_t epoch;
+};
+
+/*
+ * Adds COMMAND to WAITING (struct ms_order_command, the next one to send in front).  A stop goes
+ * ahead of the starts of other tasks: a gang that is incomplete has to be stopped in time, and
+ * starts are wanted no more if they are late.  Orders for one task keep their order, and so do
+ * orders of one kind.
+ */
+void ms_order_queue_add(GQueue *waiting, struct ms_order_command *command);
+
+/* Frees COMMAND and its order. */
+void ms_order_command_free(gpointer command);
+
+#endif
--- a/src/entry/order_sender.c
+++ b/src/entry/order_sender.c
@@ -6,15 +6,19 @@
  * when it is sent.  Queries to the advice service are treated like orders to one more
  * server.
  *
- * Lease renewals are sent at once to a server that answered the last one.  All others have
- * to open a connection first.  After a takeover or a cut these are thousands, which take
- * longer to open than a renewal may take.  Only a few are therefore opened in each round of
- * the loop, which handles the answers that have arrived before it opens the next ones.
- * Servers that run tasks come first, as these tasks end with the lease.
+ * What was pushed since the last round of the loop is sent in this order: stops, starts, then
+ * RENEWALS_PER_ROUND of the lease renewals to servers that answered the last one, so that orders
+ * do not wait behind thousands of renewals.
+ *
+ * All other renewals have to open a connection first.  After a takeover or a cut these are
+ * thousands, which take longer to open than a renewal may take.  Only a few are therefore opened in
+ * each round of the loop, which handles the answers that have arrived before it opens the next
+ * ones. Servers that run tasks come first, as these tasks end with the lease.
  */
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "entry/order_queue.h"
 #include "entry/order_sender.h"
 #include "obs/clock.h"
 #include "obs/log.h"
@@ -25,6 +29,7 @@
 #define PER_SERVER_MAX 4 /* connections to one server: one for renewals, the others for orders */
 #define ORDERS_PER_SERVER_MAX (PER_SERVER_MAX - 1)
 #define IDLE_EXCHANGES_MAX 256 /* kept for reuse */
+#define RENEWALS_PER_ROUND 64  /* renewals on open connections, per round of the loop */
 #define OPENED_PER_ROUND 16    /* renewals that open a connection, per round of the loop */
 #define SLEEP_MAX_MS 1000      /* longest sleep of the thread */
 #define STATUS_OK 200
@@ -36,27 +41,24 @@
     int64_t sent_at;
 };
 
-/* An order that has not been sent. */
-struct command {
-    struct ms_engine_action *order;
-    uint64_t epoch;
-};
-
 /* The orders to one server, except lease renewals. */
 struct server_queue {
     guint in_flight_count; /* orders that were sent and have no answer yet */
-    GQueue *waiting;       /* struct command: orders that wait for a free connection */
+    GQueue *waiting;       /* struct ms_order_command: orders that wait for a free connection */
 };
 
 struct ms_order_sender {
-    struct ms_ring *commands; /* struct command */
+    struct ms_ring *commands; /* struct ms_order_command */
     struct ms_ring *answers;  /* owned by the caller of ms_order_sender_start() */
     struct ms_http_loop *loop;
-    GPtrArray *idle;       /* exchange, for reuse; owned */
-    GHashTable *in_flight; /* set of exchange */
-    GHashTable *queues;    /* address of a server -> server_queue */
-    GHashTable *connected; /* set of addresses: these servers answered the last renewal */
-    /* Renewals (struct command) of servers that are not in `connected`. */
+    GPtrArray *idle;         /* exchange, for reuse; owned */
+    GHashTable *in_flight;   /* set of exchange */
+    GHashTable *queues;      /* address of a server -> server_queue */
+    GHashTable *connected;   /* set of addresses: these servers answered the last renewal */
+    GPtrArray *stop_queues;  /* server_queue: the round has stops for these */
+    GPtrArray *start_queues; /* server_queue: it has other orders for these */
+    GQueue *renewals;        /* struct ms_order_command: of servers that are in `connected` */
+    /* Renewals (struct ms_order_command) of servers that are not in `connected`. */
     GQueue *opening_with_tasks; /* the server runs tasks: sent first */
     GQueue *opening_without_tasks;
     _Atomic uint64_t min_epoch; /* orders of lower epochs are dropped */
@@ -102,19 +104,11 @@
     }
 }
 
-static void
-free_command(gpointer opaque)
-{
-    struct command *command = opaque;
-    ms_engine_action_free(command->order);
-    g_free(command);
-}
-
 static void
 free_server_queue(gpointer opaque)
 {
     struct server_queue *queue = opaque;
-    g_queue_free_full(queue->waiting, free_command);
+    g_queue_free_full(queue->waiting, ms_order_command_free);
     g_free(queue);
 }
 
@@ -133,10 +127,10 @@
 
 /* Sends COMMAND and frees it.  Returns false when its epoch is over: it was dropped. */
 static bool
-send_command(struct ms_order_sender *sender, struct command *command)
+send_command(struct ms_order_sender *sender, struct ms_order_command *command)
 {
     if (command->epoch < atomic_load(&sender->min_epoch)) {
-        free_command(command);
+        ms_order_command_free(command);
         return false;
     }
     struct exchange *exchange = get_exchange(sender);
@@ -158,7 +152,7 @@
 static void
 run_queue(struct ms_order_sender *sender, struct server_queue *queue)
 {
-    struct command *command = NULL;
+    struct ms_order_command *command = NULL;
     while (queue->in_flight_count < ORDERS_PER_SERVER_MAX &&
            (command = g_queue_pop_head(queue->waiting)) != NULL) {
         queue->in_flight_count += send_command(sender, command);
@@ -250,12 +244,12 @@
     }
 }
 
-/* Sends the renewal in COMMAND, or queues it if a connection has to be opened for it. */
+/* Queues the renewal in COMMAND, by whether a connection has to be opened for it. */
 static void
-send_or_queue_renewal(struct ms_order_sender *sender, struct command *command)
+queue_renewal(struct ms_order_sender *sender, struct ms_order_command *command)
 {
     if (g_hash_table_contains(sender->connected, command->order->address)) {
-        send_command(sender, command);
+        g_queue_push_tail(sender->renewals, command);
     }
     else if (command->order->server_has_tasks) {
         g_queue_push_tail(sender->opening_with_tasks, command);
@@ -265,13 +259,25 @@
     }
 }
 
+/* Sends some renewals to servers that answered the last one.  Returns whether any are left. */
+static bool
+send_renewals(struct ms_order_sender *sender)
+{
+    struct ms_order_command *command = NULL;
+    int sent = 0;
+    while (sent < RENEWALS_PER_ROUND && (command = g_queue_pop_head(sender->renewals)) != NULL) {
+        sent += send_command(sender, command);
+    }
+    return !g_queue_is_empty(sender->renewals);
+}
+
 /* Sends some renewals for which connections have to be opened.  Returns whether any are left. */
 static bool
 open_connections(struct ms_order_sender *sender)
 {
     int opened = 0;
     while (opened < OPENED_PER_ROUND) {
-        struct command *command = g_queue_pop_head(sender->opening_with_tasks);
+        struct ms_order_command *command = g_queue_pop_head(sender->opening_with_tasks);
         if (command == NULL) {
             command = g_queue_pop_head(sender->opening_without_tasks);
         }
@@ -283,21 +289,34 @@
     return true;
 }
 
-/* Sends the orders that were pushed, or adds them to the queues of their servers. */
+/* Sends the waiting orders of each of QUEUES, which is emptied. */
+static void
+run_queues(struct ms_order_sender *sender, GPtrArray *queues)
+{
+    for (guint i = 0; i < queues->len; i++) {
+        run_queue(sender, g_ptr_array_index(queues, i));
+    }
+    g_ptr_array_set_size(queues, 0);
+}
+
+/* Queues what was pushed, and sends the orders for which there are free connections. */
 static void
 run_commands(struct ms_order_sender *sender)
 {
-    struct command *command = NULL;
+    struct ms_order_command *command = NULL;
     ms_ring_clear_wakeup(sender->commands);
     while ((command = ms_ring_pop(sender->commands)) != NULL) {
         if (command->order->kind == MS_ENGINE_RENEW_LEASE) {
-            send_or_queue_renewal(sender, command);
+            queue_renewal(sender, command);
             continue;
         }
         struct server_queue *queue = get_queue(sender, command->order);
-        g_queue_push_tail(queue->waiting, command);
-        run_queue(sender, queue);
+        bool stop = command->order->kind == MS_ENGINE_STOP;
+        ms_order_queue_add(queue->waiting, command);
+        g_ptr_array_add(stop ? sender->stop_queues : sender->start_queues, queue);
     }
+    run_queues(sender, sender->stop_queues);
+    run_queues(sender, sender->start_queues);
 }
 
 static void *
@@ -306,8 +325,9 @@
     struct ms_order_sender *sender = opaque;
     while (!atomic_load(&sender->stopping)) {
         run_commands(sender);
+        bool more_renewals = send_renewals(sender);
         bool more_to_open = open_connections(sender);
-        ms_http_loop_run(sender->loop, more_to_open ? 0 : SLEEP_MAX_MS);
+        ms_http_loop_run(sender->loop, more_renewals || more_to_open ? 0 : SLEEP_MAX_MS);
     }
     return NULL;
 }
@@ -316,11 +336,11 @@
 static void
 free_sender(struct ms_order_sender *sender)
 {
-    struct command *command = NULL;
+    struct ms_order_command *command = NULL;
     GHashTableIter iterator;
     gpointer key = NULL;
     while ((command = ms_ring_pop(sender->commands)) != NULL) {
-        free_command(command);
+        ms_order_command_free(command);
     }
     g_hash_table_iter_init(&iterator, sender->in_flight);
     while (g_hash_table_iter_next(&iterator, &key, NULL)) {
@@ -337,8 +357,11 @@
     g_hash_table_destroy(sender->in_flight);
     g_hash_table_destroy(sender->queues);
     g_hash_table_destroy(sender->connected);
-    g_queue_free_full(sender->opening_with_tasks, free_command);
-    g_queue_free_full(sender->opening_without_tasks, free_command);
+    g_ptr_array_unref(sender->stop_queues);
+    g_ptr_array_unref(sender->start_queues);
+    g_queue_free_full(sender->renewals, ms_order_command_free);
+    g_queue_free_full(sender->opening_with_tasks, ms_order_command_free);
+    g_queue_free_full(sender->opening_without_tasks, ms_order_command_free);
     g_free(sender);
 }
 
@@ -356,6 +379,9 @@
     sender->in_flight = g_hash_table_new(NULL, NULL);
     sender->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_server_queue);
     sender->connected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    sender->stop_queues = g_ptr_array_new();
+    sender->start_queues = g_ptr_array_new();
+    sender->renewals = g_queue_new();
     sender->opening_with_tasks = g_queue_new();
     sender->opening_without_tasks = g_queue_new();
     sender->loop = ms_http_loop_new(connections_max, PER_SERVER_MAX, ms_ring_fd(sender->commands),
@@ -375,7 +401,7 @@
 bool
 ms_order_sender_push(struct ms_order_sender *sender, struct ms_engine_action *order, uint64_t epoch)
 {
-    struct command *command = g_new0(struct command, 1);
+    struct ms_order_command *command = g_new0(struct ms_order_command, 1);
     command->order = order;
     command->epoch = epoch;
     if (!ms_ring_push(sender->commands, command)) {
--- a/tests/batch/unit_load.c
+++ b/tests/batch/unit_load.c
@@ -10,6 +10,7 @@
 #include "batch/engine.h"
 #include "batch/order_backlog.h"
 #include "batch/unit.h"
+#include "entry/order_queue.h"
 
 #define EPOCH 1
 #define TICK_MS 10
@@ -263,6 +264,42 @@
 }
 END_TEST
 
+/* Adds an order of KIND for TASK to QUEUE. */
+static void
+add_order(GQueue *queue, enum ms_engine_action_kind kind, const char *task)
+{
+    struct ms_order_command *command = g_new0(struct ms_order_command, 1);
+    command->order = g_new0(struct ms_engine_action, 1);
+    command->order->kind = kind;
+    g_strlcpy(command->order->task, task, sizeof(command->order->task));
+    ms_order_queue_add(queue, command);
+}
+
+/*
+ * Load: more orders to one server than it has connections.  The stop of a gang's member must not
+ * wait behind starts of other tasks, and must not be sent before the start of the same task.
+ */
+START_TEST(stops_go_ahead_of_starts_of_other_tasks)
+{
+    GQueue *queue = g_queue_new();
+    GString *sent = g_string_new(NULL);
+    add_order(queue, MS_ENGINE_START, "a");
+    add_order(queue, MS_ENGINE_START, "b");
+    add_order(queue, MS_ENGINE_STOP, "x");
+    add_order(queue, MS_ENGINE_STOP, "a");
+    add_order(queue, MS_ENGINE_STOP, "y");
+    add_order(queue, MS_ENGINE_START, "c");
+    for (GList *item = queue->head; item != NULL; item = item->next) {
+        const struct ms_engine_action *order = ((struct ms_order_command *)item->data)->order;
+        g_string_append_printf(sent, "%s%s ", order->kind == MS_ENGINE_STOP ? "-" : "+",
+                               order->task);
+    }
+    ck_assert_str_eq(sent->str, "-x +a -a -y +b +c ");
+    g_string_free(sent, TRUE);
+    g_queue_free_full(queue, ms_order_command_free);
+}
+END_TEST
+
 TCase *
 load_cases(void)
 {
@@ -272,5 +309,6 @@
     tcase_add_test(cases, starts_are_held_back_while_orders_are_behind);
     tcase_add_test(cases, held_gangs_start_whole);
     tcase_add_test(cases, incomplete_gang_is_stopped_in_time);
+    tcase_add_test(cases, stops_go_ahead_of_starts_of_other_tasks);
     return cases;
 }
