--- a/src/batch/engine_cap.c
+++ b/src/batch/engine_cap.c
@@ -274,6 +274,7 @@
     for (guint i = 0; enough && cost <= cost_max && i < chosen->len; i++) {
         stop_candidate(pass, &g_array_index(chosen, struct candidate, i));
         pass->preemptible_valid = false;
+        ms_fit_forget(pass); /* the stops make room */
     }
     g_array_unref(chosen);
     if (!enough) {
--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -133,7 +133,10 @@
                       enum ms_placement_level level, uint32_t limit)
 {
     const struct ms_batch_step *step = pass->unit->step;
-    if (!ms_capacity_is_eligible(pass->engine, step, server, level)) {
+    struct ms_resources available = ms_capacity_available(server, level);
+    /* The cheaper test first: in a full deployment it excludes most servers. */
+    if (!ms_resources_fit(&available, &step->spec->task_resources) ||
+        !ms_capacity_is_eligible(pass->engine, step, server, level)) {
         return 0;
     }
     if (step->spec->per_server_max > 0) {
@@ -141,7 +144,6 @@
         uint32_t per_server_max = step->spec->per_server_max;
         limit = MIN(limit, existing < per_server_max ? per_server_max - existing : 0);
     }
-    struct ms_resources available = ms_capacity_available(server, level);
     uint32_t count = 0;
     while (count < limit && ms_resources_fit(&available, &step->spec->task_resources)) {
         ms_resources_add(&available, &step->spec->task_resources, -1);
@@ -159,8 +161,11 @@
 }
 
 bool
-ms_capacity_is_ample(const struct ms_placement_pass *pass)
+ms_capacity_is_ample(struct ms_placement_pass *pass)
 {
+    if (ms_fit_has_failed(pass, MS_FIT_AMPLE, MS_FIT_ANYWHERE)) {
+        return false;
+    }
     const uint32_t wanted = 2 * pass->unit->count;
     struct ms_resources capacity = {0, 0, 0};
     struct ms_resources used = {0, 0, 0};
@@ -176,7 +181,11 @@
             fitting += ms_capacity_max_tasks(pass, server, MS_LEVEL_IDLE, wanted - fitting);
         }
     }
-    return fitting == wanted && is_below_half(&used, &capacity);
+    bool ample = fitting == wanted && is_below_half(&used, &capacity);
+    if (!ample) {
+        ms_fit_note_failed(pass, MS_FIT_AMPLE, MS_FIT_ANYWHERE);
+    }
+    return ample;
 }
 
 int64_t
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -70,7 +70,7 @@
 
 /* Starts the unit's tasks on the planned servers and returns their number. */
 static uint32_t
-start_unit(const struct ms_placement_pass *pass)
+start_unit(struct ms_placement_pass *pass)
 {
     struct ms_engine *engine = pass->engine;
     const struct ms_unit *unit = pass->unit;
@@ -88,6 +88,7 @@
         }
         if (server->planned_task_count > 0 && unit->step->spec->target_latency_ms > 0) {
             stop_best_effort_tasks(engine, server);
+            ms_fit_forget(pass);
         }
     }
     job->started = true;
@@ -140,8 +141,9 @@
 }
 
 static void
-preempt_for_unit(const struct ms_placement_pass *pass)
+preempt_for_unit(struct ms_placement_pass *pass)
 {
+    ms_fit_forget(pass);
     for (guint i = 0; i < pass->servers->len; i++) {
         struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
         if (server->planned_task_count > 0) {
@@ -254,7 +256,7 @@
 
 /* Starts the current unit at the idle level if it has waited long enough for that. */
 static bool
-start_in_ample_capacity(const struct ms_placement_pass *pass)
+start_in_ample_capacity(struct ms_placement_pass *pass)
 {
     int64_t now = pass->engine->now;
     struct ms_batch_step *step = pass->unit->step;
@@ -369,12 +371,51 @@
     ms_explain_unit(pass);
 }
 
+/*
+ * How many tasks of UNIT may be started as far as their orders are concerned: all, none, or
+ * some if it is not a gang.  Once a unit is held back, so are all later ones of the pass, which
+ * are less urgent.
+ */
+static uint32_t
+orderable_count(struct ms_placement_pass *pass, const struct ms_unit *unit)
+{
+    const struct ms_engine *engine = pass->engine;
+    int64_t gang_start_ms = engine->limits.gang_start_ms;
+    uint32_t count = 0;
+    if (!pass->orders_held && unit->gang) {
+        bool allowed = ms_order_backlog_allows_gang(&engine->orders, unit->count, gang_start_ms);
+        count = allowed ? unit->count : 0;
+    }
+    else if (!pass->orders_held) {
+        count = MIN(unit->count, ms_order_backlog_room(&engine->orders, gang_start_ms));
+    }
+    pass->orders_held |= count < unit->count;
+    return count;
+}
+
+/* The unit waits until orders of others have been sent. */
+static void
+hold_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
+{
+    pass->unit = unit;
+    pass->engine->units_waiting++;
+    ms_explain_begin_unit(pass, MS_OUTCOME_ORDERS_HELD);
+    ms_explain_unit(pass);
+    pass->unit = NULL;
+}
+
 /* Starts the tasks of the unit that fit into free capacity; the others wait. */
 static void
 place_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
 {
     struct ms_unit remaining = *unit;
-    uint32_t over_cap = unit->count - ms_cap_max_tasks(unit);
+    remaining.count = orderable_count(pass, unit);
+    if (remaining.count == 0) {
+        hold_unit(pass, unit);
+        return;
+    }
+    uint32_t held = unit->count - remaining.count;
+    uint32_t over_cap = remaining.count - ms_cap_max_tasks(&remaining);
     remaining.count -= over_cap;
     pass->unit = &remaining;
     pass->within_guarantee = unit->step->within_guarantee;
@@ -388,6 +429,7 @@
         remaining.count -= started;
     }
     if (remaining.count + over_cap == 0) {
+        pass->engine->units_waiting += held > 0;
         pass->unit = NULL;
         return;
     }
@@ -469,6 +511,8 @@
         place_step(&pass, g_ptr_array_index(steps, i));
         ms_advice_request(engine, g_ptr_array_index(steps, i));
     }
+    engine->orders_held = pass.orders_held;
+    engine->orders_held_total += pass.orders_held;
     ms_explain_end_pass(&pass, steps);
     ms_cap_end_pass(&pass, steps);
     g_hash_table_destroy(pass.racks);
--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -80,12 +80,61 @@
     int64_t score;      /* cost plus penalty, for one task */
 };
 
+/* Orders servers by rising score, those of equal scores as the engine learned of them. */
 static int
 compare_scores(const void *left, const void *right)
 {
     const struct ranked_server *a = left;
     const struct ranked_server *b = right;
-    return a->score < b->score ? -1 : a->score > b->score;
+    if (a->score != b->score) {
+        return a->score < b->score ? -1 : 1;
+    }
+    return a->server->index < b->server->index ? -1 : a->server->index > b->server->index;
+}
+
+/* Restores the heap HEAP of COUNT servers, with the last of them in front, from POSITION down. */
+static void
+sift_down(struct ranked_server *heap, guint count, guint position)
+{
+    struct ranked_server moved = heap[position];
+    for (;;) {
+        guint child = 2 * position + 1;
+        if (child >= count) {
+            break;
+        }
+        if (child + 1 < count && compare_scores(&heap[child], &heap[child + 1]) < 0) {
+            child++;
+        }
+        if (compare_scores(&moved, &heap[child]) >= 0) {
+            break;
+        }
+        heap[position] = heap[child];
+        position = child;
+    }
+    heap[position] = moved;
+}
+
+/*
+ * Sorts the first KEPT servers, in order, to the front of RANKED; the others follow in no order.
+ * A unit needs few of the servers that it fits on, so that this takes less than to sort all.
+ */
+static void
+sort_first(struct ranked_server *ranked, guint count, guint kept)
+{
+    if (kept < count) {
+        for (guint i = kept / 2; i-- > 0;) {
+            sift_down(ranked, kept, i);
+        }
+        for (guint i = kept; i < count; i++) {
+            if (compare_scores(&ranked[i], &ranked[0]) < 0) {
+                struct ranked_server dropped = ranked[0];
+                ranked[0] = ranked[i];
+                ranked[i] = dropped;
+                sift_down(ranked, kept, 0);
+            }
+        }
+    }
+    qsort(ranked, MIN(kept, count), sizeof(*ranked), compare_scores);
 }
 
 /*
@@ -123,7 +172,7 @@
         ranked[i].score = ranked[i].cost + server_penalty(pass, task, ranked[i].server);
     }
     if (feasible) {
-        qsort(ranked, count, sizeof(*ranked), compare_scores);
+        sort_first(ranked, count, MIN(count, unplanned)); /* at least one task on each */
     }
     for (guint i = 0; feasible && i < count && unplanned > 0; i++) {
         uint32_t planned = MIN(ranked[i].max_tasks, unplanned);
@@ -213,8 +262,9 @@
     return prefers_rack && !may_leave_rack(pass);
 }
 
-int64_t
-ms_plan_unit(const struct ms_placement_pass *pass, enum ms_placement_level level)
+/* As ms_plan_unit(); BOUND: the unit has to wait for capacity in one rack. */
+static int64_t
+plan(const struct ms_placement_pass *pass, enum ms_placement_level level, bool bound)
 {
     const struct ms_step *spec = pass->unit->step->spec;
     int64_t score = MS_NO_PLAN;
@@ -226,9 +276,32 @@
     else if (spec->rack[0] != '\0') {
         score = plan_in_data_rack(pass, level);
     }
-    if (score != MS_NO_PLAN || (level != MS_LEVEL_IDLE && ms_plan_is_bound_to_rack(pass))) {
+    if (score != MS_NO_PLAN || bound) {
         return score;
     }
     clear_plan(pass);
     return plan_on(pass, pass->servers, level);
 }
+
+int64_t
+ms_plan_unit(struct ms_placement_pass *pass, enum ms_placement_level level)
+{
+    const struct ms_step *spec = pass->unit->step->spec;
+    bool bound = level != MS_LEVEL_IDLE && ms_plan_is_bound_to_rack(pass);
+    bool in_one_rack = spec->same_rack && pass->unit->gang;
+    enum ms_fit_test test = (enum ms_fit_test)level;
+    enum ms_fit_scope scope = bound ? MS_FIT_IN_ONE_RACK : MS_FIT_ANYWHERE;
+    bool comparable = !bound || in_one_rack; /* else it is bound to the rack of its data */
+    if (comparable && ms_fit_has_failed(pass, test, scope)) {
+        /* The interval between passes follows from the servers that plans would examine. */
+        bool twice = in_one_rack && !bound;
+        pass->engine->servers_examined += pass->servers->len * (twice ? 2 : 1);
+        pass->engine->plan_cost = 0;
+        return MS_NO_PLAN;
+    }
+    int64_t score = plan(pass, level, bound);
+    if (comparable && score == MS_NO_PLAN) {
+        ms_fit_note_failed(pass, test, scope);
+    }
+    return score;
+}
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -191,6 +191,7 @@
             continue;
         }
         job->store_pending = true;
+        g_ptr_array_add(engine->storing, job);
         GBytes *value = pack_job_state(engine, job);
         bytes += g_bytes_get_size(value);
         add_store_record(action->records, MS_KEY_STATE, job->id, value);
@@ -200,10 +201,9 @@
     if (!ms_list_is_empty(&engine->dirty)) {
         return; /* ends_storing stays: ends of the remaining jobs are not stored yet */
     }
-    MS_LIST_FOREACH(server_link, &engine->servers)
-    {
-        struct ms_batch_server *server =
-            MS_CONTAINER_OF(server_link, struct ms_batch_server, servers_link);
+    struct ms_batch_server *server = NULL;
+    /* The others have no end that is not stored, and a lease that is NORMAL. */
+    for (uint32_t i = 0; (server = ms_attention_next(engine, i)) != NULL; i = server->index + 1) {
         server->ends_storing = server->ends_seen;
         server->unfreeze_storing = server->lease_state == MS_LEASE_UNFREEZING;
     }
@@ -254,6 +254,7 @@
      */
     ms_batch_task_assign(engine, task, server);
     task->state = MS_BATCH_TASK_STARTING;
+    engine->orders.to_come--;
     task->awaits_report = true;
     g_strfreev(fields);
 }
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -69,6 +69,7 @@
                      struct ms_batch_server *server)
 {
     set_state(task, MS_BATCH_TASK_RECORDING);
+    engine->orders.to_come++;
     task->server = server;
     task->store_pending = false;
     task->awaits_report = false;
@@ -84,6 +85,7 @@
     task->progress_percent = 0;
     task->last_progress_at = engine->now;
     ms_list_append(&server->tasks, &task->server_link);
+    ms_attention_add(engine, server);
     ms_resources_add(&server->allocated, &task->step->spec->task_resources, 1);
     ms_resources_add(&ms_batch_task_job(task)->account->allocated,
                      &task->step->spec->task_resources, 1);
@@ -94,8 +96,12 @@
                       enum ms_batch_task_state state)
 {
     struct ms_batch_server *server = task->server;
+    if (task->state == MS_BATCH_TASK_RECORDING) {
+        engine->orders.to_come--;
+    }
     if (server != NULL) {
         ms_list_remove(&task->server_link);
+        ms_attention_add(engine, server);
         ms_resources_add(&server->allocated, &task->step->spec->task_resources, -1);
         ms_resources_add(&ms_batch_task_job(task)->account->allocated,
                          &task->step->spec->task_resources, -1);
@@ -150,6 +156,7 @@
         action->deadline_ms = ms_batch_server_new_deadline(engine, server);
     }
     task->order_pending = true;
+    task->ordered_at = engine->now;
     task->next_order_at = engine->now + ORDER_RETRY_MS;
     if (start && !task->order_unanswered) {
         return; /* the first start order has been logged as event=place */
@@ -179,6 +186,7 @@
                             task->progress_percent, ms_batch_task_work_core_s(engine, task),
                             task->step->spec->checkpoints);
         set_state(task, MS_BATCH_TASK_STOPPING);
+        ms_attention_add(engine, task->server);
         task->awaits_report = false;
         task->order_pending = false;
         task->stop_confirmed = false;
@@ -263,7 +271,7 @@
         job->phase = MS_PHASE_SUCCEEDED;
     }
     if (job->phase != MS_PHASE_OPEN) {
-        job->ended_at = engine->now;
+        ms_engine_note_job_ended(engine, job);
         ms_engine_log_event(
             engine, "event=job_end id=%s outcome=%s since_seen_ms=%" G_GINT64_FORMAT, job->id,
             failed ? "failed" : "succeeded", engine->now - job->accepted_at);
@@ -345,6 +353,7 @@
                         ms_batch_task_name(task, name), task->run, server->id);
     ms_batch_task_assign(engine, task, server);
     task->state = MS_BATCH_TASK_RUNNING;
+    engine->orders.to_come--;
     task->running_since = engine->now;
     ms_engine_mark_dirty(engine, ms_batch_task_job(task), false);
 }
@@ -562,6 +571,22 @@
     }
 }
 
+/* ORDER is not unanswered any more; its time shows how fast orders are sent, if it has arrived. */
+static void
+note_order_answer(struct ms_engine *engine, const struct ms_engine_action *order,
+                  enum ms_order_result result)
+{
+    if (order->queued_at == 0) {
+        return; /* of a report that has confirmed a start */
+    }
+    engine->orders.unanswered -= engine->orders.unanswered > 0;
+    if (result != MS_ORDER_NO_ANSWER) {
+        ms_order_backlog_note_answer(&engine->orders, order->orders_ahead,
+                                     engine->now - order->queued_at);
+    }
+    engine->placement_due |= engine->orders_held;
+}
+
 void
 ms_engine_on_order_answer(struct ms_engine *engine, const struct ms_engine_action *order,
                           enum ms_order_result result, int64_t clock_ms, int64_t now)
@@ -570,6 +595,7 @@
     if (!ms_engine_sent_action(engine, order)) {
         return;
     }
+    note_order_answer(engine, order, result);
     struct ms_batch_server *server = g_hash_table_lookup(engine->servers_by_id, order->server);
     bool start = order->kind == MS_ENGINE_START;
     if (result != MS_ORDER_OK) {
@@ -581,6 +607,7 @@
     if (server == NULL || server->incarnation != order->incarnation) {
         return;
     }
+    ms_attention_add(engine, server);
     if (result == MS_ORDER_FENCED && !engine->stepped_down) {
         ms_engine_step_down(engine, "fenced_at_server");
         return;
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -36,5 +36,6 @@
 TCase *lost_answer_cases(void);
 TCase *account_cases(void);
 TCase *account_order_cases(void);
+TCase *load_cases(void);
 
 #endif
