--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -45,7 +45,7 @@
     MS_STATUS_NOT_FOUND = 404,
     MS_STATUS_METHOD_NOT_ALLOWED = 405,
     MS_STATUS_GONE = 410,
-    MS_STATUS_OVER_CAP = 429, /* refused: the job can never run under its account's cap */
+    MS_STATUS_OVER_CAP = 429,        /* refused: the job can never run under its account's cap */
     MS_STATUS_SERVER_ERROR = 500,    /* the lowest one; not sent by entry hosts */
     MS_STATUS_UNAVAILABLE = 503,     /* refused: the call was not and will not be carried out */
     MS_STATUS_OUTCOME_UNKNOWN = 504, /* the call may have been carried out */
