Batch: tests of preemption end before stalled runs are stopped

Both counted stops of stalled runs after 2 s, so that the mutants beyond_rate_never_preempts and guarantee_held_to_rate were missed; all 16 mutants of the order are caught now.

--- a/bench/account_order.c
+++ b/bench/account_order.c
@@ -80,26 +80,27 @@
 
 struct variant {
     const char *name;
-    enum order order;
     int64_t share_step;        /* ORDER_COMBINED: size of the steps of the relative share */
-    int64_t share_wait_max_ms; /* ORDER_COMBINED: NEVER, or as in account_order.h */
-    bool own_only;             /* work beyond its account's rate preempts its own account's only */
+    int64_t share_wait_max_ms; /* ORDER_COMBINED: when work is overdue */
+    enum order order;
+    bool own_only; /* work beyond its account's rate preempts its own account's only */
 };
 
 #define NEVER INT64_MAX
 
 static const struct variant variants[] = {
-    {"arrival", ORDER_ARRIVAL, 1, 0, false},
-    {"drf", ORDER_DRF, 1, 0, false},
-    {"virtual", ORDER_VIRTUAL, 1, 0, false},
-    {"rate_limit", ORDER_RATE_LIMIT, 1, 0, false},
-    {"combined_1000_unbounded", ORDER_COMBINED, 1000, NEVER, false},
-    {"combined_1000", ORDER_COMBINED, 1000, MS_ORDER_SHARE_WAIT_MAX_MS, false},
-    {"drf_own", ORDER_DRF, 1, 0, true},
-    {"virtual_own", ORDER_VIRTUAL, 1, 0, true},
-    {"combined_250_own", ORDER_COMBINED, 250, MS_ORDER_SHARE_WAIT_MAX_MS, true},
-    {"combined_1000_own", ORDER_COMBINED, 1000, MS_ORDER_SHARE_WAIT_MAX_MS, true},
-    {"combined_2000_own", ORDER_COMBINED, 2000, MS_ORDER_SHARE_WAIT_MAX_MS, true},
+    {"arrival", 1, 0, ORDER_ARRIVAL, false},
+    {"drf", 1, 0, ORDER_DRF, false},
+    {"virtual", 1, 0, ORDER_VIRTUAL, false},
+    {"rate_limit", 1, 0, ORDER_RATE_LIMIT, false},
+    {"combined_1000_unbounded", 1000, NEVER, ORDER_COMBINED, false},
+    {"combined_1000", 1000, MS_ORDER_SHARE_WAIT_MAX_MS, ORDER_COMBINED, false},
+    {"drf_own", 1, 0, ORDER_DRF, true},
+    {"virtual_own", 1, 0, ORDER_VIRTUAL, true},
+    {"combined_250_own", 250, MS_ORDER_SHARE_WAIT_MAX_MS, ORDER_COMBINED, true},
+    {"combined_1000_own", 1000, MS_ORDER_SHARE_WAIT_MAX_MS, ORDER_COMBINED, true},
+    {"combined_1000_10s_own", 1000, 10000, ORDER_COMBINED, true},
+    {"combined_2000_own", 2000, MS_ORDER_SHARE_WAIT_MAX_MS, ORDER_COMBINED, true},
 };
 
 /* What the hot account sends in the burst, many times its usual in each case. */
@@ -171,7 +172,7 @@
 static double
 kind_work(int p)
 {
-    return (double)(kinds[p].tasks * kinds[p].task_millis / 1000 * kinds[p].run_ms);
+    return (double)(kinds[p].tasks * kinds[p].task_millis * kinds[p].run_ms) / 1000;
 }
 
 static gint
@@ -278,7 +279,8 @@
         break;
     case ORDER_COMBINED:
         ms_order_classify(&job->rank, ahead_ms(model, job), share);
-        if (variant->share_wait_max_ms == NEVER && job->rank.order_class == MS_ORDER_OVERDUE) {
+        if (job->rank.order_class == MS_ORDER_OVERDUE &&
+            -ahead_ms(model, job) <= variant->share_wait_max_ms) {
             job->rank.order_class = MS_ORDER_WITHIN_RATE;
         }
         if (job->rank.order_class != MS_ORDER_OVERDUE) {
--- a/tests/batch/unit_account_order.c
+++ b/tests/batch/unit_account_order.c
@@ -457,7 +457,7 @@
     simulator_stall_runs(simulator, 0, 100000);
     simulator_stall_runs(simulator, 1, 100000);
     submit_jobs(simulator, "hot", "hot", "q0", 16, 1);
-    simulator_run(simulator, 2000);
+    simulator_run(simulator, 800);
     simulator_counts(simulator, &counts);
     ck_assert_uint_eq(counts.stopped, 16);
     ck_assert_str_eq(simulator_violation(simulator), "");
@@ -481,7 +481,7 @@
     simulator_stall_runs(simulator, 0, 100000);
     simulator_stall_runs(simulator, 1, 100000);
     submit_jobs(simulator, "account", "owed", "q0", 16, 1);
-    simulator_run(simulator, 2000);
+    simulator_run(simulator, 800);
     simulator_counts(simulator, &counts);
     ck_assert_uint_eq(counts.stopped, 16);
     ck_assert_str_eq(simulator_violation(simulator), "");
