Batch: slow servers by present evidence, tests of the decision

A run on a server that has been slow for long leaves it, also a gang; the time lost there does not count against that.

A run on a slow server took longer for a percent than the limit for stalled runs if its estimate was low, and was stopped as one: the limit follows its normal rate.

--- a/src/batch/engine_health.c
+++ b/src/batch/engine_health.c
@@ -15,7 +15,8 @@
 #define STALL_COSTLY_MS 3500        /* the same for a run whose loss is costly */
 #define COSTLY_LOSS_MS 3000         /* without checkpoints, a longer run is costly to lose */
 #define STALL_ESTIMATE_FRACTION 0.3 /* of the estimate: lower bound of both stall times */
-#define SUSPECT_MS 3000             /* how long a server with a failed run is chosen last */
+#define STALL_PERCENTS 8   /* normal time for so many percents: on a slow server it takes one */
+#define SUSPECT_MS 3000    /* how long a server with a failed run is chosen last */
 #define QUARANTINE_MS 4000 /* first quarantine; doubles with each one until a run succeeds */
 #define QUARANTINE_DOUBLINGS 3
 #define FAILED_JOBS_MAX 2      /* distinct jobs that fail in a row: the server is quarantined */
@@ -120,7 +121,8 @@
     const struct ms_step *spec = task->step->spec;
     bool costly = !spec->checkpoints && since - task->running_since > COSTLY_LOSS_MS;
     int64_t min_ms = (int64_t)(STALL_ESTIMATE_FRACTION * (double)spec->estimate_ms);
-    return MAX(min_ms, costly ? STALL_COSTLY_MS : STALL_MS);
+    return MAX(MAX(min_ms, ms_speed_percent_ms(task) * STALL_PERCENTS),
+               costly ? STALL_COSTLY_MS : STALL_MS);
 }
 
 /*
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -88,8 +88,10 @@
     int64_t advice_retry_at;     /* the advice service is not asked again before then */
     bool within_guarantee;       /* last pass: top priority, and the account within its guarantee */
 
-    int64_t peer_rate;    /* median rate of its runs, see engine_speed.c */
-    int64_t peer_rate_at; /* when `peer_rate` was computed, 0: not yet */
+    int64_t peer_rate;                         /* median rate of its runs, see engine_speed.c */
+    int64_t peer_rate_at;                      /* when `peer_rate` was computed, 0: not yet */
+    const struct ms_batch_server *slow_server; /* gang: server that holds it back, or NULL */
+    int64_t slow_server_until;                 /* gang: `slow_server` is valid until then */
 };
 
 /* One execution of all steps of a job; a repeated job has several. */
--- a/src/batch/engine_speed.c
+++ b/src/batch/engine_speed.c
@@ -23,7 +23,7 @@
 #define PEERS_MIN 3          /* runs of a step for a median rate */
 #define LAGGING_FACTOR 3     /* a run this many times slower than the median lags */
 #define NORMAL_FACTOR 2      /* a run at most this many times slower is normal */
-#define LAGGING_RUNS_MIN 3   /* runs of several steps that make a server slow for certain */
+#define LAGGING_RUNS_MIN 2   /* runs of several steps that make a server slow for certain */
 #define SLOWDOWN_MIN 200     /* of a slow server, see MS_SLOWDOWN_NONE */
 #define SLOWDOWN_MAX 1000    /* a run that hardly progresses tells no more than this */
 #define ONSET_MARGIN_MS 900  /* a window that ends later than this lies after the onset */
@@ -47,6 +47,8 @@
     const struct ms_batch_step *first_step; /* of a slow run */
     bool several_steps;                     /* the slow runs are of several steps */
     int64_t slowdown;                       /* the least one of the slow runs */
+    int64_t fell_since;                     /* since when the first rate has fallen, 0: none */
+    int64_t lagging_since;                  /* since when all those that lag do so */
     int64_t since;                          /* from when on the server is known to be slow */
 };
 
@@ -68,6 +70,13 @@
     }
 }
 
+int64_t
+ms_speed_percent_ms(const struct ms_batch_task *task)
+{
+    int64_t rate = ms_run_speed_normal(&task->speed);
+    return rate > 0 ? MS_RATE_SCALE_MS / rate : 0;
+}
+
 static int
 compare_rates(const void *left, const void *right)
 {
@@ -144,9 +153,15 @@
              enum speed_vote vote, int64_t slowdown)
 {
     const struct ms_run_speed *speed = &task->speed;
-    int64_t since = vote == VOTE_FELL ? speed->fell_at : speed->measured_since;
     bool first = evidence->first_step == NULL;
-    evidence->since = first ? since : MIN(evidence->since, since);
+    if (vote == VOTE_FELL) {
+        evidence->fell_since =
+            evidence->fell_since == 0 ? speed->fell_at : MIN(evidence->fell_since, speed->fell_at);
+    }
+    else {
+        /* Any of them may lag because of its work: the youngest one proves the least. */
+        evidence->lagging_since = MAX(evidence->lagging_since, speed->measured_since);
+    }
     evidence->slowdown = first ? slowdown : MIN(evidence->slowdown, slowdown);
     evidence->several_steps |= !first && evidence->first_step != task->step;
     evidence->first_step = task->step;
@@ -188,6 +203,31 @@
     return false;
 }
 
+/* Whether TASK belongs to a gang that another server holds back. */
+static bool
+is_explained(const struct ms_engine *engine, const struct ms_batch_task *task)
+{
+    const struct ms_batch_step *step = task->step;
+    return step->spec->gang && engine->now < step->slow_server_until &&
+           step->slow_server != task->server;
+}
+
+/* SERVER is slow for certain: it is what holds back the gangs on it. */
+static void
+explain_gangs(const struct ms_engine *engine, struct ms_batch_server *server)
+{
+    MS_LIST_FOREACH(link, &server->tasks)
+    {
+        struct ms_batch_step *step = MS_CONTAINER_OF(link, struct ms_batch_task, server_link)->step;
+        if (step->spec->gang && !(engine->now < step->slow_server_until)) {
+            step->slow_server = server;
+        }
+        if (step->slow_server == server) {
+            step->slow_server_until = server->slow_until;
+        }
+    }
+}
+
 /* Collects what the runs on SERVER say. */
 static struct server_evidence
 collect_evidence(const struct ms_engine *engine, struct ms_batch_server *server)
@@ -198,10 +238,11 @@
     {
         const struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
         enum speed_vote vote = vote_of(engine, task, &slowdown);
-        if (vote == VOTE_LAGGING || vote == VOTE_FELL) {
+        if ((vote == VOTE_LAGGING || vote == VOTE_FELL) && !is_explained(engine, task)) {
             add_slow_run(&evidence, task, vote, slowdown);
         }
     }
+    evidence.since = evidence.fell_since != 0 ? evidence.fell_since : evidence.lagging_since;
     MS_LIST_FOREACH(other, &server->tasks)
     {
         const struct ms_batch_task *task =
@@ -266,12 +307,10 @@
     }
     server->slow_until = engine->now + SLOW_MS;
     server->slow_since =
-        server->slow_since != 0 ? MIN(server->slow_since, evidence.since) : evidence.since;
+        server->slowdown > 0 ? MIN(server->slow_since, evidence.since) : evidence.since;
+    server->slowdown = certain ? evidence.slowdown : 0;
     if (certain) {
-        server->slowdown = evidence.slowdown;
-    }
-    else if (evidence.normal > 0) {
-        server->slowdown = 0;
+        explain_gangs(engine, server);
     }
 }
 
@@ -435,6 +474,28 @@
     return MAX(step->ready_since + queue->target_ms + run_ms - engine->now, 0);
 }
 
+/*
+ * Whether TASK, which says VOTE, is slowed down by its server, or by that of another member of its
+ * gang; CERTAIN: its own server is slow for certain.
+ */
+static bool
+is_slowed(const struct ms_batch_task *task, enum speed_vote vote, bool certain)
+{
+    switch (vote) {
+    case VOTE_FELL:
+        return certain || task->step->spec->gang;
+    case VOTE_LAGGING:
+        return certain;
+    case VOTE_STEADY:
+        /* It has never been faster, as it began when the server was slow. */
+        return certain && task->speed.measured_since >= task->server->slow_since;
+    case VOTE_NONE:
+    case VOTE_NORMAL:
+        return false;
+    }
+    return false;
+}
+
 /* Fills in RUN but for the room; false if the server of TASK is not known to be slow. */
 static bool
 describe_run(const struct ms_engine *engine, const struct ms_batch_task *task,
@@ -442,17 +503,17 @@
 {
     const struct ms_batch_server *server = task->server;
     const struct ms_step *spec = task->step->spec;
-    bool gang_fell = spec->gang && task->speed.fell_at != 0;
     bool certain = engine->now < server->slow_until && server->slowdown > 0;
     int64_t slowdown = 0;
     enum speed_vote vote = vote_of(engine, task, &slowdown);
-    if ((!certain && !gang_fell) || vote == VOTE_NONE ||
-        denies_slowness(task, vote, server->slow_since)) {
+    if (!is_slowed(task, vote, certain)) {
         return false;
     }
     bool fell = vote == VOTE_FELL;
     run->slowdown = fell ? slowdown : server->slowdown;
-    run->slow_for_ms = engine->now - (fell ? task->speed.fell_at : server->slow_since);
+    /* Up to the end of the last window: since then the server may have become fast again. */
+    int64_t since = fell ? task->speed.fell_at : server->slow_since;
+    run->slow_for_ms = MAX(task->speed.window_since - since, 0);
     int64_t rate = ms_run_speed_present(&task->speed) * run->slowdown / MS_SLOWDOWN_NONE;
     uint32_t redo = task->progress_percent - MIN(task->checkpoint_percent, task->progress_percent);
     uint32_t own = task->progress_percent - MIN(task->resumed_percent, task->progress_percent);
--- a/src/batch/engine_speed.h
+++ b/src/batch/engine_speed.h
@@ -11,6 +11,9 @@
 void ms_speed_on_progress(struct ms_engine *engine, struct ms_batch_task *task,
                           const char *checkpoint);
 
+/* Time that TASK takes for one percent at its normal rate on its server; 0: not known. */
+int64_t ms_speed_percent_ms(const struct ms_batch_task *task);
+
 /* Updates whether SERVER counts as slow, after a report. */
 void ms_speed_update_server(struct ms_engine *engine, struct ms_batch_server *server);
 
--- a/src/batch/slow_stop.c
+++ b/src/batch/slow_stop.c
@@ -6,14 +6,15 @@
 #include <glib.h>
 
 /*
- * Most servers are slow for 5 to 12 s.  One that is slow for longer is expected to stay slow for
- * about as long again.
+ * Most servers are slow for 5 to 12 s.  One that is slow for clearly longer is expected to stay
+ * slow for as long again.
  */
 #define SLOW_TYPICAL_MS 9000
 #define SLOW_REMAINING_MIN_MS 2000
+#define SLOW_LASTING_MS 15000
 #define RESTART_MS 1000         /* a stop, the report of it, a placement and another start */
 #define GAIN_MIN_MS 1000        /* a smaller gain is within the error of the rates */
-#define REAL_PROGRESS_MS 500    /* a run that loses more than this is not stopped without room */
+#define REAL_PROGRESS_MS 500    /* a run with more to redo than this is not stopped without room */
 #define PRICE_PERCENT 100       /* core-seconds to be gained for 100 thrown away */
 #define PRICE_URGENT_PERCENT 25 /* the same where the job would miss its target otherwise */
 #define STOPS_COUNTED_MAX 8u
@@ -21,9 +22,10 @@
 int64_t
 ms_slow_remaining_ms(int64_t slow_for_ms)
 {
-    int64_t remaining_ms = slow_for_ms < SLOW_TYPICAL_MS ? SLOW_TYPICAL_MS - slow_for_ms
-                                                         : slow_for_ms - SLOW_TYPICAL_MS;
-    return MAX(remaining_ms, SLOW_REMAINING_MIN_MS);
+    if (slow_for_ms >= SLOW_LASTING_MS) {
+        return slow_for_ms;
+    }
+    return MAX(SLOW_TYPICAL_MS - slow_for_ms, SLOW_REMAINING_MIN_MS);
 }
 
 /* Time until RUN ends on its server, which is expected to be as fast as before after a while. */
@@ -45,13 +47,15 @@
     int64_t wait_ms = run->has_room ? 0 : run->wait_ms;
     int64_t here_ms = time_here_ms(run);
     int64_t elsewhere_ms = wait_ms + RESTART_MS + run->redo_ms + run->remaining_ms;
-    int64_t lost_ms = MAX(run->spent_ms, run->redo_ms);
+    /* The time spent on a server that is slow for long is lost either way. */
+    bool lasting = run->slow_for_ms >= SLOW_LASTING_MS;
+    int64_t lost_ms = lasting ? run->redo_ms : MAX(run->spent_ms, run->redo_ms);
     bool urgent = here_ms > run->due_in_ms && elsewhere_ms < here_ms;
     int64_t price = urgent ? PRICE_URGENT_PERCENT : PRICE_PERCENT;
     price *= 1 + MIN(run->earlier_stops, STOPS_COUNTED_MAX);
     weight.gain_ms = here_ms - elsewhere_ms;
-    weight.lost_core_s = lost_ms * run->cpu_millis / 1000000;
+    weight.lost_core_s = MAX(run->spent_ms, run->redo_ms) * run->cpu_millis / 1000000;
     weight.pays = weight.gain_ms >= GAIN_MIN_MS && weight.gain_ms * 100 >= lost_ms * price &&
-                  (run->has_room || lost_ms <= REAL_PROGRESS_MS);
+                  (run->has_room || run->redo_ms <= REAL_PROGRESS_MS);
     return weight;
 }
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -409,6 +409,7 @@
     suite_add_tcase(suite, server_cases());
     suite_add_tcase(suite, lease_cases());
     suite_add_tcase(suite, health_cases());
+    suite_add_tcase(suite, speed_cases());
     suite_add_tcase(suite, takeover_cases());
     suite_add_tcase(suite, term_cases());
     suite_add_tcase(suite, withheld_cases());
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -27,6 +27,7 @@
 TCase *server_cases(void);
 TCase *lease_cases(void);
 TCase *health_cases(void);
+TCase *speed_cases(void);
 TCase *takeover_cases(void);
 TCase *term_cases(void);
 TCase *withheld_cases(void);
