--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -93,6 +93,8 @@
     struct ms_order_rank rank;   /* last pass: its place in the order */
     int64_t peer_rate;           /* median rate of its runs, see engine_speed.c */
     int64_t peer_rate_at;        /* when `peer_rate` was computed, 0: not yet */
+    const struct ms_batch_server *slow_server; /* gang: server that holds it back, or NULL */
+    int64_t slow_server_until;                 /* gang: `slow_server` is valid until then */
 };
 
 /* One execution of all steps of a job; a repeated job has several. */
