Batch: plans touch less memory; bench-leader simulates a slow sender

What plans compare for each server lies side by side, and the servers of a plan are kept in a list instead of being looked for among all.

With SEND_US the bench gives the sender a limited speed and lets one start in 1,000 meet a server out of reach.

--- a/bench/leader_cost.c
+++ b/bench/leader_cost.c
@@ -1,13 +1,20 @@
 /*
  * leader_cost.c - processor time that the engine of the leader needs in a large deployment.
  *
- * usage: bench-leader [SEED [SECONDS [SERVERS [LOAD]]]]
+ * usage: bench-leader [SEED [SECONDS [SERVERS [LOAD [SEND_US [fifo]]]]]]
  *
  * Runs the engine alone, in simulated time and without a network: each order and each renewal
  * gets its answer after NETWORK_MS.  The load is that of docs/design/hard-load.md, in
  * proportion to SERVERS (3,000 if left out), with run times of LOAD percent (120).  In the middle
  * of SECONDS (120) the leader is lost; a new engine restores the stored states LEADER_GAP_MS later.
  *
+ * With SEND_US, each order and each renewal takes the sender that many microseconds, and the first
+ * one to a server after a loss of the leader OPEN_FACTOR times as long.  They are sent as
+ * src/entry/order_sender.c does it: stops, then starts, then renewals; with "fifo", in the order
+ * in which they were queued.  One start in 1,000 meets a server that is out of reach for a while.
+ * Then gang_wait_max_ms is the longest time that a gang with a running member waited for the
+ * others, and gangs_alone the number that waited for longer than GANG_TIMEOUT_MS.
+ *
  * Prints key=value lines.  phase=steady is before the loss (without the first WARM_UP_MS),
  * phase=takeover the first TAKEOVER_MS of the new engine, phase=after the rest.  cpu_ms_per_s is
  * processor time per simulated second; 10 are 1 % of a core.  The hashes cover all actions in
@@ -26,6 +33,11 @@
 #define STOP_MS 60 /* time that a server takes to stop a run */
 #define LEASE_MS 9000
 #define GANG_START_MS 2800
+#define GANG_TIMEOUT_MS 4000
+#define OPEN_FACTOR 4
+#define UNREACHABLE_PERMILLE 1 /* of the starts, with SEND_US: its server does not get it */
+#define UNREACHABLE_MS 4500    /* nor anything else for this time */
+#define NO_ANSWER_MS 500       /* after which the engine learns of that */
 #define WARM_UP_MS 20000
 #define LEADER_GAP_MS 3000
 #define TAKEOVER_MS 10000
@@ -74,6 +86,13 @@
     uint64_t samples;
 };
 
+/* A run of a gang whose members have not all started. */
+struct gang_start {
+    uint32_t missing;
+    int64_t first_at;
+    bool alone; /* counted: a member waited for longer than GANG_TIMEOUT_MS */
+};
+
 struct fake_server {
     struct ms_directory_entry entry;
     GArray *runs;                     /* struct fake_run */
@@ -83,6 +102,8 @@
     uint64_t last_position;
     uint64_t last_serial;    /* of its runs and renewals */
     uint64_t renewal_serial; /* of `renewal` */
+    bool connected;          /* the leader has a connection to it */
+    int64_t unreachable_until;
 };
 
 struct fake_run {
@@ -120,6 +141,13 @@
     GHashTable *gang_durations; /* "JOB/RUN" -> run time of all members */
     GPtrArray **slots;          /* calendar of events */
     int64_t load_percent;
+    int64_t send_us;         /* 0: everything is sent at once */
+    bool fifo;               /* orders and renewals are sent in the order of their queueing */
+    GQueue *unsent[3];       /* struct event: stops, starts, renewals; all in the first if `fifo` */
+    int64_t sender_us_left;  /* processor time that the sender has at `now` */
+    GHashTable *gang_starts; /* "JOB/RUN" -> struct gang_start */
+    int64_t gang_wait_max_ms;
+    uint32_t gangs_alone;
     uint32_t job_count;
     double due[3]; /* jobs owed of each kind */
     enum phase phase;
@@ -298,9 +326,51 @@
     return duration;
 }
 
+/* A member of the gang START, or all of them, have waited until now. */
+static void
+note_gang_wait(struct gang_start *start)
+{
+    int64_t wait_ms = bench.now - start->first_at;
+    bench.gang_wait_max_ms = MAX(bench.gang_wait_max_ms, wait_ms);
+    if (wait_ms > GANG_TIMEOUT_MS && !start->alone) {
+        start->alone = true;
+        bench.gangs_alone++;
+    }
+}
+
+/* A member of the gang of TASK has started or, if STOPPED, its run is stopped. */
+static void
+note_gang_member(const char *task, uint32_t run, bool stopped)
+{
+    char id[MS_JOB_ID_MAX];
+    uint32_t occurrence = 0;
+    uint32_t step = 0;
+    uint32_t index = 0;
+    ms_task_name_parse(task, id, &occurrence, &step, &index);
+    const struct ms_stored_job *job = ms_job_table_find(bench.table, id);
+    if (job == NULL || !job->spec.steps[step].gang) {
+        return;
+    }
+    char *key = g_strdup_printf("%s/%u", id, run);
+    struct gang_start *start = g_hash_table_lookup(bench.gang_starts, key);
+    if (start == NULL) {
+        start = g_new0(struct gang_start, 1);
+        start->missing = job->spec.steps[step].task_count;
+        start->first_at = bench.now;
+        g_hash_table_insert(bench.gang_starts, g_strdup(key), start);
+    }
+    bool incomplete = start->missing > 0;
+    start->missing -= !stopped && incomplete;
+    if (incomplete && (stopped || start->missing == 0)) {
+        note_gang_wait(start);
+    }
+    g_free(key);
+}
+
 static void
 start_run(struct fake_server *server, const struct ms_engine_action *order)
 {
+    note_gang_member(order->task, order->run, false);
     struct fake_run run = {.run = order->run, .serial = ++server->last_serial};
     g_strlcpy(run.task, order->task, sizeof(run.task));
     run.started_at = bench.now;
@@ -318,6 +388,7 @@
         struct fake_run *run = &g_array_index(server->runs, struct fake_run, i);
         if (run->run == order->run && strcmp(run->task, order->task) == 0 && !run->stopping) {
             run->stopping = true;
+            note_gang_member(order->task, order->run, true);
             struct event *event = schedule(bench.now + STOP_MS, EVENT_RUN_ENDS);
             event->server = server;
             event->serial = run->serial;
@@ -330,6 +401,17 @@
 carry_out(struct ms_engine_action *action, int64_t sent_at)
 {
     struct fake_server *server = g_hash_table_lookup(bench.servers_by_id, action->server);
+    if (bench.send_us > 0 && action->kind == MS_ENGINE_START &&
+        random_below(1000) < UNREACHABLE_PERMILLE) {
+        server->unreachable_until = bench.now + UNREACHABLE_MS;
+    }
+    if (bench.now < server->unreachable_until) {
+        struct event *event = schedule(bench.now + NO_ANSWER_MS, EVENT_ANSWER);
+        event->action = action;
+        event->sent_at = sent_at;
+        event->result = MS_ORDER_NO_ANSWER;
+        return;
+    }
     if (action->kind != MS_ENGINE_RENEW_LEASE) {
         if (action->kind == MS_ENGINE_START) {
             start_run(server, action);
@@ -408,6 +490,51 @@
     }
 }
 
+/* Sends ACTION now. */
+static void
+send_action(struct ms_engine_action *action)
+{
+    struct event *event = schedule(bench.now + NETWORK_MS, EVENT_ARRIVES);
+    event->action = action;
+    event->sent_at = bench.now;
+}
+
+/* Queues ACTION for the sender. */
+static void
+queue_action(struct ms_engine_action *action)
+{
+    size_t queue = action->kind == MS_ENGINE_STOP ? 0 : action->kind == MS_ENGINE_START ? 1 : 2;
+    if (bench.send_us == 0) {
+        send_action(action);
+        return;
+    }
+    g_queue_push_tail(bench.unsent[bench.fifo ? 0 : queue], action);
+}
+
+/* Sends what the sender manages in one millisecond. */
+static void
+run_sender(void)
+{
+    bench.sender_us_left = MIN(bench.sender_us_left + 1000, 1000);
+    while (bench.send_us > 0 && bench.sender_us_left > 0) {
+        struct ms_engine_action *action = NULL;
+        for (size_t i = 0; i < G_N_ELEMENTS(bench.unsent) && action == NULL; i++) {
+            action = g_queue_pop_head(bench.unsent[i]);
+        }
+        if (action == NULL) {
+            return;
+        }
+        if (action->epoch < bench.epoch || bench.engine == NULL) {
+            ms_engine_action_free(action);
+            continue;
+        }
+        struct fake_server *server = g_hash_table_lookup(bench.servers_by_id, action->server);
+        bench.sender_us_left -= bench.send_us * (server->connected ? 1 : OPEN_FACTOR);
+        server->connected = true;
+        send_action(action);
+    }
+}
+
 static void
 run_actions(void)
 {
@@ -426,9 +553,7 @@
             exit(EXIT_FAILURE);
         }
         else {
-            struct event *event = schedule(bench.now + NETWORK_MS, EVENT_ARRIVES);
-            event->action = action;
-            event->sent_at = bench.now;
+            queue_action(action);
         }
     }
 }
@@ -630,6 +755,7 @@
     ms_engine_set_policy(bench.engine, &bench.policy);
     ms_engine_begin_directory_snapshot(bench.engine);
     for (size_t i = 0; i < bench.server_count; i++) {
+        bench.servers[i].connected = false;
         bench.servers[i].entry.clock_ms = server_clock();
         ms_engine_update_server(bench.engine, &bench.servers[i].entry, bench.now);
     }
@@ -669,6 +795,7 @@
     int64_t next = 0;
     totals->duration_ms += until - bench.now;
     for (; bench.now < until; bench.now++) {
+        run_sender();
         bool woken = handle_events();
         woken |= submit_jobs();
         if (bench.engine == NULL) {
@@ -716,9 +843,10 @@
     for (size_t i = 0; i < bench.server_count; i++) {
         runs += bench.servers[i].runs->len;
     }
-    printf("at=%s runs=%" G_GUINT64_FORMAT " jobs_stored=%u actions_hash=%016" G_GINT64_MODIFIER
-           "x\n",
-           at, runs, g_hash_table_size(bench.table->jobs), bench.action_hash);
+    printf("at=%s runs=%" G_GUINT64_FORMAT " jobs_stored=%u gang_wait_max_ms=%" G_GINT64_FORMAT
+           " gangs_alone=%u actions_hash=%016" G_GINT64_MODIFIER "x\n",
+           at, runs, g_hash_table_size(bench.table->jobs), bench.gang_wait_max_ms,
+           bench.gangs_alone, bench.action_hash);
 }
 
 int
@@ -730,12 +858,20 @@
     bench.load_percent = argc > 4 ? strtoll(argv[4], NULL, 10) : 120;
     int64_t loss_at = seconds * 1000 / 2;
     if (servers == 0 || loss_at <= WARM_UP_MS + TAKEOVER_MS) {
-        fprintf(stderr, "usage: bench-leader [SEED [SECONDS (over 60) [SERVERS [LOAD]]]]\n");
+        fprintf(
+            stderr,
+            "usage: bench-leader [SEED [SECONDS (over 60) [SERVERS [LOAD [SEND_US [fifo]]]]]]\n");
         return 2;
     }
     bench.random_state = seed * 0x9e3779b97f4a7c15u + 1;
     bench.slots = g_new0(GPtrArray *, SLOTS);
     bench.table = ms_job_table_new();
+    bench.send_us = argc > 5 ? strtoll(argv[5], NULL, 10) : 0;
+    bench.fifo = argc > 6;
+    for (size_t i = 0; i < G_N_ELEMENTS(bench.unsent); i++) {
+        bench.unsent[i] = g_queue_new();
+    }
+    bench.gang_starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     bench.gang_durations = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     make_servers(servers);
     make_policy();
--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -47,7 +47,7 @@
 struct ms_resources
 ms_capacity_available(const struct ms_batch_server *server, enum ms_placement_level level)
 {
-    struct ms_resources available = server->entry.capacity;
+    struct ms_resources available = server->capacity;
     if (level == MS_LEVEL_IDLE) {
         ms_resources_add(&available, &server->allocated, -1);
         return available;
@@ -65,7 +65,7 @@
     }
     if (level == MS_LEVEL_FREE) {
         /* Reservations first take the resources that are being released. */
-        struct ms_resources unallocated = server->entry.capacity;
+        struct ms_resources unallocated = server->capacity;
         ms_resources_add(&unallocated, &server->allocated, -1);
         available.cpu_millis = MIN(available.cpu_millis, unallocated.cpu_millis);
         available.memory_mb = MIN(available.memory_mb, unallocated.memory_mb);
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -78,8 +78,8 @@
         gang_run = MAX(gang_run, unit->tasks[i]->run);
     }
     uint32_t index = 0;
-    for (guint i = 0; i < pass->servers->len; i++) {
-        struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
+    for (guint i = 0; i < pass->planned->len; i++) {
+        struct ms_batch_server *server = g_ptr_array_index(pass->planned, i);
         for (uint32_t k = 0; k < server->planned_task_count; k++, index++) {
             struct ms_batch_task *task = unit->tasks[index];
             start_task(engine, task, server, 1 + (unit->gang ? gang_run : task->run));
@@ -100,8 +100,8 @@
 static void
 reserve_unit(const struct ms_placement_pass *pass)
 {
-    for (guint i = 0; i < pass->servers->len; i++) {
-        struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
+    for (guint i = 0; i < pass->planned->len; i++) {
+        struct ms_batch_server *server = g_ptr_array_index(pass->planned, i);
         ms_resources_add(&server->reserved, &pass->unit->step->spec->task_resources,
                          server->planned_task_count);
     }
@@ -140,8 +140,8 @@
 preempt_for_unit(struct ms_placement_pass *pass)
 {
     ms_fit_forget(pass);
-    for (guint i = 0; i < pass->servers->len; i++) {
-        struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
+    for (guint i = 0; i < pass->planned->len; i++) {
+        struct ms_batch_server *server = g_ptr_array_index(pass->planned, i);
         if (server->planned_task_count > 0) {
             preempt_on_server(pass, server);
         }
@@ -198,14 +198,12 @@
 may_reserve(struct ms_placement_pass *pass, int64_t waited_ms)
 {
     int64_t idle = pass->reserved_idle;
-    int64_t idle_max = 0;
+    int64_t idle_max =
+        (int64_t)pass->servers->len * MS_WHOLE_SERVER * RESERVED_IDLE_PERCENT_MAX / 100;
     bool exempt = pass->reservation_count == 0 && waited_ms >= long_wait_ms(pass);
-    for (guint i = 0; i < pass->servers->len; i++) {
-        const struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
-        idle += ms_capacity_reserved_idle(pass, server);
-        idle_max += MS_WHOLE_SERVER * RESERVED_IDLE_PERCENT_MAX;
+    for (guint i = 0; i < pass->planned->len; i++) {
+        idle += ms_capacity_reserved_idle(pass, g_ptr_array_index(pass->planned, i));
     }
-    idle_max /= 100;
     pass->outcomes.reserved_idle = idle;
     pass->outcomes.reserved_idle_max = idle_max;
     if (idle > idle_max && !exempt) {
@@ -419,6 +417,7 @@
     engine->servers_examined = 0;
     GPtrArray *steps = g_ptr_array_new();
     pass.servers = g_ptr_array_new();
+    pass.planned = g_ptr_array_new();
     pass.blocked_gangs = g_ptr_array_new();
     pass.racks =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
@@ -437,6 +436,7 @@
     g_hash_table_destroy(pass.racks);
     g_hash_table_destroy(pass.accounts);
     g_ptr_array_unref(pass.servers);
+    g_ptr_array_unref(pass.planned);
     g_ptr_array_unref(pass.blocked_gangs);
     g_ptr_array_unref(steps);
 }
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -70,6 +70,7 @@
 struct ms_placement_pass {
     struct ms_engine *engine;
     GPtrArray *servers;          /* usable ms_batch_server */
+    GPtrArray *planned;          /* those of the current plan, in the same order */
     GHashTable *racks;           /* rack name -> GPtrArray of ms_batch_server */
     GHashTable *accounts;        /* account name -> struct ms_account_usage */
     bool orders_held;            /* no more starts: the orders of others have to be sent first */
--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -67,10 +67,11 @@
 static void
 clear_plan(const struct ms_placement_pass *pass)
 {
-    for (guint i = 0; i < pass->servers->len; i++) {
-        struct ms_batch_server *server = g_ptr_array_index(pass->servers, i);
+    for (guint i = 0; i < pass->planned->len; i++) {
+        struct ms_batch_server *server = g_ptr_array_index(pass->planned, i);
         server->planned_task_count = 0;
     }
+    g_ptr_array_set_size(pass->planned, 0);
 }
 
 struct ranked_server {
@@ -177,6 +178,7 @@
     for (guint i = 0; feasible && i < count && unplanned > 0; i++) {
         uint32_t planned = MIN(ranked[i].max_tasks, unplanned);
         ranked[i].server->planned_task_count = planned;
+        g_ptr_array_add(pass->planned, ranked[i].server);
         unplanned -= planned;
         total_score += ranked[i].score * planned;
         pass->engine->plan_cost += ranked[i].cost * planned;
@@ -262,13 +264,21 @@
     return prefers_rack && !may_leave_rack(pass);
 }
 
+/* Orders servers as the engine learned of them. */
+static gint
+compare_indexes(gconstpointer left, gconstpointer right)
+{
+    const struct ms_batch_server *a = *(struct ms_batch_server *const *)left;
+    const struct ms_batch_server *b = *(struct ms_batch_server *const *)right;
+    return a->index < b->index ? -1 : a->index > b->index;
+}
+
 /* As ms_plan_unit(); BOUND: the unit has to wait for capacity in one rack. */
 static int64_t
 plan(const struct ms_placement_pass *pass, enum ms_placement_level level, bool bound)
 {
     const struct ms_step *spec = pass->unit->step->spec;
     int64_t score = MS_NO_PLAN;
-    clear_plan(pass);
     bool in_one_rack = spec->same_rack && pass->unit->gang;
     if (in_one_rack) {
         score = plan_in_one_rack(pass, level);
@@ -292,6 +302,7 @@
     enum ms_fit_test test = (enum ms_fit_test)level;
     enum ms_fit_scope scope = bound ? MS_FIT_IN_ONE_RACK : MS_FIT_ANYWHERE;
     bool comparable = !bound || in_one_rack; /* else it is bound to the rack of its data */
+    clear_plan(pass);
     if (comparable && ms_fit_has_failed(pass, test, scope)) {
         /* The interval between passes follows from the servers that plans would examine. */
         bool twice = in_one_rack && !bound;
@@ -300,6 +311,7 @@
         return MS_NO_PLAN;
     }
     int64_t score = plan(pass, level, bound);
+    g_ptr_array_sort(pass->planned, compare_indexes);
     if (comparable && score == MS_NO_PLAN) {
         ms_fit_note_failed(pass, test, scope);
     }
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -158,7 +158,6 @@
     bool lapse_due;            /* its lease has to expire, so that this end may be */
     bool report_full;          /* the last report may lack ends, see ENDED_ROWS_MAX */
     struct ms_list_link tasks; /* struct ms_batch_task, linked by server_link */
-    struct ms_resources allocated;    /* by the tasks assigned to it */
     uint32_t unknown_run_count;       /* runs in the last report that no record allows */
     uint32_t consecutive_failed_jobs; /* since the last success; repeats of one job count once */
     char last_failed_job[MS_JOB_ID_MAX];
@@ -169,6 +168,9 @@
     int64_t restricted_until;     /* tasks were preempted here, see ms_batch_server_restrict() */
     uint32_t restricted_priority; /* until then: lowest priority that it takes */
     uint32_t quarantine_count;    /* since the last success */
+    /* Plans compare these for all servers: they are kept side by side. */
+    struct ms_resources capacity;  /* that of `entry` */
+    struct ms_resources allocated; /* by the tasks assigned to it */
     /* Valid within one placement pass only. */
     struct ms_resources reserved;    /* for units that wait */
     struct ms_resources lasting;     /* of long-running tasks, which do not end by themselves */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -261,6 +261,7 @@
     bool was_listed = server->listed;
     int64_t known_start_unix_ms = server->entry.start_unix_ms;
     server->entry = *entry;
+    server->capacity = entry->capacity;
     if (entry->start_unix_ms == 0) {
         server->entry.start_unix_ms = known_start_unix_ms;
     }
