Soak: caps of the account, compressed records and weighed stops

The account has a weight, and with an odd seed a cap that changes at random; the servers check each start against the highest cap that a host may go by. Hosts with and without compressed records and weighed stops share one log.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,7 @@
 out orders and lease renewals late (renewals also after a restart), refuse starts or the second
 copy of a start that they have carried out, restart and are listed again later, or are cut off
 until their directory entry has expired.  Their clocks are slow, and another writer adds odd
-entries to the directory.  Clients use their connections to a host that shuts down until it
+entries to the directory.  With an odd seed the account has a cap, which changes.  Clients use their connections to a host that shuts down until it
 closes them.
 
 Then it stops the faults, submits jobs for CALM_S more, and at last a gang with a task on
@@ -53,6 +53,7 @@
                 "done_closed": {"done_closed_rate": 0.5}, "late_holds": {"late_hold_rate": 0.8}}
 ENTRY_DELAY_MAX_S = 2.0  # of the directory entry of a server that has started again
 PORT_MIN, PORT_LIMIT = 10000, 32768  # below those that the kernel gives to connections
+CAP_GPUS_MIN, CAP_GPUS_MAX = 12, 32  # caps of the account, of 64 accelerators
 CLOCK_RATE_MIN = 0.98  # a server's clock may be 2 % slow
 DIRECTORY_ENTRY_TIMEOUT_S = 1.5  # when the entry of a server that is cut off expires
 
@@ -105,7 +106,10 @@
                        "stop_grace_ms = 900\nunknown_after_ms = 3000\n"
                        f"cpu_share = {self.cpu_share}\n"
                        f'advice_address = "{self.advice_address}"\n'
-                       "state_kept_s = 120\nshutdown_s = 6\n")
+                       "state_kept_s = 120\nshutdown_s = 6\n"
+                       # Hosts with and without these share one log.
+                       f"compress_records = {self.soak.random_flag()}\n"
+                       f"weigh_slow_stops = {self.soak.random_flag()}\n")
         with open(self.log_path, "ab") as log:
             self.log_start = log.tell()
             self.process = await asyncio.create_subprocess_exec(
@@ -177,6 +181,11 @@
         self.unanswered = set()  # submitted, neither accepted nor refused on each try
         self.open_jobs = set()  # accepted, and not yet seen to have ended
         self.faults_end, self.idle_max_s = asyncio.Event(), 0.0
+        self.has_caps = options.seed % 2 == 1  # the account's cap changes at random
+
+    def random_flag(self):
+        """Returns the value of a setting that is on or off at random."""
+        return self.random.choice(["true", "false"])
 
     @property
     def injecting_faults(self):
@@ -329,7 +338,8 @@
             server.proxy.mode = "pass"
 
     async def change_config(self):
-        self.standins.publish_config(self.random.randint(8, 24))
+        cap_gpus = self.random.choice([0, CAP_GPUS_MIN, CAP_GPUS_MAX]) if self.has_caps else 0
+        self.standins.publish_config(self.random.randint(8, 24), cap_gpus)
 
     async def write_odd_entry(self):
         self.standins.publish_odd_entry()
@@ -433,6 +443,7 @@
             self.faults_end.set()
             await asyncio.gather(*fault_tasks)
             self.standins.failure_rate = 0.0
+            self.standins.publish_config(16)  # without a cap: all work can go on
             self.standins.note_fault()
             progress_task = asyncio.create_task(progress.watch())
             await self.settle()
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -9,6 +9,7 @@
 import collections
 import json
 import logging
+import math
 import random
 import struct
 import time
@@ -22,6 +23,8 @@
 TASK_FAILURES_MAX = 3
 REFUSAL_STATUS = {"unhealthy": 503, "busy": 429}  # of a server that is unhealthy for a moment
 LATE_APPEND_S = 2.5  # until an append is carried out in mode "late_busy"
+# A host is in touch 5 s after a disturbance and then goes by a new configuration within 4 s.
+CONFIG_APPLY_S = 9.0
 SHUTDOWN_TIMEOUT_S = 0.2  # of the calls that still wait at the end
 
 ODD_ENTRIES = [b"", b"\xff\x00{", b"[]", b'{"state":"ready"}',
@@ -555,6 +558,7 @@
         self.unfenced_acknowledged_tasks = set()  # by a late renewal after a restart
         self.failure_rate, self.start_count = 0.0, 0
         self.last_fault_at, self.config_version = 0.0, 0
+        self.caps = []  # (time, cap in accelerators) of each configuration
 
     def note_fault(self):
         self.last_fault_at = time.monotonic()
@@ -601,6 +605,8 @@
                     self.report_violation("started before an earlier step was done", task)
         if any(server.free(name) < step[name] for name in server.capacity):
             self.report_violation("capacity of the server exceeded", task)
+        if self.running_gpus() + step["gpu"] > self.cap_in_force():
+            self.report_violation("cap of the account exceeded", task)
         return step
 
     def start_gang_if_complete(self, step_id, run, count):
@@ -656,17 +662,29 @@
         """Removes the server's entry from the directory."""
         self.log.append_record("keyed.servers", server.id, b"")
 
-    def publish_config(self, guaranteed_gpus):
-        """Writes a new version of the configuration."""
+    def publish_config(self, guaranteed_gpus, cap_gpus=0):
+        """Writes a new version of the configuration; a cap of 0 is no limit."""
         self.config_version += 1
         self.log.append_record("keyed.op", "config", json.dumps(
-            config(self.config_version, guaranteed_gpus)).encode())
+            config(self.config_version, guaranteed_gpus, cap_gpus)).encode())
+        self.caps.append((time.monotonic(), cap_gpus or math.inf))
 
+    def cap_in_force(self):
+        """Returns the highest cap of the account that some host may still go by."""
+        since = time.monotonic() - CONFIG_APPLY_S
+        newest_before = max((at for at, _ in self.caps if at <= since), default=0)
+        return max(cap for at, cap in self.caps if at >= newest_before)
 
-def config(version=1, guaranteed_gpus=16):
+    def running_gpus(self):
+        """Returns the accelerators of all runs, over all servers."""
+        return sum(run["step"]["gpu"] for server in self.servers for run in server.runs.values())
+
+
+def config(version=1, guaranteed_gpus=16, cap_gpus=0):
     routes = [{"name": f"q{i}", "hostname": "soak.example", "pathPrefix": f"/q{i}/",
                "service": "planner", "priority": i, "maxAttempts": TASK_FAILURES_MAX, "stretch": 3.0,
                "targetLatencyMs": 1000} for i in range(3)]
     return {"version": version, "routes": routes, "services": [{"name": "planner"}], "limits": {},
             "tenants": [{"name": "account", "apiKeys": ["key"],
-                         "guaranteed": {"gpu": guaranteed_gpus}}]}
+                         "guaranteed": {"gpu": guaranteed_gpus}, "weight": 2,
+                         "cap": {"gpu": cap_gpus}}]}
