--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -106,7 +106,7 @@
      "    if (a->share_step != b->share_step) {", "    if (false) {",
      "the account below its share goes first"),
     ("weights_always", "src/batch/engine_order.c",
-     "    if (engine->has_weights) {\n        ms_order_classify", "    if (true) {\n        ms_order_classify",
+     "    engine->has_weights = ms_order_has_weights(engine->policy);", "    engine->has_weights = true;",
      "without weights the order is that of arrival"),
     ("order_of_learning", "src/batch/engine_order.c",
      "    g_ptr_array_sort(jobs, compare_arrivals);\n", "", "a new leader arrives at the same order"),
@@ -116,6 +116,14 @@
     ("beyond_rate_never_preempts", "src/batch/engine_capacity.c",
      "        return !pass->own_account_only || task_job->account == job->account;",
      "        return !pass->own_account_only;", "work beyond the rate preempts its own account"),
+    ("beyond_rate_not_lent", "src/batch/engine_place.c",
+     "    while (remaining.count > 0 && ms_plan_unit(pass, MS_LEVEL_FREE) != MS_NO_PLAN) {",
+     "    while (remaining.count > 0 && !pass->own_account_only &&\n"
+     "           ms_plan_unit(pass, MS_LEVEL_FREE) != MS_NO_PLAN) {", "idle capacity is lent"),
+    ("retries_charged", "src/batch/engine_place.c",
+     "    job->started = true;\n    unit->step->unplaced_since = 0;",
+     "    job->virtual_us += job->started ? 1000000 : 0;\n    job->started = true;\n"
+     "    unit->step->unplaced_since = 0;", "retries are charged once"),
     ("guarantee_held_to_rate", "src/batch/engine_place.c",
      "        !pass->within_guarantee && unit->step->rank.order_class == MS_ORDER_BEYOND_RATE;",
      "        unit->step->rank.order_class == MS_ORDER_BEYOND_RATE;",
