--- a/src/batch/engine_speed.c
+++ b/src/batch/engine_speed.c
@@ -44,7 +44,7 @@
     uint32_t gangs_fell;                    /* members of gangs whose rate has fallen */
     uint32_t lagging;                       /* runs that lag behind their siblings */
     uint32_t normal;                        /* runs at a normal rate */
-    const struct ms_batch_step *first_step; /* of a slow run */
+    const struct ms_batch_step *latest_step; /* of the slow run that was added last */
     bool several_steps;                     /* the slow runs are of several steps */
     int64_t slowdown;                       /* the least one of the slow runs */
     int64_t fell_since;                     /* since when the first rate has fallen, 0: none */
@@ -153,7 +153,7 @@
              enum speed_vote vote, int64_t slowdown)
 {
     const struct ms_run_speed *speed = &task->speed;
-    bool first = evidence->first_step == NULL;
+    bool first = evidence->latest_step == NULL;
     if (vote == VOTE_FELL) {
         evidence->fell_since =
             evidence->fell_since == 0 ? speed->fell_at : MIN(evidence->fell_since, speed->fell_at);
@@ -163,8 +163,8 @@
         evidence->lagging_since = MAX(evidence->lagging_since, speed->measured_since);
     }
     evidence->slowdown = first ? slowdown : MIN(evidence->slowdown, slowdown);
-    evidence->several_steps |= !first && evidence->first_step != task->step;
-    evidence->first_step = task->step;
+    evidence->several_steps |= !first && evidence->latest_step != task->step;
+    evidence->latest_step = task->step;
     if (vote == VOTE_LAGGING) {
         evidence->lagging++;
     }
--- a/tests/batch/engine_fuzz.c
+++ b/tests/batch/engine_fuzz.c
@@ -28,6 +28,10 @@
 #define JOB_COUNT 12
 #define FAULTS_DURATION_MS 25000   /* in which faults occur and jobs are submitted */
 #define FREQUENT_TAKEOVERS_EVERY 5 /* every 5th seed: a takeover each 1.7 s, silent servers */
+#define SLOW_SERVERS_EVERY 4       /* every 4th seed: slow servers, and runs of 4 to 12 s */
+#define SLOW_SERVERS_PER_JOB 2     /* servers that become slow, for up to 31 s, with each job */
+#define LONG_RUN_MIN_MS 4000
+#define LONG_RUN_SPREAD_MS 8000
 #define RECOVERY_DURATION_MS 90000 /* without faults; all jobs have to end in it */
 
 /* Of the scenarios of all modes that check liveness. */
@@ -72,6 +76,23 @@
     totals->idle_ms_max = MAX(totals->idle_ms_max, counts.idle_ms_max);
 }
 
+/* Run time of TASK in the seeds with slow servers: long enough for a run to leave one. */
+static int64_t
+long_run_ms(void *opaque, const char *task)
+{
+    (void)opaque;
+    return LONG_RUN_MIN_MS + g_str_hash(task) % LONG_RUN_SPREAD_MS;
+}
+
+/* Makes a random server slow. */
+static void
+slow_random_server(struct simulator *simulator, uint64_t *random_state)
+{
+    size_t index = simulator_random(random_state, SERVER_COUNT);
+    int64_t factor = 3 + simulator_random(random_state, 5);
+    simulator_slow_server(simulator, index, factor, 1000 + simulator_random(random_state, 30000));
+}
+
 /* Runs one seed and adds its counts to TOTALS; returns whether it passed. */
 static bool
 run_seed(uint64_t seed, bool frequent_takeovers, struct simulator_counts *totals, FILE *trace)
@@ -103,13 +124,18 @@
         faults.leader_change = 60;
         faults.server_silence = 5;
     }
-    const struct simulator_speeds speeds = {.weigh_slow_stops = seed % 2 == 1};
+    bool slow_servers = seed % SLOW_SERVERS_EVERY == 1;
+    const struct simulator_speeds speeds = {.weigh_slow_stops = seed % 2 == 1,
+                                            .run_ms = slow_servers ? long_run_ms : NULL};
     struct simulator *simulator =
         simulator_new_with_speeds(seed, SERVER_COUNT, &faults, &speeds, trace);
     for (uint32_t i = 0; i < JOB_COUNT; i++) {
         struct ms_batch_spec spec;
         simulator_random_spec(&random_state, i, &spec);
         simulator_submit_job(simulator, &spec);
+        for (uint32_t k = 0; slow_servers && k < SLOW_SERVERS_PER_JOB; k++) {
+            slow_random_server(simulator, &random_state);
+        }
         simulator_run(simulator, FAULTS_DURATION_MS / JOB_COUNT);
     }
     simulator_disable_faults(simulator);
--- a/tests/batch/unit_speed.c
+++ b/tests/batch/unit_speed.c
@@ -443,19 +443,19 @@
 END_TEST
 
 /*
- * Load: one server is 5 times slower for 10 s, with runs of 36 s whose estimates are a tenth of
- * that.  A percent takes 1.8 s there, so that the runs were taken for stalled ones.
+ * Load: one server is 5 times slower for 10 s, with runs of 72 s whose estimates are a tenth of
+ * that.  A percent takes 3.6 s there, so that the runs were taken for stalled ones.
  */
 START_TEST(slow_run_is_not_taken_for_a_stalled_one)
 {
     struct fixture fixture;
     fixture_init(&fixture, 8, true);
-    fixture.run_ms = 4 * RUN_MS;
+    fixture.run_ms = 8 * RUN_MS;
     fixture.estimate_ms = fixture.run_ms / 10;
     submit(&fixture, "first", 4, false);
     simulator_run(fixture.simulator, 12000);
     slow_one_server(&fixture, 10000);
-    simulator_run(fixture.simulator, 40000);
+    simulator_run(fixture.simulator, 80000);
     expect_phase(fixture.simulator, "first", MS_PHASE_SUCCEEDED);
     ck_assert_uint_eq(fixture.stalls, 0);
     ck_assert_uint_eq(fixture.stops, 0);
