Batch: a new leader stops short gangs that never started whole

If one server of a gang did not get its start and the leader was lost then, the new leader waited for that server's lease to expire, while the other members waited alone for longer than they may. It now limits the wait of a restored gang that has made no progress, which a gang makes as soon as all its members run: 500 ms after the takeover the gang is stopped if a member is still not reported. Only for declared run times up to 25 s: a wrong stop then loses less than 1 percent of a run.

--- a/bench/leader_cost.c
+++ b/bench/leader_cost.c
@@ -113,6 +113,7 @@
     int64_t started_at;
     int64_t ends_at;
     bool stopping;
+    const struct gang_start *gang; /* of the members started with it, or NULL */
 };
 
 enum event_kind { EVENT_ARRIVES = 0, EVENT_ANSWER, EVENT_POLL_ENDS, EVENT_RUN_ENDS, EVENT_STORED };
@@ -243,6 +244,9 @@
         struct ms_reported_run *row = &report->running[report->running_count++];
         g_strlcpy(row->task, run->task, sizeof(row->task));
         row->run = run->run;
+        if (run->gang != NULL && run->gang->missing > 0) {
+            continue; /* no progress before all members run */
+        }
         row->percent = (uint32_t)(100 * (bench.now - run->started_at) /
                                   MAX(run->ends_at - run->started_at, 1));
     }
@@ -338,8 +342,8 @@
     }
 }
 
-/* A member of the gang of TASK has started or, if STOPPED, its run is stopped. */
-static void
+/* A member of the gang of TASK, if it is one, has started or, if STOPPED, is stopped. */
+static const struct gang_start *
 note_gang_member(const char *task, uint32_t run, bool stopped)
 {
     char id[MS_JOB_ID_MAX];
@@ -349,7 +353,7 @@
     ms_task_name_parse(task, id, &occurrence, &step, &index);
     const struct ms_stored_job *job = ms_job_table_find(bench.table, id);
     if (job == NULL || !job->spec.steps[step].gang) {
-        return;
+        return NULL;
     }
     char *key = g_strdup_printf("%s/%u", id, run);
     struct gang_start *start = g_hash_table_lookup(bench.gang_starts, key);
@@ -365,13 +369,15 @@
         note_gang_wait(start);
     }
     g_free(key);
+    return start;
 }
 
 static void
 start_run(struct fake_server *server, const struct ms_engine_action *order)
 {
-    note_gang_member(order->task, order->run, false);
-    struct fake_run run = {.run = order->run, .serial = ++server->last_serial};
+    struct fake_run run = {.gang = note_gang_member(order->task, order->run, false),
+                           .run = order->run,
+                           .serial = ++server->last_serial};
     g_strlcpy(run.task, order->task, sizeof(run.task));
     run.started_at = bench.now;
     run.ends_at = bench.now + run_time(order->task, order->run);
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -24,6 +24,9 @@
 # Name, file, text, its replacement, and the property of the scheduler that it violates (printed
 # as `promise`).  The text should occur exactly once in the file.
 MUTANTS = [
+    ("restored_gang_waits", "src/batch/engine_report.c",
+     "    if (step->spec->gang && short_run && percent == 0 &&", "    if (false && short_run && percent == 0 &&",
+     "no gang in part"),
     ("stops_behind_starts", "src/entry/order_queue.c",
      "    return earlier->kind == MS_ENGINE_START && strcmp", "    return false && strcmp",
      "no gang in part"),
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -13,6 +13,10 @@
 #define ENDED_ROWS_MAX 500    /* a report with this many ends may be truncated */
 #define WITHHELD_ROWS_MAX 100 /* ends that may gather from a withheld one on */
 
+/* An earlier leader's gang without progress has this long to be reported by all its servers. */
+#define RESTORED_GANG_WAIT_MS 500
+#define RESTORED_ESTIMATE_MAX_MS 25000 /* of a gang to which that applies */
+
 /* Whether TASK is done or has an active run, other than RUN, that may have been ordered. */
 static bool
 has_other_run(const struct ms_batch_task *task, uint32_t run)
@@ -106,6 +110,25 @@
     return task;
 }
 
+/*
+ * TASK, which an earlier leader has started, has made PERCENT of progress.  A gang makes none
+ * before all its members run.  If it has none now, after the time without a leader, one of them has
+ * probably not started, and the others, which wait since then, must be stopped before the time for
+ * a gang's start is over.  A wrong stop loses less than 1 percent of a run that is not a long one.
+ */
+static void
+limit_wait_of_restored_gang(struct ms_engine *engine, const struct ms_batch_task *task,
+                            uint32_t percent)
+{
+    struct ms_batch_step *step = task->step;
+    bool short_run =
+        step->spec->estimate_ms > 0 && step->spec->estimate_ms <= RESTORED_ESTIMATE_MAX_MS;
+    if (step->spec->gang && short_run && percent == 0 && step->gang_started_at == 0) {
+        step->gang_started_at =
+            engine->created_at + RESTORED_GANG_WAIT_MS - engine->limits.gang_start_ms;
+    }
+}
+
 /* Processes a reported run; adds its task to SEEN unless the run is stopped. */
 static void
 process_running_row(struct ms_engine *engine, struct ms_batch_server *server,
@@ -127,6 +150,9 @@
     g_hash_table_add(seen, task);
     task->seen_in_report = true;
     if (task->state == MS_BATCH_TASK_STARTING) {
+        if (task->awaits_report) {
+            limit_wait_of_restored_gang(engine, task, row->percent);
+        }
         /* The report confirms the start, even if the order was not answered. */
         struct ms_engine_action order = {
             .kind = MS_ENGINE_START, .epoch = engine->epoch, .incarnation = server->incarnation};
--- a/tests/batch/unit_load.c
+++ b/tests/batch/unit_load.c
@@ -264,6 +264,37 @@
 }
 END_TEST
 
+/*
+ * Load: a gang on 8 servers, one of them out of reach from before the gang's start until long
+ * after a change of the leader.  The new leader waited for that server's lease to expire; the
+ * other members waited alone for longer than they may.
+ */
+START_TEST(new_leader_stops_gang_that_never_started_whole)
+{
+    static const struct simulator_faults no_faults;
+    struct simulator *simulator = simulator_new(31, 8, &no_faults, NULL);
+    struct ms_batch_spec spec;
+    struct simulator_counts counts;
+    simulator_run(simulator, 200);
+    simulator_disconnect_server(simulator, 3, 15000);
+    simple_spec(&spec, "gang", "q1", 8, 8);
+    spec.steps[0].gang = true;
+    spec.steps[0].estimate_ms = 2000;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 100);
+    simulator_counts(simulator, &counts);
+    ck_assert_uint_eq(counts.starts, 7);
+    simulator_change_leader(simulator, 1200);
+    simulator_run(simulator, 1200 + 1400); /* the servers would end the runs 3 s after the starts */
+    simulator_counts(simulator, &counts);
+    /* The first one ends as stopped; the model then ends the others as a broken gang. */
+    ck_assert_uint_ge(counts.stopped, 1);
+    simulator_run(simulator, 30000);
+    expect_phase(simulator, "gang", MS_PHASE_SUCCEEDED);
+    simulator_free(simulator);
+}
+END_TEST
+
 /* Adds an order of KIND for TASK to QUEUE. */
 static void
 add_order(GQueue *queue, enum ms_engine_action_kind kind, const char *task)
@@ -309,6 +340,7 @@
     tcase_add_test(cases, starts_are_held_back_while_orders_are_behind);
     tcase_add_test(cases, held_gangs_start_whole);
     tcase_add_test(cases, incomplete_gang_is_stopped_in_time);
+    tcase_add_test(cases, new_leader_stops_gang_that_never_started_whole);
     tcase_add_test(cases, stops_go_ahead_of_starts_of_other_tasks);
     return cases;
 }
