--- a/src/batch/account_order.h
+++ b/src/batch/account_order.h
@@ -17,9 +17,9 @@
  * account, then by virtual arrival; and last the work beyond its account's rate, in the same way.
  * Bounds that follow:
  *
- *     An account below its share does not wait behind work of an account above its share, except
- *     work that is within a guarantee, or has waited for MS_ORDER_SHARE_WAIT_MAX_MS after its
- *     virtual arrival and arrived earlier.
+ *     Work within the rate of an account below its share does not wait behind work of an account
+ *     above its share, except work that is within a guarantee, or has waited for
+ *     MS_ORDER_SHARE_WAIT_MAX_MS after its virtual arrival.
  *     MS_ORDER_SHARE_WAIT_MAX_MS after its virtual arrival, work does not wait behind any work of
  *     its priority with a later virtual arrival, except work within a guarantee: no more can get
  *     ahead of it, so no work of an account starves while that of the others is finite.
