--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -331,6 +331,7 @@
         }
         if (action->kind == MS_ENGINE_STORE) {
             event->kind = EVENT_RECORDS_STORED;
+            simulator->counts.states_stored += action->records->len;
             event->due_at = MAX(simulator->now, simulator->log_outage_until) + LOG_STORE_MS;
             push_event(simulator, event);
             continue;
--- a/tests/batch/simulator.h
+++ b/tests/batch/simulator.h
@@ -173,7 +173,8 @@
     uint32_t stopped;
     int64_t stopped_core_ms; /* work of the stopped runs */
     uint32_t leader_changes;
-    int64_t idle_ms_max; /* the longest time that a job could run and did not, if checked */
+    uint32_t states_stored; /* records that the engine has stored */
+    int64_t idle_ms_max;    /* the longest time that a job could run and did not, if checked */
 };
 
 void simulator_counts(const struct simulator *simulator, struct simulator_counts *counts);
--- a/tests/batch/unit_engine.c
+++ b/tests/batch/unit_engine.c
@@ -1,6 +1,8 @@
 /*
  * unit_engine.c - tests of the engine, most of them in the simulator.
  */
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "batch/unit.h"
@@ -625,6 +627,46 @@
     }
 }
 
+#define ENDING_TASK_INTERVAL_MS 50 /* from one end of a task of the wide step to the next */
+
+/* Run time of TASK: the tasks of the job "wide" end one after the other, others soon. */
+static int64_t
+staggered_run_ms(void *opaque, const char *task)
+{
+    (void)opaque;
+    const char *index = strrchr(task, '.') + 1;
+    return g_str_has_prefix(task, "wide.") ? ENDING_TASK_INTERVAL_MS * (1 + atoi(index)) : 100;
+}
+
+/*
+ * The tasks of a wide step end one by one while other jobs start, 20 a second.  Each start stored
+ * the state of the wide step again, with all of its tasks, and every host reads the states.
+ */
+START_TEST(urgent_store_leaves_other_states_alone)
+{
+    const struct simulator_speeds speeds = {.run_ms = staggered_run_ms};
+    const int rounds = 60; /* of 50 ms */
+    struct simulator *simulator = simulator_new_with_speeds(41, 16, &no_faults, &speeds, NULL);
+    struct simulator_counts counts;
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "wide", "q2", 60, 1);
+    simulator_submit_job(simulator, &spec);
+    for (int i = 0; i < rounds; i++) {
+        char id[MS_JOB_ID_MAX];
+        snprintf(id, sizeof(id), "small%d", i);
+        simple_spec(&spec, id, "q1", 1, 1);
+        simulator_submit_job(simulator, &spec);
+        simulator_run(simulator, 50);
+    }
+    simulator_counts(simulator, &counts);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    /* Two for each small job, its start and its end; of the wide one its start, and one in 300 ms.
+     */
+    ck_assert_uint_le(counts.states_stored, 2 * rounds + 2 + rounds * 50 / 300);
+    simulator_free(simulator);
+}
+END_TEST
+
 /*
  * A failure that its server reports late, when the next run of the task has started, must count:
  * the end is acknowledged, and the task may not be started more often than its queue allows.
@@ -681,5 +723,6 @@
     tcase_add_test(cases, cancelled_job_is_stopped);
     tcase_add_test(cases, job_fails_after_max_attempts);
     tcase_add_test(cases, occurrences_start_on_time);
+    tcase_add_test(cases, urgent_store_leaves_other_states_alone);
     return cases;
 }
