--- a/src/batch/engine_speed.c
+++ b/src/batch/engine_speed.c
@@ -40,16 +40,16 @@
 };
 
 struct server_evidence {
-    uint32_t fell;                          /* runs, not of gangs, whose rate has fallen */
-    uint32_t gangs_fell;                    /* members of gangs whose rate has fallen */
-    uint32_t lagging;                       /* runs that lag behind their siblings */
-    uint32_t normal;                        /* runs at a normal rate */
+    uint32_t fell;                           /* runs, not of gangs, whose rate has fallen */
+    uint32_t gangs_fell;                     /* members of gangs whose rate has fallen */
+    uint32_t lagging;                        /* runs that lag behind their siblings */
+    uint32_t normal;                         /* runs at a normal rate */
     const struct ms_batch_step *latest_step; /* of the slow run that was added last */
-    bool several_steps;                     /* the slow runs are of several steps */
-    int64_t slowdown;                       /* the least one of the slow runs */
-    int64_t fell_since;                     /* since when the first rate has fallen, 0: none */
-    int64_t lagging_since;                  /* since when all those that lag do so */
-    int64_t since;                          /* from when on the server is known to be slow */
+    bool several_steps;                      /* the slow runs are of several steps */
+    int64_t slowdown;                        /* the least one of the slow runs */
+    int64_t fell_since;                      /* since when the first rate has fallen, 0: none */
+    int64_t lagging_since;                   /* since when all those that lag do so */
+    int64_t since;                           /* from when on the server is known to be slow */
 };
 
 void
