Batch: what the reading of the change found

Found by reading: a unit wider than what the order backlog allows held back all later ones although none of its tasks would have fitted; a unit within a guarantee and a cap could reserve twice; members of a gang that were being stopped already were counted as released twice; the time of stops, which overtake starts, made orders look faster than they are; 42 bytes of padding, which the lint rejects.

--- a/src/batch/account.c
+++ b/src/batch/account.c
@@ -15,17 +15,19 @@
     account->capped = cap != NULL && (cap->cpu_millis > 0 || cap->memory_mb > 0 || cap->accels > 0);
 }
 
+/* Whether AMOUNT stays within CAP, in each resource. */
+static bool
+is_within(const struct ms_resources *cap, const struct ms_resources *amount)
+{
+    return (cap->cpu_millis <= 0 || amount->cpu_millis <= cap->cpu_millis) &&
+           (cap->memory_mb <= 0 || amount->memory_mb <= cap->memory_mb) &&
+           (cap->accels <= 0 || amount->accels <= cap->accels);
+}
+
 bool
 ms_account_is_over_cap(const struct ms_batch_account *account)
 {
-    if (!account->capped) {
-        return false;
-    }
-    const struct ms_resources *cap = &account->rule->cap;
-    const struct ms_resources *used = &account->allocated;
-    return (cap->cpu_millis > 0 && used->cpu_millis > cap->cpu_millis) ||
-           (cap->memory_mb > 0 && used->memory_mb > cap->memory_mb) ||
-           (cap->accels > 0 && used->accels > cap->accels);
+    return account->capped && !is_within(&account->rule->cap, &account->allocated);
 }
 
 /* Room under CAP, one resource, for another task; what is being released is reserved first. */
@@ -102,15 +104,6 @@
     };
 }
 
-/* Whether AMOUNT stays within CAP, in each resource. */
-static bool
-is_within(const struct ms_resources *cap, const struct ms_resources *amount)
-{
-    return (cap->cpu_millis <= 0 || amount->cpu_millis <= cap->cpu_millis) &&
-           (cap->memory_mb <= 0 || amount->memory_mb <= cap->memory_mb) &&
-           (cap->accels <= 0 || amount->accels <= cap->accels);
-}
-
 bool
 ms_account_reserve(struct ms_batch_account *account, const struct ms_resources *request,
                    uint32_t count)
--- a/src/batch/account.h
+++ b/src/batch/account.h
@@ -15,7 +15,7 @@
 #include "batch/policy.h"
 #include "core/list.h"
 
-/* A client account with at least one stored job. */
+/* A client account that has or had a stored job; kept until the engine is freed. */
 struct ms_batch_account {
     char name[MS_NAME_MAX];             /* "": jobs of callers without a key */
     const struct ms_account_rule *rule; /* from the current policy, or NULL */
--- a/src/batch/account_order.h
+++ b/src/batch/account_order.h
@@ -1,8 +1,8 @@
 /*
  * account_order.h - the order between client accounts of waiting work of one priority.
  *
- * The weight of an account is the number of jobs a second that it is owed, and its share of
- * the service while capacity is short.  The order uses two values:
+ * The weight of an account is its guaranteed rate in jobs per second, and its share of the
+ * service while capacity is short.  The order uses two values:
  *
  *     virtual arrival   of a job: the later of its arrival and the virtual arrival of the job
  *                       before it of its account plus 1/weight s.  Jobs that arrive faster than
@@ -20,9 +20,9 @@
  *     Work within the rate of an account below its share does not wait behind work of an account
  *     above its share, except work that is within a guarantee, or has waited for
  *     MS_ORDER_SHARE_WAIT_MAX_MS after its virtual arrival.
- *     MS_ORDER_SHARE_WAIT_MAX_MS after its virtual arrival, work does not wait behind any work of
- *     its priority with a later virtual arrival, except work within a guarantee: no more can get
- *     ahead of it, so no work of an account starves while that of the others is finite.
+ *     Work that is overdue (MS_ORDER_SHARE_WAIT_MAX_MS after its virtual arrival) waits only for
+ *     work within a guarantee and for work of its priority with an earlier virtual arrival.  The
+ *     latter is finite, so no account starves.
  *
  * Neither value depends on how often a job's tasks are started: a preempted or retried job is
  * charged once.  Both follow from the records of the log and the configuration, so that a
@@ -57,7 +57,7 @@
 enum ms_order_class {
     MS_ORDER_OVERDUE = 0, /* by virtual arrival alone */
     MS_ORDER_WITHIN_RATE,
-    MS_ORDER_BEYOND_RATE, /* gets what the others leave */
+    MS_ORDER_BEYOND_RATE, /* after all other work of its priority */
 };
 
 /* Position of a step among the waiting steps of a placement pass. */
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -35,7 +35,10 @@
     int64_t stop_grace_ms;      /* maximum time that stopping a run takes */
     int64_t start_early_ms;     /* occurrences may start this long before they are due */
     int64_t ended_retention_ms; /* how long the states of ended jobs stay in the log */
-    /* Stops of runs on slow servers are weighed (engine_speed.c), or compare siblings only. */
+    /*
+     * Whether the gain of a stop on a slow server is weighed against the lost work
+     * (engine_speed.c); else runs are only compared with their siblings (engine_health.c).
+     */
     bool weigh_slow_stops;
 };
 
@@ -178,7 +181,7 @@
     int64_t longest_wait_ms; /* longest time for which a step with waiting tasks got none placed */
     uint32_t orders_unanswered; /* starts and stops that were queued and have no answer yet */
     int64_t oldest_order_ms;    /* age of the oldest of them that a task waits for, 0: none */
-    uint32_t orders_held_total; /* passes of this engine that held back starts for that reason */
+    uint32_t orders_held_total; /* passes that held back starts because orders were behind */
 };
 
 void ms_engine_stats(const struct ms_engine *engine, struct ms_engine_stats *stats);
--- a/src/batch/engine_attention.c
+++ b/src/batch/engine_attention.c
@@ -1,8 +1,9 @@
 /*
  * engine_attention.c - which servers a scan has to handle.
  *
- * Most servers of a large deployment only run tasks and wait for the answer to a renewal: until
- * an event changes that, no timer of theirs can become due.  Scans leave these out.  The others
+ * Most servers of a large deployment only run tasks and wait for the answer to a renewal.  Until
+ * an event changes that, none of their timers can become due: stalls count up to the last report,
+ * and a lease matters only once the server is unresponsive.  Scans leave these out.  The others
  * have a bit in engine->attention, by their index, so that they are handled in the order of
  * engine->servers.  Each event that concerns a server sets its bit; a scan clears it if
  * needs_attention() finds no reason to keep it.  Every SCAN_INTERVAL_MAX_MS a scan handles all
--- a/src/batch/engine_cap.c
+++ b/src/batch/engine_cap.c
@@ -234,27 +234,6 @@
     return true;
 }
 
-/* Stops the task, or the gang, of CANDIDATE. */
-static void
-stop_candidate(struct ms_placement_pass *pass, const struct candidate *candidate)
-{
-    struct ms_batch_task *stopped = candidate->task;
-    struct ms_batch_step *step = stopped->step;
-    struct ms_batch_account *account = ms_batch_task_job(stopped)->account;
-    ms_batch_task_stop_unit(pass->engine, stopped, "cap_reclaimed");
-    for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        struct ms_batch_task *task = &step->tasks[i];
-        if (task->state != MS_BATCH_TASK_STOPPING || (!step->spec->gang && task != stopped)) {
-            continue;
-        }
-        task->preemption_count++;
-        if (ends_soon(pass->engine, task)) {
-            ms_resources_add(&task->server->releasing, &step->spec->task_resources, 1);
-            ms_resources_add(&account->releasing, &step->spec->task_resources, 1);
-        }
-    }
-}
-
 /* Stops tasks of the current unit's account so that the unit fits, if the cost allows it. */
 static enum ms_level_outcome
 try_preempt(struct ms_placement_pass *pass, const struct ms_resources *missing, int64_t cost_max)
@@ -272,7 +251,8 @@
     pass->outcomes.preempt_cost = cost;
     pass->outcomes.preempt_cost_max = cost_max;
     for (guint i = 0; enough && cost <= cost_max && i < chosen->len; i++) {
-        stop_candidate(pass, &g_array_index(chosen, struct candidate, i));
+        struct ms_batch_task *task = g_array_index(chosen, struct candidate, i).task;
+        ms_capacity_preempt(pass->engine, task, "cap_reclaimed", MS_NO_RESTRICTION);
         pass->preemptible_valid = false;
         ms_fit_forget(pass); /* the stops make room */
     }
--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -22,10 +22,9 @@
 }
 
 /*
- * A task may be preempted if its priority is lower than that of the current unit; if this lies
- * beyond its account's rate, only a task of the same account, so that the account delays its own
- * work and not that of others.  A unit
- * within its account's guarantee that has waited long enough may also preempt tasks of the
+ * A task may be preempted if its priority is lower than that of the current unit.  A unit beyond
+ * its account's rate may preempt tasks of its own account only, so that it does not delay others.
+ * A unit within its account's guarantee that has waited long enough may also preempt tasks of the
  * top priority whose account uses more than its guarantee.
  */
 bool
@@ -309,6 +308,39 @@
     return MAX(MAX(cpu, memory), MAX(accels, 0));
 }
 
+/* Stops TASK, one member of what is preempted; see ms_capacity_preempt(). */
+static void
+preempt_member(struct ms_engine *engine, struct ms_batch_task *task, const char *reason,
+               uint32_t restrict_to)
+{
+    const struct ms_resources *request = &task->step->spec->task_resources;
+    bool runs = task->state == MS_BATCH_TASK_STARTING || task->state == MS_BATCH_TASK_RUNNING;
+    ms_batch_task_stop(engine, task, reason);
+    if (!runs) {
+        return; /* it was not ordered yet, or its stop is in progress and counted */
+    }
+    task->preempted = restrict_to != MS_NO_RESTRICTION;
+    task->preemptor_priority = restrict_to;
+    task->preemption_count++;
+    if (ms_batch_server_usable(engine, task->server)) {
+        ms_resources_add(&task->server->releasing, request, 1);
+        ms_resources_add(&ms_batch_task_job(task)->account->releasing, request, 1);
+    }
+}
+
+void
+ms_capacity_preempt(struct ms_engine *engine, struct ms_batch_task *task, const char *reason,
+                    uint32_t restrict_to)
+{
+    struct ms_batch_step *step = task->step;
+    for (uint32_t i = 0; step->spec->gang && i < step->spec->task_count; i++) {
+        preempt_member(engine, &step->tasks[i], reason, restrict_to);
+    }
+    if (!step->spec->gang) {
+        preempt_member(engine, task, reason, restrict_to);
+    }
+}
+
 void
 ms_capacity_update_preemptible(struct ms_placement_pass *pass)
 {
--- a/src/batch/engine_health.c
+++ b/src/batch/engine_health.c
@@ -15,7 +15,9 @@
 #define STALL_COSTLY_MS 3500        /* the same for a run whose loss is costly */
 #define COSTLY_LOSS_MS 3000         /* without checkpoints, a longer run is costly to lose */
 #define STALL_ESTIMATE_FRACTION 0.3 /* of the estimate: lower bound of both stall times */
-#define STALL_PERCENTS 8   /* normal time for so many percents: on a slow server it takes one */
+/* Lower bound of both: the time for so many percent at the normal rate, as a slow server may take
+ * that long for one. */
+#define STALL_PERCENTS 8
 #define SUSPECT_MS 3000    /* how long a server with a failed run is chosen last */
 #define QUARANTINE_MS 4000 /* first quarantine; doubles with each one until a run succeeds */
 #define QUARANTINE_DOUBLINGS 3
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -123,20 +123,8 @@
         if (ms_resources_fit(&available, &need) || cheapest == NULL) {
             return;
         }
-        struct ms_batch_step *step = cheapest->step;
         ms_batch_server_restrict(pass->engine, server, priority);
-        ms_batch_task_stop_unit(pass->engine, cheapest, "reclaimed");
-        for (uint32_t i = 0; i < step->spec->task_count; i++) {
-            struct ms_batch_task *task = &step->tasks[i];
-            if (task->state == MS_BATCH_TASK_STOPPING && (step->spec->gang || task == cheapest)) {
-                task->preempted = true;
-                task->preemption_count++;
-                task->preemptor_priority = priority;
-                ms_resources_add(&task->server->releasing, &step->spec->task_resources, 1);
-                ms_resources_add(&ms_batch_task_job(task)->account->releasing,
-                                 &step->spec->task_resources, 1);
-            }
-        }
+        ms_capacity_preempt(pass->engine, cheapest, "reclaimed", priority);
     }
 }
 
@@ -317,6 +305,16 @@
     return false;
 }
 
+/* Whether capacity of servers is reserved for the current unit, which has been tried. */
+static bool
+has_reservation(const struct ms_placement_pass *pass)
+{
+    const enum ms_level_outcome *by_level = pass->outcomes.by_level;
+    return by_level[MS_LEVEL_RELEASING] == MS_OUTCOME_GRANTED ||
+           by_level[MS_LEVEL_PREEMPT] == MS_OUTCOME_GRANTED ||
+           by_level[MS_LEVEL_RESERVE] == MS_OUTCOME_GRANTED;
+}
+
 /*
  * Tries UNIT, which waits for servers, at the other levels.  Capacity is freed for one of its tasks
  * at a time, unless it is a gang, or within a guarantee and its account has a cap: it may have
@@ -330,23 +328,16 @@
     *part = *unit;
     pass->unit = part;
     bool at_once = unit->gang || (capped && pass->within_guarantee && unit->count > 1);
-    if (at_once && (try_other_levels(pass) || unit->gang)) {
-        return;
+    if (at_once) {
+        try_other_levels(pass);
+        if (unit->gang || has_reservation(pass)) {
+            return;
+        }
     }
     part->count = 1;
     try_other_levels(pass);
 }
 
-/* Whether capacity of servers is reserved for the current unit, which has been tried. */
-static bool
-has_reservation(const struct ms_placement_pass *pass)
-{
-    const enum ms_level_outcome *by_level = pass->outcomes.by_level;
-    return by_level[MS_LEVEL_RELEASING] == MS_OUTCOME_GRANTED ||
-           by_level[MS_LEVEL_PREEMPT] == MS_OUTCOME_GRANTED ||
-           by_level[MS_LEVEL_RESERVE] == MS_OUTCOME_GRANTED;
-}
-
 /*
  * UNIT does not fit under its account's cap.  It waits without touching the servers, unless it is
  * within its guarantee and stops that are ordered make room for it.
@@ -369,90 +360,113 @@
     ms_explain_unit(pass);
 }
 
-/*
- * How many tasks of UNIT may be started as far as their orders are concerned: all, none, or
- * some if it is not a gang.  Once a unit is held back, so are all later ones of the pass, which
- * are less urgent.
- */
+/* How many tasks of UNIT the order backlog allows to start: all or none of a gang. */
 static uint32_t
-orderable_count(struct ms_placement_pass *pass, const struct ms_unit *unit)
+orderable_count(const struct ms_placement_pass *pass, const struct ms_unit *unit)
 {
     const struct ms_engine *engine = pass->engine;
     int64_t gang_start_ms = engine->limits.gang_start_ms;
-    uint32_t count = 0;
-    if (!pass->orders_held && unit->gang) {
-        bool allowed = ms_order_backlog_allows_gang(&engine->orders, unit->count, gang_start_ms);
-        count = allowed ? unit->count : 0;
+    if (pass->orders_held) {
+        return 0;
     }
-    else if (!pass->orders_held) {
-        count = MIN(unit->count, ms_order_backlog_room(&engine->orders, gang_start_ms));
+    if (unit->gang) {
+        bool allowed = ms_order_backlog_allows_gang(&engine->orders, unit->count, gang_start_ms);
+        return allowed ? unit->count : 0;
     }
-    pass->orders_held |= count < unit->count;
-    return count;
+    return MIN(unit->count, ms_order_backlog_room(&engine->orders, gang_start_ms));
 }
 
-/* The unit waits until orders of others have been sent. */
-static void
-hold_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
+/*
+ * Whether the current unit, none of whose tasks the order backlog allows to start, is held back:
+ * it would fit into free capacity.  Once one is, so are all later ones of the pass, which are
+ * less urgent.
+ */
+static bool
+is_held_back(struct ms_placement_pass *pass)
 {
-    pass->unit = unit;
-    pass->engine->units_waiting++;
-    ms_explain_begin_unit(pass, MS_OUTCOME_ORDERS_HELD);
-    ms_explain_unit(pass);
-    pass->unit = NULL;
+    pass->orders_held = pass->orders_held || ms_plan_unit(pass, MS_LEVEL_FREE) != MS_NO_PLAN;
+    return pass->orders_held;
 }
 
-/* Starts the tasks of the unit that fit into free capacity; the others wait. */
+/* Sets what the units of STEP may do in this pass. */
 static void
-place_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
+set_unit_rights(struct ms_placement_pass *pass, const struct ms_batch_step *step)
 {
-    struct ms_unit remaining = *unit;
-    remaining.count = orderable_count(pass, unit);
-    if (remaining.count == 0) {
-        hold_unit(pass, unit);
-        return;
-    }
-    uint32_t held = unit->count - remaining.count;
-    uint32_t over_cap = remaining.count - ms_cap_max_tasks(&remaining);
-    remaining.count -= over_cap;
-    pass->unit = &remaining;
-    pass->within_guarantee = unit->step->within_guarantee;
+    pass->within_guarantee = step->within_guarantee;
     pass->own_account_only =
-        !pass->within_guarantee && unit->step->rank.order_class == MS_ORDER_BEYOND_RATE;
-    pass->may_preempt_top = pass->within_guarantee &&
-                            pass->engine->now - unit->step->ready_since >= PREEMPT_EQUAL_WAIT_MS;
-    while (remaining.count > 0 && ms_plan_unit(pass, MS_LEVEL_FREE) != MS_NO_PLAN) {
+        !pass->within_guarantee && step->rank.order_class == MS_ORDER_BEYOND_RATE;
+    pass->may_preempt_top =
+        pass->within_guarantee && pass->engine->now - step->ready_since >= PREEMPT_EQUAL_WAIT_MS;
+}
+
+/* Starts the tasks of UNIT that fit into free capacity and leaves the others in it. */
+static void
+start_fitting(struct ms_placement_pass *pass, struct ms_unit *unit)
+{
+    pass->unit = unit;
+    while (unit->count > 0 && ms_plan_unit(pass, MS_LEVEL_FREE) != MS_NO_PLAN) {
         uint32_t started = start_unit(pass);
-        remaining.tasks += started;
-        remaining.count -= started;
-    }
-    if (remaining.count + over_cap == 0) {
-        pass->engine->units_waiting += held > 0;
-        pass->unit = NULL;
-        return;
+        unit->tasks += started;
+        unit->count -= started;
     }
-    if (over_cap > 0 && (remaining.count == 0 || pass->within_guarantee)) {
-        remaining.count += over_cap;
-        pass->engine->units_waiting++;
-        wait_for_cap(pass, &remaining);
-        pass->unit = NULL;
-        return;
-    }
-    struct ms_unit part = remaining;
-    part.count = remaining.gang ? remaining.count : 1;
+}
+
+/* UNIT, which fits under its account's cap, waits for capacity. */
+static void
+wait_for_capacity(struct ms_placement_pass *pass, const struct ms_unit *unit)
+{
+    struct ms_unit part = *unit;
+    part.count = unit->gang ? unit->count : 1;
     pass->unit = &part;
     if (may_try_other_levels(pass) && start_in_ample_capacity(pass)) {
-        pass->unit = NULL;
         return;
     }
     pass->engine->units_waiting++;
-    pass->engine->units_over_share += ms_order_is_delayed(remaining.step);
+    pass->engine->units_over_share += ms_order_is_delayed(unit->step);
     ms_explain_begin_unit(pass, no_plan_outcome(pass));
-    wait_for_servers(pass, &remaining, &part);
+    wait_for_servers(pass, unit, &part);
     if (has_reservation(pass)) {
         ms_cap_reserve(pass);
     }
     ms_explain_unit(pass);
+}
+
+/* Starts the tasks of the unit that may start now; the others wait. */
+static void
+place_unit(struct ms_placement_pass *pass, const struct ms_unit *unit)
+{
+    struct ms_engine *engine = pass->engine;
+    struct ms_unit remaining = *unit;
+    set_unit_rights(pass, unit->step);
+    remaining.count = ms_cap_max_tasks(unit);
+    uint32_t over_cap = unit->count - remaining.count;
+    uint32_t orderable = orderable_count(pass, &remaining);
+    uint32_t held = remaining.count - orderable;
+    pass->unit = &remaining;
+    if (orderable == 0 && held > 0 && is_held_back(pass)) {
+        engine->units_waiting++;
+        ms_explain_begin_unit(pass, MS_OUTCOME_ORDERS_HELD);
+        ms_explain_unit(pass);
+    }
+    else if (orderable == 0 && held > 0) {
+        wait_for_capacity(pass, &remaining);
+    }
+    else {
+        remaining.count = orderable;
+        start_fitting(pass, &remaining);
+        if (remaining.count == 0 && held > 0) {
+            pass->orders_held = true;
+            engine->units_waiting++;
+        }
+        else if (over_cap > 0 && (remaining.count == 0 || pass->within_guarantee)) {
+            remaining.count += over_cap;
+            engine->units_waiting++;
+            wait_for_cap(pass, &remaining);
+        }
+        else if (remaining.count > 0) {
+            wait_for_capacity(pass, &remaining);
+        }
+    }
     pass->unit = NULL;
 }
 
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -174,6 +174,17 @@
 int64_t ms_capacity_reserved_idle(const struct ms_placement_pass *pass,
                                   const struct ms_batch_server *server);
 
+#define MS_NO_RESTRICTION UINT32_MAX
+
+/*
+ * Stops TASK, or its whole gang, for more urgent work; REASON is logged.  The resources of runs
+ * whose servers answer count as being released from now on.  When they have ended, their servers
+ * take no work of a lower priority than RESTRICT_TO for a while, unless that is
+ * MS_NO_RESTRICTION.
+ */
+void ms_capacity_preempt(struct ms_engine *engine, struct ms_batch_task *task, const char *reason,
+                         uint32_t restrict_to);
+
 /* Updates `preemptible` of all servers for units like the current one. */
 void ms_capacity_update_preemptible(struct ms_placement_pass *pass);
 
--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -93,7 +93,7 @@
     return a->server->index < b->server->index ? -1 : a->server->index > b->server->index;
 }
 
-/* Restores the heap HEAP of COUNT servers, with the last of them in front, from POSITION down. */
+/* Restores the order of HEAP (COUNT servers, the highest score first) from POSITION down. */
 static void
 sift_down(struct ranked_server *heap, guint count, guint position)
 {
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -210,7 +210,6 @@
     int64_t created_at;             /* when this leader created the engine */
     int64_t earlier_leases_until;   /* runs of earlier leaders may go on until then */
     const struct ms_policy *policy; /* owned by the caller, or NULL */
-    bool has_weights;               /* an account of the policy has a weight */
     int64_t total_weight;           /* of all accounts of the policy */
     GHashTable *dcs_out;            /* names of data centres out of service, or NULL */
     GHashTable *jobs_by_id;         /* owns the jobs */
@@ -223,12 +222,9 @@
     GPtrArray *servers_by_index;    /* the same, in the same order */
     GArray *attention;              /* uint64_t: a bit for each server, see engine_attention.c */
     struct ms_list_link dirty;      /* struct ms_batch_job whose states have to be stored */
-    bool dirty_urgent;              /* a dirty job has to be stored without delay */
     int64_t dirty_since;            /* since when `dirty` is not empty */
-    bool store_pending;             /* a STORE awaits ms_engine_on_stored() */
     GPtrArray *storing;             /* struct ms_batch_job whose states that STORE contains */
     uint64_t last_job_sequence;     /* highest `sequence` of a job */
-    bool placement_due;             /* a change may allow a task to be placed */
     int64_t last_placement_at;      /* time of the last placement pass */
     int64_t next_retry_at;          /* next end of a task's backoff, INT64_MAX: none */
     int64_t plan_cost;              /* of the last plan, without penalties */
@@ -236,18 +232,22 @@
     int64_t last_scan_at;           /* time of the last scan */
     int64_t last_full_scan_at;      /* time of the last one of all servers */
     struct ms_order_backlog orders; /* starts and stops that the servers have to answer */
-    bool orders_held;               /* the last pass held back starts because of these */
-    uint32_t orders_held_total;     /* passes that did so */
+    uint32_t orders_held_total;     /* passes that held back starts for these */
     int64_t placement_logged_at;    /* time of the last summary line about a pass */
     uint32_t explain_cursor;        /* rotates the long waits that are logged */
     int64_t oldest_unplaced_since;  /* lowest `unplaced_since` after the last pass, 0: none */
-    uint32_t units_waiting;         /* units that the last pass could not place */
     int64_t cap_candidates_at;      /* when engine_cap.c last collected tasks to preempt */
-    uint32_t units_over_share;      /* of these, those whose account delays them */
+    uint32_t units_waiting;         /* units that the last pass could not place */
+    uint32_t units_over_share;      /* of these: those that their account's share or rate delays */
     uint32_t jobs_without_queue;    /* open jobs whose queue the policy does not have */
     uint32_t advice_pending_count;  /* requests to the advice service without an answer */
     uint32_t snapshot_number;       /* number of the latest directory snapshot */
     uint32_t late_answer_count;     /* answers to actions of earlier terms of this host */
+    bool has_weights;               /* an account of the policy has a weight */
+    bool dirty_urgent;              /* a dirty job has to be stored without delay */
+    bool store_pending;             /* a STORE awaits ms_engine_on_stored() */
+    bool placement_due;             /* a change may allow a task to be placed */
+    bool orders_held;               /* the last pass held back starts for orders that are behind */
     bool stepped_down;              /* STEP_DOWN was queued */
     GQueue *actions;                /* struct ms_engine_action, oldest first */
     void (*log_callback)(void *opaque, const char *text);
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -16,7 +16,7 @@
 
 /* An earlier leader's gang without progress has this long to be reported by all its servers. */
 #define RESTORED_GANG_WAIT_MS 500
-#define RESTORED_ESTIMATE_MAX_MS 25000 /* of a gang to which that applies */
+#define RESTORED_ESTIMATE_MAX_MS 25000 /* longer runs are excepted: 1 percent of them is costly */
 
 /* Whether TASK is done or has an active run, other than RUN, that may have been ordered. */
 static bool
@@ -112,10 +112,10 @@
 }
 
 /*
- * TASK, which an earlier leader has started, has made PERCENT of progress.  A gang makes none
- * before all its members run.  If it has none now, after the time without a leader, one of them has
- * probably not started, and the others, which wait since then, must be stopped before the time for
- * a gang's start is over.  A wrong stop loses less than 1 percent of a run that is not a long one.
+ * TASK was started by an earlier leader and has made PERCENT of progress.  A gang makes none until
+ * all members run, so one without progress now probably lacks a member.  It is stopped unless all
+ * members are reported within RESTORED_GANG_WAIT_MS, as their servers' time for its start is
+ * running.  A wrong stop loses less than 1 percent of a short run.
  */
 static void
 limit_wait_of_restored_gang(struct ms_engine *engine, const struct ms_batch_task *task,
--- a/src/batch/engine_speed.c
+++ b/src/batch/engine_speed.c
@@ -25,8 +25,8 @@
 #define NORMAL_FACTOR 2      /* a run at most this many times slower is normal */
 #define LAGGING_RUNS_MIN 2   /* runs of several steps that make a server slow for certain */
 #define SLOWDOWN_MIN 200     /* of a slow server, see MS_SLOWDOWN_NONE */
-#define SLOWDOWN_MAX 1000    /* a run that hardly progresses tells no more than this */
-#define ONSET_MARGIN_MS 900  /* a window that ends later than this lies after the onset */
+#define SLOWDOWN_MAX 1000    /* the rate of a run that hardly progresses is imprecise */
+#define ONSET_MARGIN_MS 900  /* a window that starts this long after the onset lies after it */
 #define CLAIM_MARGIN_MS 1000 /* from the end of a stop until the run is placed again */
 #define WAIT_MIN_MS 1000     /* least wait for room that is expected where there is none */
 
@@ -547,7 +547,7 @@
 ms_speed_leave_slow_server(struct ms_engine *engine, struct ms_batch_task *task)
 {
     struct ms_slow_run run = {.has_room = true};
-    /* Nothing has changed since the last report; the cheap checks come first. */
+    /* A run is weighed once for each report, as nothing changes in between. */
     if (!is_measured(task) || task->server->unresponsive ||
         task->speed.weighed_at >= task->server->last_report_at) {
         return false;
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -580,7 +580,8 @@
         return; /* of a report that has confirmed a start */
     }
     engine->orders.unanswered -= engine->orders.unanswered > 0;
-    if (result != MS_ORDER_NO_ANSWER) {
+    /* The time of a stop tells nothing about those ahead of it: it overtakes queued starts. */
+    if (result != MS_ORDER_NO_ANSWER && order->kind == MS_ENGINE_START) {
         ms_order_backlog_note_answer(&engine->orders, order->orders_ahead,
                                      engine->now - order->queued_at);
     }
--- a/src/batch/slow_stop.c
+++ b/src/batch/slow_stop.c
@@ -9,15 +9,16 @@
  * Most servers are slow for 5 to 12 s.  One that is slow for clearly longer is expected to stay
  * slow for as long again.
  */
-#define SLOW_TYPICAL_MS 9000
-#define SLOW_REMAINING_MIN_MS 2000
-#define SLOW_LASTING_MS 15000
-#define RESTART_MS 1000         /* a stop, the report of it, a placement and another start */
-#define GAIN_MIN_MS 1000        /* a smaller gain is within the error of the rates */
+#define SLOW_TYPICAL_MS 9000       /* expected duration of a slow phase */
+#define SLOW_REMAINING_MIN_MS 2000 /* expected remainder of one that lasts longer than that */
+#define SLOW_LASTING_MS 15000      /* from here on, expected to last for as long again */
+#define RESTART_MS 1000            /* a stop, the report of it, a placement and another start */
+#define GAIN_MIN_MS 1000           /* a smaller gain is within the error of the rates */
 #define REAL_PROGRESS_MS 500    /* a run with more to redo than this is not stopped without room */
 #define PRICE_PERCENT 100       /* core-seconds to be gained for 100 thrown away */
 #define PRICE_URGENT_PERCENT 25 /* the same where the job would miss its target otherwise */
-#define STOPS_COUNTED_MAX 8u
+#define STOPS_COUNTED_MAX 8u    /* bounds the price of further stops */
+#define CPU_MILLIS_MS_PER_CORE_S 1000000
 
 int64_t
 ms_slow_remaining_ms(int64_t slow_for_ms)
@@ -54,7 +55,8 @@
     int64_t price = urgent ? PRICE_URGENT_PERCENT : PRICE_PERCENT;
     price *= 1 + MIN(run->earlier_stops, STOPS_COUNTED_MAX);
     weight.gain_ms = here_ms - elsewhere_ms;
-    weight.lost_core_s = MAX(run->spent_ms, run->redo_ms) * run->cpu_millis / 1000000;
+    weight.lost_core_s =
+        MAX(run->spent_ms, run->redo_ms) * run->cpu_millis / CPU_MILLIS_MS_PER_CORE_S;
     weight.pays = weight.gain_ms >= GAIN_MIN_MS && weight.gain_ms * 100 >= lost_ms * price &&
                   (run->has_room || run->redo_ms <= REAL_PROGRESS_MS);
     return weight;
--- a/src/batch/slow_stop.h
+++ b/src/batch/slow_stop.h
@@ -11,15 +11,15 @@
 
 /* A run on a slow server: of one task, or of a whole gang. */
 struct ms_slow_run {
-    int64_t remaining_ms;   /* run time that it still needs, at the normal rate */
-    int64_t redo_ms;        /* run time at the normal rate since its last checkpoint */
-    int64_t spent_ms;       /* run time spent on that */
-    int64_t slowdown;       /* at least MS_SLOWDOWN_NONE */
-    int64_t slow_for_ms;    /* for how long its server has been slow */
-    bool has_room;          /* there is free room for it on servers that are not slow */
-    int64_t wait_ms;        /* without room: expected wait for it */
-    int64_t due_in_ms;      /* until its job misses its target; INT64_MAX: no matter */
-    int64_t cpu_millis;     /* that it uses, accelerators counted as cores */
+    int64_t remaining_ms; /* run time that it still needs, at the normal rate */
+    int64_t redo_ms;      /* run time at the normal rate since its last checkpoint */
+    int64_t spent_ms;     /* run time spent on that */
+    int64_t slowdown;     /* at least MS_SLOWDOWN_NONE */
+    int64_t slow_for_ms;  /* for how long its server has been slow */
+    bool has_room;        /* there is free room for it on servers that are not slow */
+    int64_t wait_ms;      /* without room: expected wait for it */
+    int64_t due_in_ms;    /* until its job misses its target; INT64_MAX: it has no urgent target */
+    int64_t cpu_millis;   /* that it uses, accelerators counted as cores */
     uint32_t earlier_stops; /* how often it has been stopped as its server was slow */
 };
 
--- a/src/entry/order_queue.h
+++ b/src/entry/order_queue.h
@@ -14,9 +14,8 @@
 
 /*
  * Adds COMMAND to WAITING (struct ms_order_command, the next one to send in front).  A stop goes
- * ahead of the starts of other tasks: a gang that is incomplete has to be stopped in time, and
- * starts are wanted no more if they are late.  Orders for one task keep their order, and so do
- * orders of one kind.
+ * ahead of the starts of other tasks: an incomplete gang has to be stopped in time, and a late
+ * start is useless.  The orders for one task, and all orders of one kind, keep their order.
  */
 void ms_order_queue_add(GQueue *waiting, struct ms_order_command *command);
 
--- a/src/entry/order_sender.c
+++ b/src/entry/order_sender.c
@@ -6,14 +6,13 @@
  * when it is sent.  Queries to the advice service are treated like orders to one more
  * server.
  *
- * What was pushed since the last round of the loop is sent in this order: stops, starts, then
- * RENEWALS_PER_ROUND of the lease renewals to servers that answered the last one, so that orders
- * do not wait behind thousands of renewals.
+ * Each round of the loop sends stops, then starts, then at most RENEWALS_PER_ROUND renewals to
+ * servers that answered the last one, so that orders do not wait behind thousands of renewals.
  *
- * All other renewals have to open a connection first.  After a takeover or a cut these are
- * thousands, which take longer to open than a renewal may take.  Only a few are therefore opened in
- * each round of the loop, which handles the answers that have arrived before it opens the next
- * ones. Servers that run tasks come first, as these tasks end with the lease.
+ * All other renewals have to open a connection first.  After a takeover or a network cut there are
+ * thousands of them, and opening them all takes longer than a renewal may.  Each round therefore
+ * opens only OPENED_PER_ROUND, so that answers are handled in between.  Servers that run tasks
+ * come first, as these tasks end with the lease.
  */
 #include <pthread.h>
 #include <stdatomic.h>
--- a/src/obs/account_gauges.h
+++ b/src/obs/account_gauges.h
@@ -7,8 +7,8 @@
 #include <glib.h>
 #include <stdint.h>
 
-#define MS_ACCOUNT_GAUGES_ROWS_MAX                                                                 \
-    64 /* accounts shown, as each adds MS_ACCOUNT_GAUGE_COUNT lines */
+/* Accounts shown: each adds MS_ACCOUNT_GAUGE_COUNT lines. */
+#define MS_ACCOUNT_GAUGES_ROWS_MAX 64
 
 /* Their names and help texts are in account_gauges.c. */
 enum ms_account_gauge {
--- a/src/wire/compress.h
+++ b/src/wire/compress.h
@@ -1,9 +1,9 @@
 /*
  * compress.h - compression of the values of records in the log.
  *
- * A compressed value is a zlib stream.  Its first byte, 0x78, does not begin any of the messages
- * of batch.proto, so readers recognise compressed values, and values with and without
- * compression may stand side by side in one stream.
+ * A compressed value is a zlib stream.  Its first byte, 0x78, would be the tag of a field 15 of
+ * type varint, with which none of the records of batch.proto begins.  Readers therefore recognise
+ * compressed values, and both forms may stand side by side in one stream.
  */
 #ifndef MS_WIRE_COMPRESS_H
 #define MS_WIRE_COMPRESS_H
--- a/tests/batch/unit_engine.c
+++ b/tests/batch/unit_engine.c
@@ -628,6 +628,8 @@
 }
 
 #define ENDING_TASK_INTERVAL_MS 50 /* from one end of a task of the wide step to the next */
+#define ROUND_MS 50                /* from one small job to the next */
+#define STATE_INTERVAL_MS 300      /* the wide job is stored once in this time at most */
 
 /* Run time of TASK: the tasks of the job "wide" end one after the other, others soon. */
 static int64_t
@@ -639,13 +641,14 @@
 }
 
 /*
- * The tasks of a wide step end one by one while other jobs start, 20 a second.  Each start stored
- * the state of the wide step again, with all of its tasks, and every host reads the states.
+ * Load: the tasks of a wide step end one by one while other jobs start, 20 a second.  Guards
+ * against a start that also stores the states of other jobs: the state of a wide step holds all its
+ * tasks, and every host reads it.
  */
 START_TEST(urgent_store_leaves_other_states_alone)
 {
     const struct simulator_speeds speeds = {.run_ms = staggered_run_ms};
-    const int rounds = 60; /* of 50 ms */
+    const int rounds = 60; /* of ROUND_MS */
     struct simulator *simulator = simulator_new_with_speeds(41, 16, &no_faults, &speeds, NULL);
     struct simulator_counts counts;
     struct ms_batch_spec spec;
@@ -656,13 +659,12 @@
         snprintf(id, sizeof(id), "small%d", i);
         simple_spec(&spec, id, "q1", 1, 1);
         simulator_submit_job(simulator, &spec);
-        simulator_run(simulator, 50);
+        simulator_run(simulator, ROUND_MS);
     }
     simulator_counts(simulator, &counts);
     ck_assert_str_eq(simulator_violation(simulator), "");
-    /* Two for each small job, its start and its end; of the wide one its start, and one in 300 ms.
-     */
-    ck_assert_uint_le(counts.states_stored, 2 * rounds + 2 + rounds * 50 / 300);
+    /* Two for each small job; for the wide one its start, its end and those in between. */
+    ck_assert_uint_le(counts.states_stored, 2 * rounds + 2 + rounds * ROUND_MS / STATE_INTERVAL_MS);
     simulator_free(simulator);
 }
 END_TEST
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,8 +9,8 @@
 out orders and lease renewals late (renewals also after a restart), refuse starts or the second
 copy of a start that they have carried out, restart and are listed again later, or are cut off
 until their directory entry has expired.  Their clocks are slow, and another writer adds odd
-entries to the directory.  With an odd seed the account has a cap, which changes.  Clients use their connections to a host that shuts down until it
-closes them.
+entries to the directory.  With an odd seed the account has a cap that changes at random.
+Clients use their connections to a host that shuts down until it closes them.
 
 Then it stops the faults, submits jobs for CALM_S more, and at last a gang with a task on
 each server.  With --late the log also carries out appends late, and hangs.  It checks that
