Batch: runs of ended jobs count after a take-over; findings of the review

Causes: the state of a job that was cancelled or had failed was stored without its tasks, so a new leader did not count its runs: 10 to 12 accelerators in use under a cap of 8. A restored gang was stopped at once if its first report came late. A full scan could be 400 ms after the one before. An urgent store could be empty. A compressed value of 0 bytes would have removed its key. Change: tasks of ended jobs are stored until their last run has ended, restored, and stopped; candidates are collected for all accounts; a restored gang has 200 ms from its first report on, and one that makes progress is whole.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -371,6 +371,12 @@
     if (job->phase != MS_PHASE_OPEN) {
         /* An earlier leader has not removed its records yet: ended_retention_ms starts anew. */
         ms_engine_note_job_ended(engine, job);
+        resolve_queue(engine, job);
+        /* Its runs that have not ended yet use resources, and are stopped. */
+        if (stored->state != NULL) {
+            ms_engine_restore_job(engine, job, stored->state, stored->state_read_at);
+            ms_batch_job_stop_tasks(engine, job, "job_ended");
+        }
         return;
     }
     ms_list_append(&engine->jobs, &job->jobs_link);
@@ -576,7 +582,7 @@
 int64_t
 ms_engine_next_tick(const struct ms_engine *engine)
 {
-    int64_t next = MIN(engine->last_scan_at + SCAN_INTERVAL_MAX_MS, engine->next_retry_at);
+    int64_t next = MIN(engine->last_full_scan_at + SCAN_INTERVAL_MAX_MS, engine->next_retry_at);
     if (engine->placement_due) {
         next = MIN(next, engine->last_placement_at + place_interval(engine));
     }
--- a/src/batch/engine_cap.c
+++ b/src/batch/engine_cap.c
@@ -139,6 +139,8 @@
 collect_candidates(struct ms_placement_pass *pass)
 {
     struct ms_engine *engine = pass->engine;
+    bool own_account_only = pass->own_account_only;
+    pass->own_account_only = false; /* other units will need those of other accounts */
     pass->cap_candidates = g_hash_table_new_full(NULL, NULL, NULL, (GDestroyNotify)g_array_unref);
     MS_LIST_FOREACH(link, &engine->jobs)
     {
@@ -148,6 +150,7 @@
         }
     }
     g_hash_table_foreach(pass->cap_candidates, sort_candidates, NULL);
+    pass->own_account_only = own_account_only;
     engine->cap_candidates_at = engine->now;
 }
 
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -16,6 +16,7 @@
 
 /* An earlier leader's gang without progress has this long to be reported by all its servers. */
 #define RESTORED_GANG_WAIT_MS 500
+#define RESTORED_MEMBER_WAIT_MS 200    /* the same from the first report of a member on */
 #define RESTORED_ESTIMATE_MAX_MS 25000 /* longer runs are excepted: 1 percent of them is costly */
 
 /* Whether TASK is done or has an active run, other than RUN, that may have been ordered. */
@@ -125,8 +126,9 @@
     bool short_run =
         step->spec->estimate_ms > 0 && step->spec->estimate_ms <= RESTORED_ESTIMATE_MAX_MS;
     if (step->spec->gang && short_run && percent == 0 && step->gang_started_at == 0) {
-        step->gang_started_at =
-            engine->created_at + RESTORED_GANG_WAIT_MS - engine->limits.gang_start_ms;
+        int64_t until =
+            MAX(engine->created_at + RESTORED_GANG_WAIT_MS, engine->now + RESTORED_MEMBER_WAIT_MS);
+        step->gang_started_at = until - engine->limits.gang_start_ms;
     }
 }
 
@@ -174,6 +176,9 @@
         task->progress_percent = row->percent;
         task->last_progress_at = engine->now;
     }
+    if (row->percent > 0 && task->step->spec->gang && task->checkpoint[0] == '\0') {
+        task->step->gang_started_at = 0; /* the gang makes progress, so all members run */
+    }
     ms_speed_on_progress(engine, task, row->checkpoint);
     ms_batch_task_set_checkpoint(task, row->checkpoint);
 }
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -120,13 +120,17 @@
     g_free(record);
 }
 
-/* The state record of JOB; a job that has ended is stored without its occurrences. */
+/*
+ * The state record of JOB.  A job that has ended is stored without its occurrences once no run of
+ * it is left: until then the next leader has to know what its runs use.
+ */
 static GBytes *
 pack_job_state(const struct ms_engine *engine, struct ms_batch_job *job)
 {
     Ms__Batch__StateRecord record = MS__BATCH__STATE_RECORD__INIT;
     GPtrArray *servers = g_ptr_array_new_with_free_func(g_free);
-    size_t count = job->phase == MS_PHASE_OPEN ? job->occurrences->len : 0;
+    bool kept = job->phase == MS_PHASE_OPEN || job->active_count > 0;
+    size_t count = kept ? job->occurrences->len : 0;
     record.phase = job->phase;
     record.begun = job->started;
     record.n_occurrences = count;
@@ -173,13 +177,13 @@
     MS_LIST_FOREACH(link, &engine->dirty)
     {
         struct ms_batch_job *job = MS_CONTAINER_OF(link, struct ms_batch_job, dirty_link);
+        if (!all && !job->store_urgent) {
+            continue;
+        }
         if (bytes > STORE_BYTES_MAX) {
             more_urgent = engine->dirty_urgent;
             break;
         }
-        if (!all && !job->store_urgent) {
-            continue;
-        }
         ms_list_remove(&job->dirty_link);
         job->store_urgent = false;
         if (job->removing) {
--- a/src/entry/log_streams.c
+++ b/src/entry/log_streams.c
@@ -92,7 +92,10 @@
     const uint8_t *data = NULL;
     GBytes *value = record->value != NULL ? ms_value_expand(record->value) : NULL;
     enum ms_table_change change = MS_CHANGED_UNREADABLE;
-    if (value != NULL || record->value == NULL) {
+    /* An empty value removes the key, which a compressed one must not do. */
+    bool emptied =
+        value != NULL && g_bytes_get_size(value) == 0 && g_bytes_get_size(record->value) > 0;
+    if (!emptied && (value != NULL || record->value == NULL)) {
         data = value != NULL ? g_bytes_get_data(value, &length) : NULL;
         change = ms_job_table_apply(entry->table, record->key, data, length, &job);
     }
@@ -104,7 +107,9 @@
         note_host_record(entry, record->key + strlen(MS_KEY_HOST));
     }
     handle_change(entry, change, job);
-    g_clear_pointer(&value, g_bytes_unref);
+    if (value != NULL) {
+        g_bytes_unref(value);
+    }
 }
 
 static void
--- a/tests/batch/unit_account.c
+++ b/tests/batch/unit_account.c
@@ -12,9 +12,10 @@
 #include "batch/simulator.h"
 #include "batch/simulator_private.h"
 
-#define LONG_MS 1000000   /* longer than a test */
-#define ESTIMATE_MS 20000 /* so that a run counts as stalled after 6 s only */
-#define RECLAIM_MS 1000   /* two stops of 300 ms, one after the other, and the steps between them */
+#define CAP_IN_FORCE_MS 6000 /* the simulator allows what earlier caps allowed until then */
+#define LONG_MS 1000000      /* longer than a test */
+#define ESTIMATE_MS 20000    /* so that a run counts as stalled after 6 s only */
+#define RECLAIM_MS 1000 /* two stops of 300 ms, one after the other, and the steps between them */
 
 static const struct simulator_faults no_faults;
 
@@ -615,6 +616,89 @@
 }
 END_TEST
 
+/*
+ * Load: an account at its cap, a job of it is cancelled, and the leader is lost before the job's
+ * runs have ended.  Guards against a new leader that does not count the runs of ended jobs.  In
+ * the second and third round their servers are cut off meanwhile; in the third the state of the
+ * cancelled job is stored before the leader is lost.
+ */
+START_TEST(runs_of_cancelled_job_count_after_takeover)
+{
+    struct simulator *simulator = simulator_new(144, 8, &no_faults, NULL);
+    cap_accels(simulator, "account", 8);
+    simulator_run(simulator, CAP_IN_FORCE_MS);
+    submit_step(simulator, "wide", "account", "q1", 8, 1, false);
+    simulator_run(simulator, 300);
+    stall_all_runs(simulator);
+    submit_small_jobs(simulator, "small", "account", "q1", 20);
+    simulator_run(simulator, 500);
+    for (size_t i = 0; _i > 0 && i < simulator->server_count; i++) {
+        if (simulator->servers[i].runs->len > 0) {
+            simulator_disconnect_server(simulator, i, 6000);
+        }
+    }
+    simulator_cancel_job(simulator, "wide");
+    simulator_run(simulator, _i == 2 ? 2000 : 1);
+    simulator_change_leader(simulator, 20);
+    simulator_run(simulator, 9000);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    simulator_free(simulator);
+}
+END_TEST
+
+/*
+ * Load: an account beyond its rate waits at its cap with urgent work, while urgent work of another
+ * account needs room under its own cap.  Guards against stops under a cap that only consider the
+ * tasks of the account that comes first.
+ */
+START_TEST(account_beyond_its_rate_does_not_block_stops_of_others)
+{
+    struct simulator *simulator = simulator_new(145, 8, &no_faults, NULL);
+    struct simulator_counts counts;
+    struct ms_batch_spec spec;
+    simulator_set_weight(simulator, "busy", 1);
+    simulator_set_weight(simulator, "account", 4);
+    cap_accels(simulator, "account", 8);
+    submit_small_jobs(simulator, "early", "busy", "q0", 40);
+    simulator_run(simulator, 5000);
+    cap_accels(simulator, "busy", 4);
+    submit_small_jobs(simulator, "loose", "account", "q2", 12);
+    submit_small_jobs(simulator, "busy", "busy", "q0", 10);
+    simulator_run(simulator, 300);
+    stall_all_runs(simulator);
+    simple_spec(&spec, "urgent", "q1", 2, 1);
+    spec.steps[0].gang = true;
+    spec.steps[0].estimate_ms = 1500;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 5000);
+    simulator_counts(simulator, &counts);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    ck_assert_uint_ge(counts.stopped, 2);
+    simulator_free(simulator);
+}
+END_TEST
+
+/*
+ * Load: a step that is wider than the order backlog allows waits for its account's cap.  Guards
+ * against holding back the work of others although no order is outstanding.
+ */
+START_TEST(wide_step_at_its_cap_does_not_hold_back_others)
+{
+    struct simulator *simulator = simulator_new(147, 8, &no_faults, NULL);
+    cap_accels(simulator, "account", 8);
+    simulator_run(simulator, 3000);
+    submit_step(simulator, "wide", "account", "q1", 600, 1, false);
+    simulator_run(simulator, 1000);
+    stall_all_runs(simulator);
+    submit_small_jobs(simulator, "else", "other", "q1", 20);
+    simulator_run(simulator, 400);
+    stall_all_runs(simulator);
+    simulator_run(simulator, 400);
+    ck_assert_int_eq(used_accels(simulator, "other"), 20);
+    simulator_free(simulator);
+}
+END_TEST
+
 TCase *
 account_cases(void)
 {
@@ -639,5 +723,8 @@
     tcase_add_test(cases, gang_without_servers_reserves_no_room);
     tcase_add_test(cases, waits_for_cap_examine_no_servers);
     tcase_add_test(cases, waits_for_cap_are_logged);
+    tcase_add_loop_test(cases, runs_of_cancelled_job_count_after_takeover, 0, 3);
+    tcase_add_test(cases, account_beyond_its_rate_does_not_block_stops_of_others);
+    tcase_add_test(cases, wide_step_at_its_cap_does_not_hold_back_others);
     return cases;
 }
