--- a/tests/batch/unit_account_order.c
+++ b/tests/batch/unit_account_order.c
@@ -11,6 +11,7 @@
 #include "batch/simulator_private.h"
 #include "batch/engine_private.h"
 
+#define PREFIX_MAX (MS_JOB_ID_MAX - 12) /* of a job id, without its number */
 #define RANDOM_RANKS 60
 #define RANK_ID_MAX 16
 
@@ -235,7 +236,7 @@
     submit_jobs(simulator, "hot", "hot", "q1", 60, 4);
     simulator_run(simulator, 200);
     for (int i = 0; i < 8; i++) {
-        char prefix[MS_JOB_ID_MAX];
+        char prefix[PREFIX_MAX];
         snprintf(prefix, sizeof(prefix), "calm%d-", i);
         submit_jobs(simulator, "calm", prefix, "q1", 1, 4);
         simulator_run(simulator, 500);
@@ -296,7 +297,7 @@
     g_strlcpy(spec.account, "large", sizeof(spec.account));
     simulator_submit_job(simulator, &spec);
     for (int i = 0; i < 60; i++) {
-        char prefix[MS_JOB_ID_MAX];
+        char prefix[PREFIX_MAX];
         snprintf(prefix, sizeof(prefix), "busy%d-", i);
         submit_jobs(simulator, "busy", prefix, "q1", 2, 2);
         simulator_run(simulator, 250);
@@ -397,7 +398,7 @@
     simulator_run(simulator, 100);
     int64_t virtual_us = virtual_us_of(simulator, "low0");
     for (int i = 0; i < 2; i++) {
-        char prefix[MS_JOB_ID_MAX];
+        char prefix[PREFIX_MAX];
         simulator_stall_runs(simulator, 0, 300);
         snprintf(prefix, sizeof(prefix), "urgent%d-", i);
         submit_jobs(simulator, "other", prefix, "q0", 1, 8);
@@ -498,7 +499,7 @@
     GString *order = g_string_new(NULL);
     submit_jobs(simulator, "x", "first", "q1", 1, 8);
     for (int i = 0; i < 3; i++) {
-        char prefix[MS_JOB_ID_MAX];
+        char prefix[PREFIX_MAX];
         simulator_run(simulator, 20);
         snprintf(prefix, sizeof(prefix), "x%d-", i);
         submit_jobs(simulator, "x", prefix, "q1", 2, 8);
