Show starts of tasks of a cancelled job that waited for a worker that didn't answer

A worker leaves all requests unanswered for 5.5 s. Starts of a job with 20 tasks wait in the sender's queue for it; the job is cancelled 0.3 s after its acceptance, and 11 of its tasks are started 5.7 s after the acknowledged cancelling (UNASKED).

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -278,6 +278,8 @@
         self.highest = {}  # task -> highest run that was stopped or has ended
         self.lease_ends = 0
         self.sequence = 0
+        self.start_times = []  # (time of the record, task, run) of each start
+        self.on_order = lambda worker, target, order: False  # whether a request gets no answer
         self.refuses = False  # unhealthy: answers starts with 503 and does nothing
         self.end_listed = asyncio.Event()
         work.workers.append(self)
@@ -347,6 +349,8 @@
         if method == "GET":
             return 503 if self.refuses else 200, {}
         order = json.loads(body)
+        if self.on_order(self, target, order):
+            return None
         if headers.get("x-mustardspread-target-instance", self.id) != self.id:
             return 421, {"clockMs": self.clock()}
         if order.get("fencingToken", 0) < self.fence:
@@ -377,6 +381,7 @@
         if number <= self.highest.get(task, 0) or task in self.runs:
             return 409, dict(clock, reason="old")
         self.starts[task] = self.starts.get(task, 0) + 1
+        self.start_times.append((self.record.now(), task, number))
         self.runs[task] = Run(task, number, order.get("lastCheckpoint", ""), self.clock())
         self.record.line("start %s run=%d worker=%s answer=200" % (task, number, self.id))
         return 200, clock
