Show a start after an end that a late renewal acknowledged

A worker starts again under its id behind a cut of 5.5 s. A start and a renewal from before the cut arrive 2.5 and 3.5 s late: the task runs and ends done, and the renewal's position acknowledges that end. The leader takes the run for lost and starts the task again (TWICE).

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -27,7 +27,7 @@
           "visible_ms": 3000, "status_s": 120, "graceS": 6, "cancel_ms": 3000, "ackMs": 5000,
           "contactMs": 4000, "configApplyMs": 3000}
 HEARTBEAT_MS = 1500
-MEMORY_MB = 260
+REGION_DELAY_MS = 30
 STATUS_TEXTS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone",
                 412: "Precondition Failed", 421: "Misdirected Request", 503: "Unavailable"}
 
@@ -248,14 +248,14 @@
         return present == count
 
     def break_gang(self, run):
-        """RUN has ended: so do the other members of its gang, a moment later."""
+        """RUN has ended: so do the other members of its gang, as soon as their workers hear."""
         step, _, _ = run.task.rpartition(".")
         if step not in self.gangs:
             return
         for worker in self.workers:
             for other in list(worker.runs.values()):
                 if other.task.rpartition(".")[0] == step and other.run == run.run:
-                    other.stop_at = worker.clock() + 50
+                    other.stop_at = worker.clock() + REGION_DELAY_MS
                     other.stopped_how = "broken"
 
 
@@ -273,6 +273,7 @@
         self.runs = {}
         self.ended = []  # not acknowledged yet
         self.all_ends = []
+        self.noted = []  # (time of the record, end) of each end that was acknowledged
         self.last_end = 0
         self.starts = {}  # task -> number of its runs that were started here
         self.highest = {}  # task -> highest run that was stopped or has ended
@@ -395,9 +396,25 @@
             self.record.line("stop %s run=%d worker=%s" % (task, number, self.id))
         return 200, {"clockMs": self.clock()}
 
-    async def hold(self, order):
+    def restart(self):
+        """It crashes and starts again under its id, and knows nothing of before."""
+        self.record.line("worker %s crashes and starts again" % self.id)
+        self.runs.clear()
+        self.ended.clear()
+        self.highest.clear()
+        self.fence = self.last_end = self.lease_ends = 0
+        self.born_ms = int(time.time() * 1000)
+        self.born_at = time.monotonic()
+
+    def renew(self, order):
+        """Extends the lease and forgets the ends that ORDER acknowledges."""
         self.extend(order)
-        self.ended = [row for row in self.ended if row[0] > order.get("ackPosition", 0)]
+        position = order.get("ackPosition", 0)
+        self.noted += [(self.record.now(), row) for row in self.ended if row[0] <= position]
+        self.ended = [row for row in self.ended if row[0] > position]
+
+    async def hold(self, order):
+        self.renew(order)
         if order.get("waitMs", 0) > 0 and not self.ended:
             try:
                 await asyncio.wait_for(self.end_listed.wait(), order["waitMs"] / 1000)
