--- a/review/6/scenario.py
+++ b/review/6/scenario.py
@@ -1,4 +1,4 @@
-"""A gang on two workers, both of which fail what they start for a few seconds."""
+"""A job is cancelled while the worker that got its tasks doesn't answer for a few seconds."""
 import asyncio
 import os
 import sys
@@ -7,51 +7,55 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import standins_2  # noqa: E402
 
-JOB = "5c0e7a21d94b36f8"
-MAX_ATTEMPTS = 2  # of the queue, like school-reorder of lepilo-grid
-GREY_S = 6.5
-FAILS_AFTER_S = 0.6  # of a worker that fails all that it starts
-ENDED = ("succeeded", "failed", "cancelled")
+JOB = "36f85c0e7a21d94b"
+TASKS = 20
+MUTE_S = 5.5
+CANCEL_AFTER_S = 0.3
+CANCEL_S = standins_2.BOUNDS["cancel_ms"] / 1000
 
 
 async def scenario(deployment, trouble):
-    """The two workers that get the first run of the gang fail all that they start for GREY_S."""
-    record, work = deployment.record, deployment.work
-    grey_until = {}  # worker id -> time
-
-    def outcome(worker, task, run):
-        if trouble and run == 1 and worker.id not in grey_until:
-            grey_until[worker.id] = record.now() + GREY_S
-            record.line("worker %s fails all that it starts for %.1f s" % (worker.id, GREY_S))
-        if record.now() < grey_until.get(worker.id, 0):
-            return "failed", FAILS_AFTER_S
-        return "done", None
-
-    work.outcome = outcome
-    deployment.add_workers(24)
-    deployment.configure([standins_2.queue("r-reorder", "/reorder/", 0, MAX_ATTEMPTS)])
+    """The worker that gets the first start leaves all requests unanswered, and undone, for MUTE_S."""
+    record, client = deployment.record, deployment.client
+    deployment.add_workers(12)
+    deployment.configure([standins_2.queue("r-heating", "/heating/", 2, 3)])
     await deployment.start()
-    work.gangs[JOB + ".0.0"] = 2
-    work.duration_s[JOB] = 2.5
-    steps = [{"count": 2, "cpu": 15000, "memMb": 79000, "gpu": 8, "estimatedMs": 2500,
-              "gang": True}]
-    if await deployment.client.submit("/reorder/", JOB, steps) != 200:
+    deployment.work.duration_s[JOB] = 7.0
+    mute = {}
+
+    def on_order(worker, target, order):
+        """Whether WORKER leaves the request unanswered."""
+        if trouble and not mute and target == "/-/run-start":
+            mute[worker.id] = record.now() + MUTE_S
+            record.line("worker %s leaves all requests unanswered for %.1f s" % (worker.id, MUTE_S))
+        is_mute = record.now() < mute.get(worker.id, 0)
+        if is_mute and target != "/-/hold":
+            record.line("%s %s run=%d worker=%s unanswered and not done"
+                        % (target, order["task"], order["run"], worker.id))
+        return is_mute
+
+    for worker in deployment.workers:
+        worker.on_order = on_order
+    steps = [{"count": TASKS, "cpu": 2000, "memMb": 1024, "estimatedMs": 7000}]
+    if await client.submit("/heating/", JOB, steps) != 200:
         raise RuntimeError("the job is not accepted")
-    state = None
-    for _ in range(60):
-        await asyncio.sleep(0.5)
-        state = await deployment.client.state("/reorder/", JOB)
-        if state in ENDED:
-            break
-    failed_runs = {row[2] for worker in deployment.workers for row in worker.all_ends
-                   if row[3] == "failed"}
-    record.line("state=%s runs of the gang that ended failed=%s maxAttempts=%d"
-                % (state, sorted(failed_runs), MAX_ATTEMPTS))
-    if state == "failed" and len(failed_runs) < MAX_ATTEMPTS:
-        return ("LOST: shown as failed after %d failed run of the gang, of %d attempts"
-                % (len(failed_runs), MAX_ATTEMPTS))
-    if state != "succeeded":
+    await asyncio.sleep(CANCEL_AFTER_S)
+    answer = await client.call("DELETE", "/heating/" + JOB)
+    if answer is None or answer[0] not in (200, 410):
+        raise RuntimeError("the cancelling is not acknowledged")
+    cancelled_at = record.now()
+    await asyncio.sleep(15)
+    late = [(at - cancelled_at, task, worker.id) for worker in deployment.workers
+            for at, task, _ in worker.start_times if at > cancelled_at + CANCEL_S]
+    for after_s, task, worker in late:
+        record.line("started %.3f s after the acknowledged cancelling: %s worker=%s"
+                    % (after_s, task, worker))
+    state = await client.state("/heating/", JOB)
+    if state != "cancelled":
         raise RuntimeError("the job is shown as %s" % state)
+    if late:
+        return ("UNASKED: %d tasks are started up to %.1f s after the acknowledged cancelling"
+                % (len(late), max(late)[0]))
     return None
 
 
--- a/review/8/scenario.py
+++ b/review/8/scenario.py
@@ -1,6 +1,5 @@
-"""Jobs wait for room; the only worker with room refuses starts for a few seconds."""
+"""A gang on two workers, both of which fail what they start for a few seconds."""
 import asyncio
-import json
 import os
 import sys
 
@@ -8,54 +7,52 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import standins_2  # noqa: E402
 
-WORKERS = 12
-FILLER = "00000000000000f1"
-JOBS = ["94b36f85c0e7a21%x" % i for i in range(4)]
-UNHEALTHY_S = 6.5
-FILLER_S = 25.0
-SHOWN_AFTER_S = standins_2.BOUNDS["visible_ms"] / 1000 + 2.0
-ASKS = 9  # three for each host
+JOB = "5c0e7a21d94b36f8"
+MAX_ATTEMPTS = 2  # of the queue, like school-reorder of lepilo-grid
+GREY_S = 6.5
+FAILS_AFTER_S = 0.6  # of a worker that fails all that it starts
+ENDED = ("succeeded", "failed", "cancelled")
 
 
 async def scenario(deployment, trouble):
-    """One of WORKERS workers is unhealthy: it answers starts with 503 and does nothing."""
-    record, work, client = deployment.record, deployment.work, deployment.client
-    deployment.add_workers(WORKERS)
-    deployment.configure([standins_2.queue("r-mix", "/mix/", 1, 3)])
+    """The two workers that get the first run of the gang fail all that they start for GREY_S."""
+    record, work = deployment.record, deployment.work
+    grey_until = {}  # worker id -> time
+
+    def outcome(worker, task, run):
+        if trouble and run == 1 and worker.id not in grey_until:
+            grey_until[worker.id] = record.now() + GREY_S
+            record.line("worker %s fails all that it starts for %.1f s" % (worker.id, GREY_S))
+        if record.now() < grey_until.get(worker.id, 0):
+            return "failed", FAILS_AFTER_S
+        return "done", None
+
+    work.outcome = outcome
+    deployment.add_workers(24)
+    deployment.configure([standins_2.queue("r-reorder", "/reorder/", 0, MAX_ATTEMPTS)])
     await deployment.start()
-    whole = {"cpu": 52000, "memMb": 270000, "gpu": 8, "estimatedMs": int(FILLER_S * 1000)}
-    work.duration_s[FILLER] = FILLER_S
-    if await client.submit("/mix/", FILLER, [dict(whole, count=WORKERS - 1)]) != 200:
-        raise RuntimeError("the first job is not accepted")
-    await asyncio.sleep(1.5)
-    free = [worker for worker in deployment.workers if not worker.runs]
-    if len(free) != 1:
-        raise RuntimeError("%d workers are free" % len(free))
-    if trouble:
-        free[0].refuses = True
-        record.line("worker %s answers starts with 503 for %.1f s" % (free[0].id, UNHEALTHY_S))
-        asyncio.get_running_loop().call_later(UNHEALTHY_S, setattr, free[0], "refuses", False)
-    for job in JOBS:
-        work.duration_s[job] = FILLER_S
-        if await client.submit("/mix/", job, [dict(whole, count=1)]) != 200:
-            raise RuntimeError("a job is not accepted")
-    accepted_at = record.now()
-    await asyncio.sleep(SHOWN_AFTER_S + 0.2)
-    broken = None
-    for _ in range(ASKS):
-        began = {task.split(".")[0] for worker in deployment.workers for task in worker.starts}
-        waiting = [job for job in JOBS if job not in began]
-        answer = await client.call("GET", "/mix/")
-        if answer is None or answer[0] != 200:
-            raise RuntimeError("the queue is not answered")
-        shown = json.loads(answer[1])["waiting"]
-        record.line("accepted %.1f s ago and not begun: %d; shown as waiting: %d"
-                    % (record.now() - accepted_at, len(waiting), shown))
-        if shown < len(waiting) / 2 and broken is None:
-            broken = ("MIXED: %d jobs have not begun %.1f s after their acceptance, and waiting=%d"
-                      % (len(waiting), record.now() - accepted_at, shown))
-        await asyncio.sleep(0.4)
-    return broken
+    work.gangs[JOB + ".0.0"] = 2
+    work.duration_s[JOB] = 2.5
+    steps = [{"count": 2, "cpu": 15000, "memMb": 79000, "gpu": 8, "estimatedMs": 2500,
+              "gang": True}]
+    if await deployment.client.submit("/reorder/", JOB, steps) != 200:
+        raise RuntimeError("the job is not accepted")
+    state = None
+    for _ in range(60):
+        await asyncio.sleep(0.5)
+        state = await deployment.client.state("/reorder/", JOB)
+        if state in ENDED:
+            break
+    failed_runs = {row[2] for worker in deployment.workers for row in worker.all_ends
+                   if row[3] == "failed"}
+    record.line("state=%s runs of the gang that ended failed=%s maxAttempts=%d"
+                % (state, sorted(failed_runs), MAX_ATTEMPTS))
+    if state == "failed" and len(failed_runs) < MAX_ATTEMPTS:
+        return ("LOST: shown as failed after %d failed run of the gang, of %d attempts"
+                % (len(failed_runs), MAX_ATTEMPTS))
+    if state != "succeeded":
+        raise RuntimeError("the job is shown as %s" % state)
+    return None
 
 
 standins_2.main(__file__, scenario)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -455,14 +455,6 @@
     def running(self):
         return self.process is not None and self.process.returncode is None
 
-    def memory_mb(self):
-        """The resident memory of the process, 0 if it has ended."""
-        try:
-            with open("/proc/%d/statm" % self.process.pid, encoding="ascii") as statm:
-                return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
-        except (OSError, IndexError):
-            return 0.0
-
     async def is_ready(self):
         answer = await call(self.ready, "GET", "/-/readiness", timeout_s=1)
         return answer is not None and answer[0] == 200
