--- a/review/6/scenario.py
+++ b/review/6/scenario.py
@@ -8,6 +8,7 @@
 import standins_2  # noqa: E402
 
 JOB = "36f85c0e7a21d94b"
+OTHER_JOBS = ("00000000000000e1", "00000000000000e2")  # not cancelled
 TASKS = 20
 MUTE_S = 5.5
 CANCEL_AFTER_S = 0.3
@@ -25,7 +26,8 @@
 
     def on_order(worker, target, order):
         """Whether WORKER leaves the request unanswered."""
-        if trouble and not mute and target == "/-/run-start":
+        starts_job = target == "/-/run-start" and order["task"].startswith(JOB)
+        if trouble and not mute and starts_job:
             mute[worker.id] = record.now() + MUTE_S
             record.line("worker %s leaves all requests unanswered for %.1f s" % (worker.id, MUTE_S))
         is_mute = record.now() < mute.get(worker.id, 0)
@@ -36,6 +38,12 @@
 
     for worker in deployment.workers:
         worker.on_order = on_order
+    for job in OTHER_JOBS:
+        deployment.work.duration_s[job] = 0.5
+        step = {"count": 4, "cpu": 500, "memMb": 256, "estimatedMs": 900}
+        if await client.submit("/heating/", job, [step]) != 200:
+            raise RuntimeError("another job is not accepted")
+    await asyncio.sleep(3)
     steps = [{"count": TASKS, "cpu": 2000, "memMb": 1024, "estimatedMs": 7000}]
     if await client.submit("/heating/", JOB, steps) != 200:
         raise RuntimeError("the job is not accepted")
@@ -50,6 +58,9 @@
     for after_s, task, worker in late:
         record.line("started %.3f s after the acknowledged cancelling: %s worker=%s"
                     % (after_s, task, worker))
+    for job in OTHER_JOBS:
+        if await client.state("/heating/", job) != "succeeded":
+            raise RuntimeError("another job has not succeeded")
     state = await client.state("/heating/", JOB)
     if state != "cancelled":
         raise RuntimeError("the job is shown as %s" % state)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -32,15 +32,21 @@
                 412: "Precondition Failed", 421: "Misdirected Request", 503: "Unavailable"}
 
 
+PORTS_TAKEN = set()  # by this script, also before they are bound
+
+
 def free_port():
     """A port that nobody uses, below those that the kernel gives to connections."""
     while True:
         port = random.SystemRandom().randrange(PORT_MIN, PORT_LIMIT)
+        if port in PORTS_TAKEN:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
+            PORTS_TAKEN.add(port)
             return port
 
 
@@ -591,6 +597,9 @@
     record.line("trouble=%d" % trouble)
 
     async def play():
+        # A script that is told to end also ends its processes.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             folder = os.environ.get("KEEP_LOGS", folder)
             deployment = Deployment(record, folder)
@@ -600,7 +609,7 @@
                 await deployment.stop()
     try:
         broken = asyncio.run(play())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         record.line("could not run: %r" % error)
         print("could not run: %r" % error)
         sys.exit(2)
