Batch: orders of tasks and their answers in a module of their own

Change: the orders and their answers move to engine_task_order.c, which calls the transitions ms_batch_task_on_started() and ms_batch_task_on_refused(). No change in behaviour.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -84,10 +84,10 @@
     ("cap_not_placed", "src/batch/account.c",
      "    if (!account->capped) {\n        return limit;", "    if (true) {\n        return limit;",
      "no start above the cap"),
-    ("cap_not_ordered", "src/batch/engine_task.c",
+    ("cap_not_ordered", "src/batch/engine_task_order.c",
      "    if (start && ms_account_is_over_cap(", "    if (false && ms_account_is_over_cap(",
      "no start above the cap"),
-    ("unanswered_not_counted", "src/batch/engine_task.c",
+    ("unanswered_not_counted", "src/batch/engine_task_order.c",
      "        task->order_unanswered = true;",
      "        task->order_unanswered = true;\n"
      "        ms_resources_add(&ms_batch_task_job(task)->account->allocated,\n"
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -301,11 +301,11 @@
 /* Stops TASK, or all members if it belongs to a gang. */
 void ms_batch_task_stop_unit(struct ms_engine *engine, struct ms_batch_task *task,
                              const char *reason);
-/*
- * Queues the start or stop order of TASK if it is due.  Stops TASK instead, or its gang, if it
- * has not started and its server may no longer be given tasks.
- */
-void ms_batch_task_send_order(struct ms_engine *engine, struct ms_batch_task *task);
+/* The server of TASK, which is STARTING, has confirmed its start. */
+void ms_batch_task_on_started(struct ms_engine *engine, struct ms_batch_task *task);
+/* The server of TASK, which is STARTING, has refused its start: this order created no run. */
+void ms_batch_task_on_refused(struct ms_engine *engine, struct ms_batch_task *task,
+                              enum ms_order_result result);
 /* Takes back a run that was declared lost but is reported by SERVER. */
 void ms_batch_task_recover_run(struct ms_engine *engine, struct ms_batch_task *task,
                                struct ms_batch_server *server);
@@ -331,6 +331,13 @@
 void ms_batch_job_stop_tasks(struct ms_engine *engine, struct ms_batch_job *job,
                              const char *reason);
 
+/* engine_task_order.c: orders of tasks. */
+/*
+ * Queues the start or stop order of TASK if it is due.  Stops TASK instead, or its gang, if it
+ * has not started and its server may no longer be given tasks.
+ */
+void ms_batch_task_send_order(struct ms_engine *engine, struct ms_batch_task *task);
+
 /* engine_server.c */
 /* The server with this id; one that is not known yet is added, unlisted. */
 struct ms_batch_server *ms_engine_get_or_add_server(struct ms_engine *engine, const char *id);
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -5,7 +5,6 @@
 
 #include "batch/engine_private.h"
 
-#define ORDER_RETRY_MS 200      /* before an unanswered order is repeated */
 #define RETRY_BACKOFF_MS 100    /* before a lost or failed task is placed again */
 #define REFUSED_BACKOFF_MS 300  /* before a refused task is placed again */
 #define REFUSED_SUSPECT_MS 2000 /* how long a server without capacity is chosen last */
@@ -115,58 +114,6 @@
     engine->placement_due = true;
 }
 
-/* Whether no start may be ordered on SERVER; that it does not answer just now is no reason. */
-static bool
-must_not_start(const struct ms_engine *engine, const struct ms_batch_server *server)
-{
-    return server->entry.draining || ms_batch_server_in_dc_out(engine, server) ||
-           (!server->unresponsive && !ms_batch_server_usable(engine, server));
-}
-
-void
-ms_batch_task_send_order(struct ms_engine *engine, struct ms_batch_task *task)
-{
-    struct ms_batch_server *server = task->server;
-    /* A server that does not answer gets renewals only, until it answers one. */
-    if (task->order_pending || engine->now < task->next_order_at ||
-        server->renewal_failure_count > 0 || server->entry.address[0] == '\0') {
-        return;
-    }
-    bool start = task->state == MS_BATCH_TASK_STARTING;
-    if (start && must_not_start(engine, server)) {
-        ms_batch_task_stop_unit(engine, task, "server_closed");
-        return;
-    }
-    if (start && ms_account_is_over_cap(ms_batch_task_job(task)->account)) {
-        ms_batch_task_stop_unit(engine, task, "over_cap"); /* the cap was lowered */
-        return;
-    }
-    struct ms_engine_action *action =
-        ms_engine_push_action(engine, start ? MS_ENGINE_START : MS_ENGINE_STOP, server);
-    ms_batch_task_name(task, action->task);
-    action->run = task->run;
-    if (start && task->step->gang_started_at == 0) {
-        task->step->gang_started_at = engine->now;
-    }
-    if (start) {
-        action->queue_wait_ms = task->waited_ms;
-        action->payload = g_strdup(ms_batch_task_job(task)->spec->payload);
-        g_strlcpy(action->checkpoint, task->checkpoint, sizeof(action->checkpoint));
-        g_strlcpy(action->ticket, ms_advice_ticket(task->step, server), sizeof(action->ticket));
-        action->deadline_ms = ms_batch_server_new_deadline(engine, server);
-    }
-    task->order_pending = true;
-    task->ordered_at = engine->now;
-    task->next_order_at = engine->now + ORDER_RETRY_MS;
-    if (start && !task->order_unanswered) {
-        return; /* the first start order has been logged as event=place */
-    }
-    ms_engine_log_event(engine,
-                        "event=%s task=%s run=%u server=%s dc=%s clock_age_ms=%" G_GINT64_FORMAT,
-                        start ? "order_start" : "order_stop", action->task, action->run, server->id,
-                        server->entry.dc, engine->now - server->last_answer_at);
-}
-
 void
 ms_batch_task_stop(struct ms_engine *engine, struct ms_batch_task *task, const char *reason)
 {
@@ -471,26 +418,18 @@
     ms_batch_job_update_phase(engine, job);
 }
 
-bool
-ms_batch_step_ready(const struct ms_engine *engine, const struct ms_batch_step *step)
+void
+ms_batch_task_on_started(struct ms_engine *engine, struct ms_batch_task *task)
 {
-    if (step->waiting == 0 || (step->spec->gang && step->active > 0) ||
-        step->occurrence->due_ms > engine->unix_ms) {
-        return false;
-    }
-    for (size_t i = 0; i < step->spec->depends_on_count; i++) {
-        const struct ms_batch_step *predecessor =
-            &step->occurrence->steps[step->spec->depends_on[i]];
-        if (predecessor->done < predecessor->spec->task_count) {
-            return false;
-        }
-    }
-    return true;
+    set_state(task, MS_BATCH_TASK_RUNNING);
+    task->running_since = engine->now;
+    task->last_progress_at = engine->now;
+    task->server->next_renewal_at = MIN(task->server->next_renewal_at, engine->now);
 }
 
-/* The server has refused the start of TASK, so this order has not created the run. */
-static void
-start_refused(struct ms_engine *engine, struct ms_batch_task *task, enum ms_order_result result)
+void
+ms_batch_task_on_refused(struct ms_engine *engine, struct ms_batch_task *task,
+                         enum ms_order_result result)
 {
     struct ms_batch_server *server = task->server;
     if (task->order_unanswered) {
@@ -508,121 +447,19 @@
     stop_rest_of_gang(engine, task, "member_refused");
 }
 
-static void
-start_answered(struct ms_engine *engine, struct ms_batch_task *task, enum ms_order_result result)
-{
-    switch (result) {
-    case MS_ORDER_OK:
-        set_state(task, MS_BATCH_TASK_RUNNING);
-        task->running_since = engine->now;
-        task->last_progress_at = engine->now;
-        task->server->next_renewal_at = MIN(task->server->next_renewal_at, engine->now);
-        break;
-    case MS_ORDER_NO_ANSWER:
-        task->order_unanswered = true;
-        task->server->unresponsive = true;
-        task->server->next_renewal_at = MIN(task->server->next_renewal_at, engine->now);
-        break;
-    case MS_ORDER_DEADLINE_PASSED:
-        task->next_order_at = engine->now; /* repeated at once with a new deadline */
-        ms_batch_task_send_order(engine, task);
-        break;
-    case MS_ORDER_STALE_RUN:
-        /* The run was stopped or has ended there: the next report shows which. */
-        task->awaits_report = true;
-        task->server->next_renewal_at = MIN(task->server->next_renewal_at, engine->now);
-        break;
-    case MS_ORDER_INVALID_TICKET:
-        ms_advice_invalidate_ticket(task->step, task->server);
-        /* fall through */
-    case MS_ORDER_NO_CAPACITY:
-    case MS_ORDER_UNAVAILABLE:
-    case MS_ORDER_REJECTED:
-        start_refused(engine, task, result);
-        break;
-    case MS_ORDER_FENCED:
-    case MS_ORDER_OTHER_INCARNATION:
-        break; /* handled by ms_engine_on_order_answer() for the whole server */
-    }
-}
-
-/* SERVER has answered ORDER with RESULT: its task, if it still has that run, changes its state. */
-static void
-task_answered(struct ms_engine *engine, struct ms_batch_server *server,
-              const struct ms_engine_action *order, enum ms_order_result result)
+bool
+ms_batch_step_ready(const struct ms_engine *engine, const struct ms_batch_step *step)
 {
-    bool start = order->kind == MS_ENGINE_START;
-    struct ms_batch_task *task = ms_engine_find_task(engine, order->task);
-    if (task == NULL || task->server != server || task->run != order->run) {
-        return;
-    }
-    if (start && task->state == MS_BATCH_TASK_STARTING) {
-        task->order_pending = false;
-        task->last_answer_at = engine->now;
-        start_answered(engine, task, result);
+    if (step->waiting == 0 || (step->spec->gang && step->active > 0) ||
+        step->occurrence->due_ms > engine->unix_ms) {
+        return false;
     }
-    else if (!start && task->state == MS_BATCH_TASK_STOPPING) {
-        task->order_pending = false;
-        if (result == MS_ORDER_OK || result == MS_ORDER_STALE_RUN) {
-            task->stop_confirmed = true;
-            task->last_answer_at = engine->now;
+    for (size_t i = 0; i < step->spec->depends_on_count; i++) {
+        const struct ms_batch_step *predecessor =
+            &step->occurrence->steps[step->spec->depends_on[i]];
+        if (predecessor->done < predecessor->spec->task_count) {
+            return false;
         }
-        server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
     }
-}
-
-/* ORDER is not unanswered any more; its time shows how fast orders are sent, if it has arrived. */
-static void
-note_order_answer(struct ms_engine *engine, const struct ms_engine_action *order,
-                  enum ms_order_result result)
-{
-    if (order->queued_at == 0) {
-        return; /* of a report that has confirmed a start */
-    }
-    engine->orders.unanswered -= engine->orders.unanswered > 0;
-    /* The time of a stop tells nothing about those ahead of it: it overtakes queued starts. */
-    if (result != MS_ORDER_NO_ANSWER && order->kind == MS_ENGINE_START) {
-        ms_order_backlog_note_answer(&engine->orders, order->orders_ahead,
-                                     engine->now - order->queued_at);
-    }
-    engine->placement_due |= engine->orders_held;
-}
-
-void
-ms_engine_on_order_answer(struct ms_engine *engine, const struct ms_engine_action *order,
-                          enum ms_order_result result, int64_t clock_ms, int64_t now)
-{
-    engine->now = MAX(engine->now, now);
-    if (!ms_engine_sent_action(engine, order)) {
-        return;
-    }
-    note_order_answer(engine, order, result);
-    struct ms_batch_server *server = g_hash_table_lookup(engine->servers_by_id, order->server);
-    bool start = order->kind == MS_ENGINE_START;
-    if (result != MS_ORDER_OK) {
-        ms_engine_log_event(engine,
-                            "event=order_answer order=%s task=%s run=%u server=%s result=%s",
-                            start ? "start" : "stop", order->task, order->run, order->server,
-                            ms_order_result_name(result));
-    }
-    if (server == NULL || server->incarnation != order->incarnation) {
-        return;
-    }
-    ms_attention_add(engine, server);
-    if (result == MS_ORDER_FENCED && !engine->stepped_down) {
-        ms_engine_step_down(engine, "fenced_at_server");
-        return;
-    }
-    if (result == MS_ORDER_OTHER_INCARNATION) {
-        ms_batch_server_on_replaced(engine, server);
-        return;
-    }
-    if (clock_ms > 0 && clock_ms < order->clock_min_ms) {
-        ms_batch_server_on_clock_back(engine, server, clock_ms);
-    }
-    else if (clock_ms > 0) {
-        server->last_answer_at = engine->now;
-        server->clock_ms = MAX(server->clock_ms, clock_ms);
-    }
-    task_answered(engine, server, order, result);
+    return true;
 }
