--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -87,6 +87,9 @@
     ("cap_not_ordered", "src/batch/engine_task_order.c",
      "    if (start && ms_account_is_over_cap(", "    if (false && ms_account_is_over_cap(",
      "no start above the cap"),
+    ("starts_not_withdrawn", "src/batch/engine_task_order.c",
+     "    if (task->state != MS_BATCH_TASK_STARTING || !task->order_pending || task->start_withdrawn) {",
+     "    if (true) {", "no start long after its job was cancelled"),
     ("unanswered_not_counted", "src/batch/engine_task_order.c",
      "        task->order_unanswered = true;",
      "        task->order_unanswered = true;\n"
--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -13,6 +13,10 @@
  * forget it.  A new leader therefore finds in the log every run that may
  * exist and every end that a server may have forgotten.
  *
+ * An order may wait long before it is sent, as few are sent to one server at a time.  The
+ * engine withdraws a start whose run is no longer wanted, or no longer allowed: if it has
+ * not been sent, it never is, and its answer is MS_ORDER_WITHDRAWN.
+ *
  * A server that restarts under the same id has lost the fence it had seen, so a
  * delayed order to its previous incarnation would be carried out.  Orders therefore
  * carry a fence made of the epoch and the number of incarnations of the server seen
@@ -45,6 +49,7 @@
 enum ms_engine_action_kind {
     MS_ENGINE_START = 0,    /* order the server to start a run */
     MS_ENGINE_STOP,         /* order the server to stop a run */
+    MS_ENGINE_WITHDRAW,     /* do not send the START of a run if it is unsent; has no answer */
     MS_ENGINE_RENEW_LEASE,  /* renew the server's lease; the answer reports its runs */
     MS_ENGINE_QUERY_ADVICE, /* ask the advice service which `candidates` may run step `task` */
     MS_ENGINE_STORE,        /* store `records`, then call ms_engine_on_stored() */
@@ -66,11 +71,12 @@
     char address[MS_SERVER_ADDRESS_MAX]; /* START, STOP, RENEW_LEASE: of the server */
     /* Incarnation of the server, counted by the engine, which ignores answers to earlier ones. */
     uint32_t incarnation;
-    int64_t clock_min_ms;        /* a lower clock in the answer: the server has started again */
-    uint64_t fence;              /* rises with the epoch and with each incarnation of the server */
-    char task[MS_TASK_NAME_MAX]; /* START, STOP: name of the task; QUERY_ADVICE: of the step */
-    uint32_t run;                /* START, STOP: number of the run of the task */
-    char *payload;               /* START: payload of the job */
+    int64_t clock_min_ms; /* a lower clock in the answer: the server has started again */
+    uint64_t fence;       /* rises with the epoch and with each incarnation of the server */
+    /* START, STOP, WITHDRAW: name of the task; QUERY_ADVICE: of the step. */
+    char task[MS_TASK_NAME_MAX];
+    uint32_t run;                       /* START, STOP, WITHDRAW: number of the run of the task */
+    char *payload;                      /* START: payload of the job */
     char checkpoint[MS_CHECKPOINT_MAX]; /* START: where to resume, or "" */
     char ticket[MS_TICKET_MAX];         /* START on an advised queue, else "" */
     GPtrArray *candidates;              /* QUERY_ADVICE: ids of servers */
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -50,6 +50,7 @@
     bool awaits_report;    /* may already run there: the next report decides; no start is ordered */
     bool store_pending;    /* RECORDING: the store in progress contains the run */
     bool order_pending;    /* an order awaits its answer */
+    bool start_withdrawn;  /* the pending start has been withdrawn: it may have been sent before */
     bool seen_in_report;   /* a report of the server has listed this run */
     bool order_unanswered; /* a start order went unanswered and may still arrive */
     bool stop_confirmed;   /* STOPPING: the server has confirmed the stop order */
@@ -312,6 +313,8 @@
 /* Declares the current run of TASK lost; the task waits to be placed again. */
 void ms_batch_task_on_lost(struct ms_engine *engine, struct ms_batch_task *task,
                            const char *reason);
+/* The start order of TASK, which is STARTING or STOPPING, was withdrawn and never sent. */
+void ms_batch_task_on_withdrawn(struct ms_engine *engine, struct ms_batch_task *task);
 /* The current run of TASK has ended as HOW says, with CHECKPOINT or "". */
 void ms_batch_task_on_ended(struct ms_engine *engine, struct ms_batch_task *task,
                             enum ms_run_end how, const char *checkpoint);
@@ -337,6 +340,10 @@
  * has not started and its server may no longer be given tasks.
  */
 void ms_batch_task_send_order(struct ms_engine *engine, struct ms_batch_task *task);
+/* Withdraws the start order of TASK if one is pending. */
+void ms_batch_task_withdraw_start(struct ms_engine *engine, struct ms_batch_task *task);
+/* Withdraws the pending start order of TASK if it may not be started on its server any more. */
+void ms_batch_task_recheck_start(struct ms_engine *engine, struct ms_batch_task *task);
 
 /* engine_server.c */
 /* The server with this id; one that is not known yet is added, unlisted. */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -94,6 +94,7 @@
                 task->state == MS_BATCH_TASK_STARTING || task->state == MS_BATCH_TASK_STOPPING;
             bool unreported = task->state == MS_BATCH_TASK_RUNNING && !task->seen_in_report;
             if (task->order_unanswered || unreported || (ordered && task->order_pending)) {
+                ms_batch_task_withdraw_start(engine, task);
                 task->awaits_report = true;
                 task->stop_confirmed = true;
                 task->order_pending = false;
@@ -490,7 +491,10 @@
 tick_task(struct ms_engine *engine, struct ms_batch_task *task)
 {
     struct ms_batch_step *step = task->step;
-    if (task->state == MS_BATCH_TASK_STARTING && !task->awaits_report) {
+    if (task->state == MS_BATCH_TASK_STARTING && task->order_pending) {
+        ms_batch_task_recheck_start(engine, task);
+    }
+    else if (task->state == MS_BATCH_TASK_STARTING && !task->awaits_report) {
         ms_batch_task_send_order(engine, task);
     }
     else if (task->state == MS_BATCH_TASK_STOPPING && !task->stop_confirmed) {
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -132,6 +132,7 @@
                             ms_batch_task_name(task, name), task->run, task->server->id, reason,
                             task->progress_percent, ms_batch_task_work_core_s(engine, task),
                             task->step->spec->checkpoints);
+        ms_batch_task_withdraw_start(engine, task);
         set_state(task, MS_BATCH_TASK_STOPPING);
         ms_attention_add(engine, task->server);
         task->awaits_report = false;
@@ -285,6 +286,7 @@
     ms_engine_log_event(engine, "event=run_lost task=%s run=%u server=%s reason=%s",
                         ms_batch_task_name(task, name), task->run, task->server->id, reason);
     add_lost_run(task, task->run);
+    ms_batch_task_withdraw_start(engine, task);
     ms_batch_task_release(engine, task, MS_BATCH_TASK_WAITING);
     back_off(engine, task, RETRY_BACKOFF_MS);
     ms_engine_mark_dirty(engine, job, false);
@@ -447,6 +449,17 @@
     stop_rest_of_gang(engine, task, "member_refused");
 }
 
+void
+ms_batch_task_on_withdrawn(struct ms_engine *engine, struct ms_batch_task *task)
+{
+    if (task->order_unanswered) {
+        /* An earlier, unanswered order of this run may still arrive. */
+        ms_batch_task_stop_unit(engine, task, "withdrawn_uncertain");
+        return;
+    }
+    ms_batch_task_on_ended(engine, task, MS_RUN_END_STOPPED, "");
+}
+
 bool
 ms_batch_step_ready(const struct ms_engine *engine, const struct ms_batch_step *step)
 {
--- a/src/batch/engine_task_order.c
+++ b/src/batch/engine_task_order.c
@@ -1,5 +1,11 @@
 /*
  * engine_task_order.c - the start and stop orders of tasks, and their answers.
+ *
+ * A start order may wait for seconds before it is sent, if its server answers none.  Its run may
+ * be unwanted by then: the job was cancelled, or has failed, or more urgent work takes its place.
+ * Or it may be forbidden: the server is draining, its data centre is out of service, or the cap of
+ * the account was lowered.  Such a start is withdrawn.  If it was not sent, its run has ended as
+ * if it had been stopped; else its answer arrives as usual.
  */
 #include <string.h>
 
@@ -15,6 +21,45 @@
            (!server->unresponsive && !ms_batch_server_usable(engine, server));
 }
 
+/* Why TASK may not be started on its server, a word for the log; NULL if it may. */
+static const char *
+start_obstacle(const struct ms_engine *engine, const struct ms_batch_task *task)
+{
+    if (must_not_start(engine, task->server)) {
+        return "server_closed";
+    }
+    if (ms_account_is_over_cap(ms_batch_task_job(task)->account)) {
+        return "over_cap"; /* the cap was lowered */
+    }
+    return NULL;
+}
+
+void
+ms_batch_task_withdraw_start(struct ms_engine *engine, struct ms_batch_task *task)
+{
+    if (task->state != MS_BATCH_TASK_STARTING || !task->order_pending || task->start_withdrawn) {
+        return;
+    }
+    struct ms_engine_action *action =
+        ms_engine_push_action(engine, MS_ENGINE_WITHDRAW, task->server);
+    ms_batch_task_name(task, action->task);
+    action->run = task->run;
+    task->start_withdrawn = true;
+}
+
+void
+ms_batch_task_recheck_start(struct ms_engine *engine, struct ms_batch_task *task)
+{
+    const char *obstacle = start_obstacle(engine, task);
+    if (obstacle == NULL || task->start_withdrawn) {
+        return;
+    }
+    char name[MS_TASK_NAME_MAX];
+    ms_engine_log_event(engine, "event=withdraw task=%s run=%u server=%s reason=%s",
+                        ms_batch_task_name(task, name), task->run, task->server->id, obstacle);
+    ms_batch_task_withdraw_start(engine, task);
+}
+
 void
 ms_batch_task_send_order(struct ms_engine *engine, struct ms_batch_task *task)
 {
@@ -25,12 +70,9 @@
         return;
     }
     bool start = task->state == MS_BATCH_TASK_STARTING;
-    if (start && must_not_start(engine, server)) {
-        ms_batch_task_stop_unit(engine, task, "server_closed");
-        return;
-    }
-    if (start && ms_account_is_over_cap(ms_batch_task_job(task)->account)) {
-        ms_batch_task_stop_unit(engine, task, "over_cap"); /* the cap was lowered */
+    const char *obstacle = start ? start_obstacle(engine, task) : NULL;
+    if (obstacle != NULL) {
+        ms_batch_task_stop_unit(engine, task, obstacle);
         return;
     }
     struct ms_engine_action *action =
@@ -48,6 +90,7 @@
         action->deadline_ms = ms_batch_server_new_deadline(engine, server);
     }
     task->order_pending = true;
+    task->start_withdrawn = false;
     task->ordered_at = engine->now;
     task->next_order_at = engine->now + ORDER_RETRY_MS;
     if (start && !task->order_unanswered) {
@@ -91,6 +134,9 @@
     case MS_ORDER_FENCED:
     case MS_ORDER_OTHER_INCARNATION:
         break; /* handled by ms_engine_on_order_answer() for the whole server */
+    case MS_ORDER_WITHDRAWN:
+        ms_batch_task_on_withdrawn(engine, task);
+        break;
     }
 }
 
@@ -109,6 +155,9 @@
         task->last_answer_at = engine->now;
         start_answered(engine, task, result);
     }
+    else if (start && task->state == MS_BATCH_TASK_STOPPING && result == MS_ORDER_WITHDRAWN) {
+        ms_batch_task_on_withdrawn(engine, task);
+    }
     else if (!start && task->state == MS_BATCH_TASK_STOPPING) {
         task->order_pending = false;
         if (result == MS_ORDER_OK || result == MS_ORDER_STALE_RUN) {
@@ -129,7 +178,8 @@
     }
     engine->orders.unanswered -= engine->orders.unanswered > 0;
     /* The time of a stop tells nothing about those ahead of it: it overtakes queued starts. */
-    if (result != MS_ORDER_NO_ANSWER && order->kind == MS_ENGINE_START) {
+    bool arrived = result != MS_ORDER_NO_ANSWER && result != MS_ORDER_WITHDRAWN;
+    if (arrived && order->kind == MS_ENGINE_START) {
         ms_order_backlog_note_answer(&engine->orders, order->orders_ahead,
                                      engine->now - order->queued_at);
     }
--- a/src/batch/server_types.c
+++ b/src/batch/server_types.c
@@ -19,7 +19,7 @@
 {
     static const char *const names[] = {"ok",         "no_answer", "fenced",    "old",
                                         "late",       "no_room",   "no_ticket", "unhealthy",
-                                        "other_life", "rejected"};
+                                        "other_life", "rejected",  "withdrawn"};
     return names[result];
 }
 
--- a/src/batch/server_types.h
+++ b/src/batch/server_types.h
@@ -72,6 +72,7 @@
     MS_ORDER_UNAVAILABLE,       /* the server accepts no orders now; this one had no effect */
     MS_ORDER_OTHER_INCARNATION, /* another incarnation of the server answered */
     MS_ORDER_REJECTED,          /* any other refusal */
+    MS_ORDER_WITHDRAWN,         /* it was withdrawn before it was sent */
 };
 
 /* The name of RESULT in log lines. */
--- a/src/entry/actions.c
+++ b/src/entry/actions.c
@@ -46,9 +46,10 @@
             ms_histogram_observe(entry->counters, MS_HISTOGRAM_START_DELAY, action->queue_wait_ms);
             /* fall through */
         case MS_ENGINE_STOP:
+        case MS_ENGINE_WITHDRAW:
         case MS_ENGINE_RENEW_LEASE:
             if (ms_order_sender_push(entry->order_sender, action, entry->term_epoch)) {
-                continue; /* its answer returns it, in a message */
+                continue; /* its answer, if it has one, returns it in a message */
             }
             ms_log(MS_LOG_WARNING, "event=order_queue_full server=%s", action->server);
             ms_engine_action_free(action);
--- a/src/entry/order_queue.c
+++ b/src/entry/order_queue.c
@@ -28,6 +28,27 @@
     }
 }
 
+static bool
+is_start_of(const struct ms_order_command *command, const struct ms_order_command *withdrawal)
+{
+    return command->order->kind == MS_ENGINE_START && command->epoch == withdrawal->epoch &&
+           command->order->run == withdrawal->order->run &&
+           strcmp(command->order->task, withdrawal->order->task) == 0;
+}
+
+struct ms_order_command *
+ms_order_queue_withdraw(GQueue *waiting, const struct ms_order_command *withdrawal)
+{
+    for (GList *item = waiting->head; item != NULL; item = item->next) {
+        struct ms_order_command *command = item->data;
+        if (is_start_of(command, withdrawal)) {
+            g_queue_delete_link(waiting, item);
+            return command;
+        }
+    }
+    return NULL;
+}
+
 void
 ms_order_command_free(gpointer opaque)
 {
--- a/src/entry/order_queue.h
+++ b/src/entry/order_queue.h
@@ -19,6 +19,10 @@
  */
 void ms_order_queue_add(GQueue *waiting, struct ms_order_command *command);
 
+/* Removes the start that WITHDRAWAL is about from WAITING and returns it, or NULL. */
+struct ms_order_command *ms_order_queue_withdraw(GQueue *waiting,
+                                                 const struct ms_order_command *withdrawal);
+
 /* Frees COMMAND and its order. */
 void ms_order_command_free(gpointer command);
 
--- a/src/entry/order_sender.c
+++ b/src/entry/order_sender.c
@@ -4,7 +4,8 @@
  * START and STOP orders to one server share a few connections.  They are queued here,
  * and not in libcurl, until a connection is free, so that the timeout of an order begins
  * when it is sent.  Queries to the advice service are treated like orders to one more
- * server.
+ * server.  A start that is queued here can still be withdrawn; one that was handed to libcurl
+ * leaves within its timeout or not at all.
  *
  * Each round of the loop sends stops, then starts, then at most RENEWALS_PER_ROUND renewals to
  * servers that answered the last one, so that orders do not wait behind thousands of renewals.
@@ -219,6 +220,15 @@
            exchange->http->send_count);
 }
 
+/* Passes MESSAGE, with an order and its answer, to the decision thread. */
+static void
+push_answer(struct ms_order_sender *sender, struct ms_entry_message *message)
+{
+    while (!ms_ring_push(sender->answers, message) && !atomic_load(&sender->stopping)) {
+        g_usleep(1000);
+    }
+}
+
 /* Called when an exchange has ended: passes the answer to the decision thread. */
 static void
 exchange_done(void *opaque, struct ms_http *http, CURLcode code)
@@ -238,9 +248,25 @@
     else {
         finish_order(sender, order);
     }
-    while (!ms_ring_push(sender->answers, message) && !atomic_load(&sender->stopping)) {
-        g_usleep(1000);
+    push_answer(sender, message);
+}
+
+/* Answers the start that WITHDRAWAL is about, unless it was sent; frees WITHDRAWAL. */
+static void
+withdraw_start(struct ms_order_sender *sender, struct ms_order_command *withdrawal)
+{
+    struct server_queue *queue = g_hash_table_lookup(sender->queues, withdrawal->order->address);
+    struct ms_order_command *start =
+        queue != NULL ? ms_order_queue_withdraw(queue->waiting, withdrawal) : NULL;
+    ms_order_command_free(withdrawal);
+    if (start == NULL) {
+        return;
     }
+    struct ms_entry_message *message = ms_entry_message_new(MS_ENTRY_ORDER_ANSWER);
+    message->order = start->order;
+    message->order_result = MS_ORDER_WITHDRAWN;
+    g_free(start);
+    push_answer(sender, message);
 }
 
 /* Queues the renewal in COMMAND, by whether a connection has to be opened for it. */
@@ -309,6 +335,10 @@
             queue_renewal(sender, command);
             continue;
         }
+        if (command->order->kind == MS_ENGINE_WITHDRAW) {
+            withdraw_start(sender, command);
+            continue;
+        }
         struct server_queue *queue = get_queue(sender, command->order);
         bool stop = command->order->kind == MS_ENGINE_STOP;
         ms_order_queue_add(queue->waiting, command);
--- a/src/entry/order_sender.h
+++ b/src/entry/order_sender.h
@@ -19,9 +19,10 @@
 
 /*
  * Queues ORDER and takes ownership of it; it comes back with its answer in an
- * MS_ENTRY_ORDER_ANSWER, MS_ENTRY_LEASE_ANSWER or MS_ENTRY_ADVICE_ANSWER message.  EPOCH is the
- * epoch of the engine that gave it.  Returns false, and leaves ORDER to the caller, when the queue
- * is full.
+ * MS_ENTRY_ORDER_ANSWER, MS_ENTRY_LEASE_ANSWER or MS_ENTRY_ADVICE_ANSWER message.  A WITHDRAW has
+ * no answer: if the start that it names is unsent, that comes back as MS_ORDER_WITHDRAWN.  EPOCH
+ * is the epoch of the engine that gave it.  Returns false, and leaves ORDER to the caller, when the
+ * queue is full.
  */
 bool ms_order_sender_push(struct ms_order_sender *sender, struct ms_engine_action *order,
                           uint64_t epoch);
--- a/tests/batch/engine_fuzz.c
+++ b/tests/batch/engine_fuzz.c
@@ -1,7 +1,8 @@
 /*
  * engine_fuzz.c - runs the engine in the simulator with random jobs and faults.
  *
- * usage: batch-fuzz [liveness | starvation | takeovers | weights | frequent] FIRST LAST [trace]
+ * usage: batch-fuzz [liveness | starvation | takeovers | weights | frequent | waits] FIRST LAST
+ *        [trace]
  *
  * Runs the seeds FIRST to LAST; an argument after them, whatever it is, prints a trace.  The
  * seed determines the jobs and the faults.  No invariant of the simulator may be violated, and
@@ -20,7 +21,9 @@
  * occur; after them it is one under which each job fits.
  *
  * "frequent" runs the scenarios without a mode, each with a takeover every 1.7 s and servers
- * whose answers are lost for seconds.
+ * whose answers are lost for seconds.  "waits" runs them with many starts that wait for up to 6 s
+ * before they are sent, and no restarts of servers: a late renewal after one acknowledges ends
+ * that nobody has seen (process-late_acknowledgement in KNOWN-RED.txt).
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -32,6 +35,7 @@
 #define JOB_COUNT 12
 #define FAULTS_DURATION_MS 25000   /* in which faults occur and jobs are submitted */
 #define FREQUENT_TAKEOVERS_EVERY 5 /* every 5th seed: a takeover each 1.7 s, silent servers */
+#define START_WAIT_PERMILLE 200    /* in mode "waits" */
 #define SLOW_SERVERS_EVERY 4       /* every 4th seed: slow servers, and runs of 4 to 12 s */
 #define SLOW_SERVERS_PER_JOB 2     /* servers that become slow, for up to 31 s, with each job */
 #define LONG_RUN_MIN_MS 4000
@@ -145,9 +149,12 @@
     simulator_slow_server(simulator, index, factor, 1000 + simulator_random(random_state, 30000));
 }
 
+/* The modes that do not check liveness. */
+enum plain_mode { MODE_PLAIN = 0, MODE_FREQUENT, MODE_WAITS };
+
 /* Runs one seed and adds its counts to TOTALS; returns whether it passed. */
 static bool
-run_seed(uint64_t seed, bool frequent_takeovers, struct simulator_counts *totals, FILE *trace)
+run_seed(uint64_t seed, enum plain_mode mode, struct simulator_counts *totals, FILE *trace)
 {
     uint64_t random_state = seed * 77777u + 5;
     struct simulator_faults faults = {
@@ -172,7 +179,11 @@
     if (simulator_random(&random_state, 4) == 0) {
         faults.run_stall = 2;
     }
-    if (frequent_takeovers || seed % FREQUENT_TAKEOVERS_EVERY == 0) {
+    if (mode == MODE_WAITS) {
+        faults.start_wait = START_WAIT_PERMILLE;
+        faults.server_restart = 0;
+    }
+    if (mode == MODE_FREQUENT || seed % FREQUENT_TAKEOVERS_EVERY == 0) {
         faults.leader_change = 60;
         faults.server_silence = 5;
     }
@@ -361,19 +372,28 @@
     return NULL;
 }
 
+static enum plain_mode
+find_plain_mode(const char *name)
+{
+    if (strcmp(name, "frequent") == 0) {
+        return MODE_FREQUENT;
+    }
+    return strcmp(name, "waits") == 0 ? MODE_WAITS : MODE_PLAIN;
+}
+
 int
 main(int argc, char **argv)
 {
     const struct liveness_mode *mode = argc > 1 ? find_mode(argv[1]) : NULL;
-    bool frequent_takeovers = argc > 1 && strcmp(argv[1], "frequent") == 0;
-    if (mode != NULL || frequent_takeovers) {
+    enum plain_mode plain_mode = argc > 1 ? find_plain_mode(argv[1]) : MODE_PLAIN;
+    if (mode != NULL || plain_mode != MODE_PLAIN) {
         argc--;
         argv++;
     }
     if (argc != 3 && argc != 4) {
-        fprintf(stderr, "usage: batch-fuzz [liveness | starvation | takeovers | weights | frequent]"
-                        " FIRST LAST"
-                        " [trace]\n");
+        fprintf(stderr,
+                "usage: batch-fuzz [liveness | starvation | takeovers | weights | frequent |"
+                " waits] FIRST LAST [trace]\n");
         return 2;
     }
     uint64_t first = strtoull(argv[1], NULL, 10);
@@ -383,7 +403,7 @@
     struct simulator_counts totals = {0};
     for (uint64_t seed = first; seed <= last; seed++) {
         bool passed = mode != NULL ? run_liveness_seed(seed, mode, &totals, trace)
-                                   : run_seed(seed, frequent_takeovers, &totals, trace);
+                                   : run_seed(seed, plain_mode, &totals, trace);
         failed += !passed;
     }
     printf("starts=%u done=%u failed=%u stopped=%u take_overs=%u\n", totals.starts, totals.done,
--- a/tests/batch/simulated_server.c
+++ b/tests/batch/simulated_server.c
@@ -253,6 +253,9 @@
     if (!unfenced_late) {
         check_start(simulator, server, order);
     }
+    if (!order->delayed) {
+        simulator_check_start_time(simulator, server, action);
+    }
     const struct ms_step *step = simulator_find_step(simulator, action->task);
     struct run run = {.run = action->run,
                       .started_at = simulator->now,
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -152,7 +152,7 @@
     simulator->acked_done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     simulator->done_tasks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     simulator->acked_failures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    simulator->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    simulator->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     simulator->idle_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     for (size_t i = 0; i < servers; i++) {
         init_server(simulator, i);
@@ -329,6 +329,11 @@
             simulator_report_violation(simulator, "the current leader stepped down", "");
             continue;
         }
+        if (action->kind == MS_ENGINE_WITHDRAW) {
+            simulator_withdraw_start(simulator, action);
+            free_event(event);
+            continue;
+        }
         if (action->kind == MS_ENGINE_STORE) {
             event->kind = EVENT_RECORDS_STORED;
             simulator->counts.states_stored += action->records->len;
@@ -349,6 +354,9 @@
             event->due_at = simulator->now + ORDER_TIMEOUT_MS;
             simulator_note_fault(simulator, event->due_at);
         }
+        else {
+            simulator_queue_order(simulator, event);
+        }
         push_event(simulator, event);
     }
 }
@@ -375,6 +383,9 @@
 {
     switch (event->kind) {
     case EVENT_ORDER_ARRIVES:
+        if (event->unsent && (simulator->engine == NULL || event->epoch != simulator->epoch)) {
+            break; /* the host was lost, or drops orders of terms that are over */
+        }
         carry_out_order(simulator, event);
         break;
     case EVENT_ANSWER_ARRIVES:
@@ -503,7 +514,10 @@
 simulator_cancel_job(struct simulator *simulator, const char *id)
 {
     static const uint8_t mark[] = "x";
-    g_hash_table_add(simulator->cancelled, g_strdup(id));
+    if (!g_hash_table_contains(simulator->cancelled, id)) {
+        g_hash_table_insert(simulator->cancelled, g_strdup(id),
+                            g_memdup2(&simulator->now, sizeof(simulator->now)));
+    }
     store_record(simulator, MS_KEY_CANCEL, id, mark, 1);
 }
 
--- a/tests/batch/simulator.h
+++ b/tests/batch/simulator.h
@@ -40,6 +40,7 @@
     int leader_change_series; /* the leader is lost two to four times within 12 s */
     int gang_server_loss;     /* a server that runs a member of a gang disappears for good */
     int gang_stall;           /* the runs on such a server make no progress for 1 to 6 s */
+    int start_wait;           /* a start waits for up to 6 s before it is sent */
 };
 
 /*
--- a/tests/batch/simulator_faults.c
+++ b/tests/batch/simulator_faults.c
@@ -156,6 +156,7 @@
     server->shutdown_at = simulator->now + 4000;
     simulator_note_fault(simulator, server->shutdown_at);
     if (!server->unlisted) {
+        server->draining_since = simulator->now;
         list_server(simulator, server);
     }
 }
@@ -379,6 +380,7 @@
 {
     struct simulated_server *server = &simulator->servers[index];
     server->entry.draining = true;
+    server->draining_since = simulator->now;
     list_server(simulator, server);
     simulator_disconnect_server(simulator, index, ms);
     unlist_server(simulator, server);
--- a/tests/batch/simulator_private.h
+++ b/tests/batch/simulator_private.h
@@ -54,12 +54,13 @@
     int64_t speed;      /* in percent, 0: 100 */
     int64_t slow_until; /* its runs are slower by `slow_factor` until then */
     int64_t slow_factor;
-    int64_t shutdown_at; /* when a draining server shuts down, 0: never */
-    int64_t unlist_at;   /* of a lost server, or if RELIST_AT is set: when its entry expires */
-    int64_t relist_at;   /* when its expired entry returns, 0: its entry does not expire */
-    bool unlisted;       /* the directory does not list it */
-    bool lost;           /* disappeared without draining */
-    bool removed;        /* for good; the directory does not list it */
+    int64_t draining_since; /* when the directory listed it as draining, 0: it does not */
+    int64_t shutdown_at;    /* when a draining server shuts down, 0: never */
+    int64_t unlist_at;      /* of a lost server, or if RELIST_AT is set: when its entry expires */
+    int64_t relist_at;      /* when its expired entry returns, 0: its entry does not expire */
+    bool unlisted;          /* the directory does not list it */
+    bool lost;              /* disappeared without draining */
+    bool removed;           /* for good; the directory does not list it */
 };
 
 /*
@@ -81,6 +82,7 @@
     int64_t clock_ms;                /* ANSWER_ARRIVES: the server's clock, 0: unknown */
     int64_t sent_at;                 /* when the engine sent the order */
     bool delayed; /* ORDER_ARRIVES: after the engine was told that there is no answer */
+    bool unsent;  /* ORDER_ARRIVES: a start that waits in the leader's host until then */
 };
 
 struct simulator {
@@ -106,7 +108,7 @@
     GHashTable *acked_done;      /* names of tasks whose success was acknowledged */
     GHashTable *done_tasks;      /* names of tasks that were done, acknowledged or not */
     GHashTable *acked_failures;  /* task name -> number of acknowledged failed runs */
-    GHashTable *cancelled;       /* ids of cancelled jobs */
+    GHashTable *cancelled;       /* id of a cancelled job -> int64_t: when it was cancelled */
     uint32_t leader_losses_left; /* of the series in progress */
     int64_t next_leader_loss_at; /* in that series */
     bool leader_losses_expected; /* they do not count as faults */
@@ -164,6 +166,19 @@
 /* Causes random faults, and ends those that are over; called every 100 ms. */
 void simulator_inject_faults(struct simulator *simulator);
 
+/* simulator_sender.c */
+/*
+ * ORDER is about to be scheduled: a start waits, by chance, before it is sent; a stop is not sent
+ * before a start of its run that waits.
+ */
+void simulator_queue_order(struct simulator *simulator, struct event *order);
+/* Answers the start that WITHDRAWAL names, if it still waits, as withdrawn. */
+void simulator_withdraw_start(struct simulator *simulator,
+                              const struct ms_engine_action *withdrawal);
+/* Checks that START is not carried out long after SERVER drained or its job was cancelled. */
+void simulator_check_start_time(struct simulator *simulator, const struct simulated_server *server,
+                                const struct ms_engine_action *start);
+
 /* simulator_caps.c */
 GArray *simulator_new_cap_changes(void);
 /* Gives the engine the caps of which the leader has learned by now. */
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -38,5 +38,6 @@
 TCase *account_cases(void);
 TCase *account_order_cases(void);
 TCase *load_cases(void);
+TCase *withdraw_cases(void);
 
 #endif
--- a/tests/batch/unit_advice.c
+++ b/tests/batch/unit_advice.c
@@ -113,6 +113,7 @@
                                   fixture->now);
         break;
     case MS_ENGINE_STOP:
+    case MS_ENGINE_WITHDRAW:
     case MS_ENGINE_STEP_DOWN:
         break;
     }
--- a/tests/batch/unit_closed.c
+++ b/tests/batch/unit_closed.c
@@ -79,6 +79,7 @@
     case MS_ENGINE_STORE:
         ms_engine_on_stored(fixture->engine, fixture->now);
         break;
+    case MS_ENGINE_WITHDRAW:
     case MS_ENGINE_QUERY_ADVICE:
     case MS_ENGINE_STEP_DOWN:
         break;
--- a/tests/batch/unit_load.c
+++ b/tests/batch/unit_load.c
@@ -112,6 +112,7 @@
     case MS_ENGINE_STORE:
         ms_engine_on_stored(fixture->engine, fixture->now);
         break;
+    case MS_ENGINE_WITHDRAW:
     case MS_ENGINE_QUERY_ADVICE:
     case MS_ENGINE_STEP_DOWN:
         break;
--- a/tests/batch/unit_lost_answer.c
+++ b/tests/batch/unit_lost_answer.c
@@ -455,6 +455,7 @@
     case MS_ENGINE_STEP_DOWN:
         ck_abort_msg("the only leader has stepped down: %s", action->reason);
         break;
+    case MS_ENGINE_WITHDRAW: /* no call waits to be sent */
     case MS_ENGINE_QUERY_ADVICE:
         break;
     }
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -191,6 +191,7 @@
         ms_engine_on_stored(fixture->engine, fixture->now);
         break;
     case MS_ENGINE_STOP:
+    case MS_ENGINE_WITHDRAW:
     case MS_ENGINE_QUERY_ADVICE:
     case MS_ENGINE_STEP_DOWN:
         break;
--- a/tests/batch/unit_takeover.c
+++ b/tests/batch/unit_takeover.c
@@ -111,6 +111,7 @@
         keep_state(fixture, action);
         ms_engine_on_stored(fixture->engine, fixture->now);
         return;
+    case MS_ENGINE_WITHDRAW:
     case MS_ENGINE_QUERY_ADVICE:
     case MS_ENGINE_STEP_DOWN:
         return;
--- a/tests/check.py
+++ b/tests/check.py
@@ -36,6 +36,7 @@
     yield "batch-fuzz", [f"{BUILD}/batch-fuzz", "1", "3000"], None
     yield "batch-liveness", [f"{BUILD}/batch-fuzz", "liveness", "1", "60"], None
     yield "batch-weights", [f"{BUILD}/batch-fuzz", "weights", "1", "30"], None
+    yield "batch-waits", [f"{BUILD}/batch-fuzz", "waits", "1", "400"], None
     yield "batch-frequent", [f"{BUILD}/batch-fuzz", "frequent", "4750", "4900"], None
     yield "reader-fuzz", [f"{BUILD}/reader-fuzz", "1", "500"], None
     yield "batch-open-faults", [f"{BUILD}/batch-open-faults"], None
