--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -40,8 +40,9 @@
     struct ms_batch_step *step;
     uint32_t index; /* within the step */
     enum ms_batch_task_state state;
-    uint32_t run;      /* number of the latest run, 0: none */
-    uint32_t failures; /* failed runs */
+    uint32_t run;        /* number of the latest run, 0: none */
+    uint32_t failures;   /* failed runs */
+    uint32_t failed_run; /* the latest run that `failures` includes, 0: none */
     /* Runs that were declared lost and have not failed since, latest first; 0: none. */
     uint32_t lost_runs[MS_LOST_RUNS_MAX];
     char checkpoint[MS_CHECKPOINT_MAX]; /* latest checkpoint, or "" */
@@ -437,7 +438,10 @@
                                const struct ms_server_report *report, int64_t sent_at);
 
 /* engine_health.c */
-/* A run of TASK has failed on SERVER; TASK's failures do not include it yet. */
+/*
+ * A run of TASK has failed on SERVER; TASK's failures include it only if another member of its gang
+ * has reported it before.
+ */
 void ms_batch_server_on_failure(struct ms_engine *engine, struct ms_batch_server *server,
                                 const struct ms_batch_task *task);
 /* A run has ended as done on SERVER. */
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -64,6 +64,10 @@
     record->status.data[index] = (uint8_t)status;
     record->run[index] = task->run;
     record->failures[index] = task->failures;
+    record->failed_run[index] = task->failed_run;
+    if (task->failed_run != 0) {
+        record->n_failed_run = record->n_run;
+    }
     for (size_t i = 0; i < MS_LOST_RUNS_MAX && task->lost_runs[i] != 0; i++) {
         record->lost_run[i * record->n_run + index] = task->lost_runs[i];
         record->n_lost_run = MAX(record->n_lost_run, (i + 1) * record->n_run);
@@ -95,6 +99,7 @@
     record->n_run = record->n_failures = record->n_server = record->n_checkpoint = count;
     record->run = g_new0(uint32_t, count);
     record->failures = g_new0(uint32_t, count);
+    record->failed_run = g_new0(uint32_t, count);
     record->server = g_new0(uint32_t, count);
     record->lost_run = g_new0(uint32_t, count * MS_LOST_RUNS_MAX);
     record->checkpoint = g_new0(char *, count);
@@ -114,6 +119,7 @@
     g_free(record->status.data);
     g_free(record->run);
     g_free(record->failures);
+    g_free(record->failed_run);
     g_free(record->server);
     g_free(record->lost_run);
     g_free(record->checkpoint);
@@ -285,6 +291,9 @@
                 task->run = record->run[index];
                 task->failures = record->failures[index];
             }
+            if (index < record->n_failed_run) {
+                task->failed_run = record->failed_run[index];
+            }
             for (size_t i = 0; i < MS_LOST_RUNS_MAX; i++) {
                 size_t position = i * record->n_run + index;
                 task->lost_runs[i] = position < record->n_lost_run ? record->lost_run[position] : 0;
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -285,7 +285,9 @@
     struct ms_batch_job *job = ms_batch_task_job(task);
     ms_engine_log_event(engine, "event=run_lost task=%s run=%u server=%s reason=%s",
                         ms_batch_task_name(task, name), task->run, task->server->id, reason);
-    add_lost_run(task, task->run);
+    if (task->failed_run != task->run) {
+        add_lost_run(task, task->run); /* its gang has not failed in this run */
+    }
     ms_batch_task_withdraw_start(engine, task);
     ms_batch_task_release(engine, task, MS_BATCH_TASK_WAITING);
     back_off(engine, task, RETRY_BACKOFF_MS);
@@ -315,18 +317,22 @@
     task->avoided_server_count++;
 }
 
-/* Counts the failure of RUN for TASK itself. */
+/* Counts the failure of RUN for TASK itself, unless it has been counted. */
 static void
 count_own_failure(struct ms_batch_task *task, const char *server, uint32_t run)
 {
-    task->failures++;
-    remove_lost_run(task, run); /* a later leader must not count it again */
+    remove_lost_run(task, run); /* no later report of it counts */
     avoid_server(task, server);
+    if (task->failed_run == run) {
+        return;
+    }
+    task->failures++;
+    task->failed_run = MAX(task->failed_run, run);
 }
 
 /*
  * Counts the failure of RUN of TASK, which avoids SERVER from now on.  A gang fails as a whole:
- * its run counts as one failure of each member, whichever member reports it.
+ * its run counts as one failure of each member, whichever members report it.
  */
 static void
 count_failure(struct ms_batch_task *task, const char *server, uint32_t run)
--- a/src/wire/batch.pb-c.c
+++ b/src/wire/batch.pb-c.c
@@ -665,7 +665,7 @@
   (ProtobufCMessageInit) ms__batch__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ms__batch__occurrence_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ms__batch__occurrence_record__field_descriptors[9] =
 {
   {
     "number",
@@ -763,10 +763,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_run",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ms__Batch__OccurrenceRecord, n_failed_run),
+    offsetof(Ms__Batch__OccurrenceRecord, failed_run),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ms__batch__occurrence_record__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
   1,   /* field[1] = complete */
+  8,   /* field[8] = failed_run */
   4,   /* field[4] = failures */
   7,   /* field[7] = lost_run */
   0,   /* field[0] = number */
@@ -777,7 +790,7 @@
 static const ProtobufCIntRange ms__batch__occurrence_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ms__batch__occurrence_record__descriptor =
 {
@@ -787,7 +800,7 @@
   "Ms__Batch__OccurrenceRecord",
   "ms.batch",
   sizeof(Ms__Batch__OccurrenceRecord),
-  8,
+  9,
   ms__batch__occurrence_record__field_descriptors,
   ms__batch__occurrence_record__field_indices_by_name,
   1,  ms__batch__occurrence_record__number_ranges,
--- a/src/wire/batch.pb-c.h
+++ b/src/wire/batch.pb-c.h
@@ -114,14 +114,21 @@
   size_t n_checkpoint;
   char **checkpoint;
   /*
-   * latest run of each task that was given up and whose failure
+   * Runs that were given up and whose failures would still count, 0: none.  One item for each
+   * task: its latest such run; then one for each task: the one before, and so on.  Trailing
+   * groups without any such run are left out.
    */
   size_t n_lost_run;
   uint32_t *lost_run;
+  /*
+   * Latest run of each task whose failure is in `failures`, 0: none.  Empty if all are 0.
+   */
+  size_t n_failed_run;
+  uint32_t *failed_run;
 };
 #define MS__BATCH__OCCURRENCE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ms__batch__occurrence_record__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -39,5 +39,6 @@
 TCase *account_order_cases(void);
 TCase *load_cases(void);
 TCase *withdraw_cases(void);
+TCase *gang_failure_cases(void);
 
 #endif
