Tests of the order between accounts: one test no longer depends on drawn run times

Cause: account_that_sends_too_much_delays_its_own_work has random run times, 500 to 3,000 ms, from seed 51.

Change: each run takes 1,750 ms, the mean of these times. Load, times and the check are the same.

--- a/tests/batch/unit_account_order.c
+++ b/tests/batch/unit_account_order.c
@@ -210,6 +210,15 @@
     }
 }
 
+/* Run time of each task: the mean of those that the simulator draws. */
+static int64_t
+mean_run_ms(void *opaque, const char *task)
+{
+    (void)opaque;
+    (void)task;
+    return 1750;
+}
+
 /* How many of the jobs PREFIX0, ..., PREFIX(COUNT - 1) have succeeded. */
 static int
 count_succeeded(const struct simulator *simulator, const char *prefix, int count)
@@ -230,7 +239,8 @@
  */
 START_TEST(account_that_sends_too_much_delays_its_own_work)
 {
-    struct simulator *simulator = simulator_new(51, 2, &no_faults, NULL);
+    const struct simulator_speeds speeds = {.run_ms = mean_run_ms};
+    struct simulator *simulator = simulator_new_with_speeds(51, 2, &no_faults, &speeds, NULL);
     simulator_set_weight(simulator, "hot", 2);
     simulator_set_weight(simulator, "calm", 2);
     submit_jobs(simulator, "hot", "hot", "q1", 60, 4);
