--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -16,6 +16,11 @@
  * step would otherwise store the states of all its tasks again, which every host reads.
  */
 #define STORE_DELAY_MS 300
+/*
+ * That a job has started is stored with the next change of its state, or after this time: callers
+ * may be told a number of waiting jobs that is 2 s old.
+ */
+#define STARTED_STORE_DELAY_MS 1000
 
 void
 ms_engine_limits_defaults(struct ms_engine_limits *limits)
@@ -81,6 +86,7 @@
     ms_list_link_init(&engine->due_jobs);
     ms_list_link_init(&engine->servers);
     ms_list_link_init(&engine->dirty);
+    ms_list_link_init(&engine->started);
     engine->actions = g_queue_new();
     return engine;
 }
@@ -365,6 +371,7 @@
     ms_list_link_init(&job->dirty_link);
     ms_list_link_init(&job->jobs_link);
     ms_list_link_init(&job->due_link);
+    ms_list_link_init(&job->started_link);
     job->sequence = ++engine->last_job_sequence;
     g_hash_table_insert(engine->jobs_by_id, job->id, job);
     ms_order_add_job(engine, job);
@@ -429,6 +436,7 @@
     ms_list_remove(&job->jobs_link);
     ms_list_remove(&job->due_link);
     ms_list_remove(&job->dirty_link);
+    ms_list_remove(&job->started_link);
     ms_order_remove_job(job);
     g_hash_table_remove(engine->jobs_by_id, job->id);
 }
@@ -519,6 +527,21 @@
     }
 }
 
+/* Marks the jobs that started STARTED_STORE_DELAY_MS ago as to be stored. */
+static void
+mark_started_jobs_dirty(struct ms_engine *engine)
+{
+    while (!ms_list_is_empty(&engine->started)) {
+        struct ms_batch_job *job =
+            MS_CONTAINER_OF(engine->started.next, struct ms_batch_job, started_link);
+        if (engine->now - job->started_at < STARTED_STORE_DELAY_MS) {
+            return;
+        }
+        ms_list_remove(&job->started_link);
+        ms_engine_mark_dirty(engine, job, false);
+    }
+}
+
 /* Runs the timers of the servers that need attention, of all servers if ALL, and of jobs. */
 static void
 scan(struct ms_engine *engine, bool all)
@@ -535,6 +558,7 @@
     {
         add_due_occurrences(engine, MS_CONTAINER_OF(link, struct ms_batch_job, due_link));
     }
+    mark_started_jobs_dirty(engine);
     remove_expired_jobs(engine);
 }
 
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -91,7 +91,6 @@
             ms_fit_forget(pass);
         }
     }
-    job->started = true;
     unit->step->unplaced_since = 0;
     unit->step->ample_since = 0;
     ms_engine_mark_dirty(engine, job, true);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -115,7 +115,7 @@
     const struct ms_queue_rule *queue; /* from the current policy, or NULL */
     struct ms_batch_account *account;  /* owned by the engine */
     enum ms_phase phase;
-    bool started;                     /* a task has been assigned to a server */
+    bool started;                     /* a server has started a task of it */
     GPtrArray *occurrences;           /* struct ms_batch_occurrence *, those due so far, in order */
     uint32_t occurrences_done;        /* complete ones */
     uint64_t sequence;                /* rises with each job that the engine learns of */
@@ -124,6 +124,8 @@
     struct ms_list_link account_link; /* in account->jobs */
     int64_t virtual_us;               /* virtual arrival, see account_order.h */
     struct ms_list_link dirty_link;   /* in engine->dirty while its state has to be stored */
+    struct ms_list_link started_link; /* in engine->started while no state has `started` */
+    int64_t started_at;               /* when the engine learned that it has started */
     bool store_pending;               /* in engine->storing: the store in progress has its state */
     bool store_urgent;                /* dirty: its state has to be stored without delay */
     bool removing;                    /* its records are to be removed from the log */
@@ -220,6 +222,7 @@
     struct ms_list_link jobs;       /* struct ms_batch_job: those that are open */
     struct ms_list_link ended_jobs; /* struct ms_batch_job: ended, oldest first */
     struct ms_list_link due_jobs;   /* struct ms_batch_job: open, with occurrences to come */
+    struct ms_list_link started;    /* struct ms_batch_job: whose start has not been stored yet */
     struct ms_list_link servers;    /* struct ms_batch_server */
     GPtrArray *servers_by_index;    /* the same, in the same order */
     GArray *attention;              /* uint64_t: a bit for each server, see engine_attention.c */
@@ -329,6 +332,8 @@
 void ms_batch_task_set_checkpoint(struct ms_batch_task *task, const char *checkpoint);
 /* Whether tasks of STEP may be placed: it is due and the steps it depends on are done. */
 bool ms_batch_step_ready(const struct ms_engine *engine, const struct ms_batch_step *step);
+/* A server has started a task of JOB. */
+void ms_batch_job_note_started(struct ms_engine *engine, struct ms_batch_job *job);
 /* Ends JOB if all its tasks are done or one has failed too often. */
 void ms_batch_job_update_phase(struct ms_engine *engine, struct ms_batch_job *job);
 /* Stops all tasks of JOB. */
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -227,6 +227,10 @@
         return;
     }
     server->ends_seen = row->position;
+    const struct ms_batch_task *ended = ms_engine_find_task(engine, row->task);
+    if (ended != NULL) {
+        ms_batch_job_note_started(engine, ms_batch_task_job(ended));
+    }
     struct ms_batch_task *task = find_assigned_task(engine, server, row->task, row->run);
     if (task == NULL) {
         task = find_task_of_late_end(engine, row);
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -302,6 +302,7 @@
     char name[MS_TASK_NAME_MAX];
     ms_engine_log_event(engine, "event=run_found task=%s run=%u server=%s",
                         ms_batch_task_name(task, name), task->run, server->id);
+    ms_batch_job_note_started(engine, ms_batch_task_job(task));
     ms_batch_task_assign(engine, task, server);
     task->state = MS_BATCH_TASK_RUNNING;
     engine->orders.to_come--;
@@ -426,10 +427,21 @@
     ms_batch_job_update_phase(engine, job);
 }
 
+void
+ms_batch_job_note_started(struct ms_engine *engine, struct ms_batch_job *job)
+{
+    if (!job->started && job->phase == MS_PHASE_OPEN) {
+        job->started = true;
+        job->started_at = engine->now;
+        ms_list_append(&engine->started, &job->started_link);
+    }
+}
+
 void
 ms_batch_task_on_started(struct ms_engine *engine, struct ms_batch_task *task)
 {
     set_state(task, MS_BATCH_TASK_RUNNING);
+    ms_batch_job_note_started(engine, ms_batch_task_job(task));
     task->running_since = engine->now;
     task->last_progress_at = engine->now;
     task->server->next_renewal_at = MIN(task->server->next_renewal_at, engine->now);
--- a/src/batch/job_table.h
+++ b/src/batch/job_table.h
@@ -44,7 +44,7 @@
     struct ms_batch_spec spec;
     bool cancelled;
     enum ms_phase phase; /* from the newest StateRecord; see also ms_stored_job_phase() */
-    bool started;        /* a task was assigned to a server; from the newest StateRecord */
+    bool started;        /* a server has started a task of it; from the newest StateRecord */
     GBytes *state;       /* newest StateRecord in its stored form, or NULL */
     /* Set by the owner of the table, on its own clock, not by ms_job_table_apply(). */
     int64_t accepted_read_at; /* when its specification was read, 0: not known */
--- a/src/wire/batch.pb-c.h
+++ b/src/wire/batch.pb-c.h
@@ -142,7 +142,7 @@
    */
   uint32_t phase;
   /*
-   * a task was assigned to a server
+   * a server has started a task of it
    */
   protobuf_c_boolean begun;
   /*
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -424,6 +424,7 @@
     suite_add_tcase(suite, load_cases());
     suite_add_tcase(suite, withdraw_cases());
     suite_add_tcase(suite, gang_failure_cases());
+    suite_add_tcase(suite, started_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -40,5 +40,6 @@
 TCase *load_cases(void);
 TCase *withdraw_cases(void);
 TCase *gang_failure_cases(void);
+TCase *started_cases(void);
 
 #endif
