--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -344,6 +344,11 @@
     }
     ms_order_set_policy(engine);
     engine->placement_due = true;
+    /* A job may have failed as often as its queue, missing until now or changed, allows. */
+    MS_LIST_FOREACH(link, &engine->jobs)
+    {
+        ms_batch_job_update_phase(engine, MS_CONTAINER_OF(link, struct ms_batch_job, jobs_link));
+    }
 }
 
 void
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -423,7 +423,7 @@
     suite_add_tcase(suite, account_order_cases());
     suite_add_tcase(suite, load_cases());
     suite_add_tcase(suite, withdraw_cases());
-    suite_add_tcase(suite, gang_failure_cases());
+    suite_add_tcase(suite, attempts_cases());
     suite_add_tcase(suite, started_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -39,7 +39,7 @@
 TCase *account_order_cases(void);
 TCase *load_cases(void);
 TCase *withdraw_cases(void);
-TCase *gang_failure_cases(void);
+TCase *attempts_cases(void);
 TCase *started_cases(void);
 
 #endif
--- a/tests/batch/unit_gang_failure.c
+++ b/tests/batch/unit_attempts.c
@@ -1,5 +1,6 @@
 /*
- * unit_gang_failure.c - tests of the failures of a gang, of which several members report one.
+ * unit_attempts.c - tests of how often work is tried: which failed runs count, and when the limit
+ * of its queue applies.
  *
  * The engine runs alone with servers that have room for one member each, or for all.  The test
  * decides how the current run ends on each of them, and when a server reports it.
@@ -51,18 +52,27 @@
     fixture->run_given_up |= strstr(text, "event=run_lost") != NULL;
 }
 
+/* Sets a policy with the job's queue, if HAS_QUEUE, whose tasks may fail FAILURES_MAX times. */
+static void
+set_policy(struct fixture *fixture, bool has_queue, uint32_t failures_max)
+{
+    static struct ms_queue_rule queues[] = {{.name = "q0", .service = "service"}};
+    static struct ms_policy policy = {.queues = queues};
+    policy.version++;
+    policy.queue_count = has_queue;
+    queues[0].failures_max = failures_max;
+    ms_engine_set_policy(fixture->engine, &policy);
+}
+
 static void
 create_engine(struct fixture *fixture)
 {
-    static struct ms_queue_rule queues[] = {
-        {.name = "q0", .service = "service", .failures_max = FAILURES_MAX}};
-    static const struct ms_policy policy = {.version = 1, .queues = queues, .queue_count = 1};
     struct ms_engine_limits limits;
     ms_engine_limits_defaults(&limits);
     fixture->epoch++;
     int64_t earlier_leases_until = fixture->epoch > 1 ? fixture->now + LEASE_MAX_MS : 0;
     fixture->engine = ms_engine_new(&limits, fixture->epoch, earlier_leases_until, fixture->now);
-    ms_engine_set_policy(fixture->engine, &policy);
+    set_policy(fixture, true, FAILURES_MAX);
     ms_engine_set_log(fixture->engine, note_event, fixture);
     for (size_t i = 0; i < SERVER_COUNT; i++) {
         ms_engine_update_server(fixture->engine, &fixture->servers[i].entry, fixture->now);
@@ -318,12 +328,63 @@
 }
 END_TEST
 
+/* Fails the current run of the gang, RUN_NUMBER, on all its servers. */
+static void
+fail_gang(struct fixture *fixture, uint32_t run_number)
+{
+    run(fixture, PLACE_MS);
+    ck_assert_uint_eq(fixture->last_run, run_number);
+    fail_member(fixture, run_number, 0, true);
+    fail_member(fixture, run_number, 1, true);
+    run(fixture, TICK_MS);
+}
+
+/*
+ * Guards against a further start of work whose last attempt failed while its queue was missing from
+ * the policy, once the queue is back.
+ */
+START_TEST(work_without_attempts_left_fails_when_its_queue_is_back)
+{
+    struct fixture fixture;
+    fixture_init(&fixture, 8);
+    fail_gang(&fixture, 1);
+    run(&fixture, PLACE_MS);
+    set_policy(&fixture, false, FAILURES_MAX);
+    fail_gang(&fixture, 2);
+    ck_assert(!fixture.job_failed);
+    set_policy(&fixture, true, FAILURES_MAX);
+    ck_assert(fixture.job_failed);
+    run(&fixture, PLACE_MS);
+    ck_assert_uint_eq(fixture.last_run, 2);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+/* Guards against a further start of work that has failed as often as a new policy allows. */
+START_TEST(work_fails_when_its_attempts_are_lowered)
+{
+    struct fixture fixture;
+    fixture_init(&fixture, 8);
+    set_policy(&fixture, true, FAILURES_MAX + 2);
+    fail_gang(&fixture, 1);
+    fail_gang(&fixture, 2);
+    ck_assert(!fixture.job_failed);
+    set_policy(&fixture, true, FAILURES_MAX);
+    ck_assert(fixture.job_failed);
+    run(&fixture, PLACE_MS);
+    ck_assert_uint_eq(fixture.last_run, 2);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
-gang_failure_cases(void)
+attempts_cases(void)
 {
-    TCase *cases = tcase_create("gang_failure");
+    TCase *cases = tcase_create("attempts");
     tcase_add_loop_test(cases, run_of_a_gang_fails_once_whoever_reports_it, 0, 2);
     tcase_add_test(cases, run_of_a_gang_fails_once_over_a_takeover);
     tcase_add_loop_test(cases, run_of_a_gang_fails_once_if_a_report_arrives_late, 0, 2);
+    tcase_add_test(cases, work_without_attempts_left_fails_when_its_queue_is_back);
+    tcase_add_test(cases, work_fails_when_its_attempts_are_lowered);
     return cases;
 }
