--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -6,6 +6,7 @@
 
 #include <check.h>
 
+#include "batch/engine.h"
 #include "batch/job_spec.h"
 #include "batch/simulator.h"
 
@@ -19,6 +20,14 @@
 /* Asserts that no invariant was violated and that job ID is in PHASE. */
 void expect_phase(struct simulator *simulator, const char *id, enum ms_phase phase);
 
+/*
+ * Passes each action that ENGINE has queued to ANSWER, with OPAQUE, and frees it.  Actions that the
+ * answers lead to stay queued.
+ */
+void answer_queued_actions(struct ms_engine *engine,
+                           void (*answer)(void *opaque, const struct ms_engine_action *action),
+                           void *opaque);
+
 TCase *engine_cases(void);
 TCase *retention_cases(void);
 TCase *advice_cases(void);
--- a/tests/batch/unit_attempts.c
+++ b/tests/batch/unit_attempts.c
@@ -182,8 +182,9 @@
 }
 
 static void
-answer(struct fixture *fixture, const struct ms_engine_action *action)
+answer(void *opaque, const struct ms_engine_action *action)
 {
+    struct fixture *fixture = opaque;
     switch (action->kind) {
     case MS_ENGINE_START:
         start_run(fixture, action);
@@ -208,17 +209,9 @@
 run(struct fixture *fixture, int64_t ms)
 {
     for (int64_t until = fixture->now + ms; fixture->now < until;) {
-        GQueue actions = G_QUEUE_INIT;
-        struct ms_engine_action *action = NULL;
         fixture->now += TICK_MS;
         ms_engine_tick(fixture->engine, fixture->now, fixture->now);
-        while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
-            g_queue_push_tail(&actions, action);
-        }
-        while ((action = g_queue_pop_head(&actions)) != NULL) {
-            answer(fixture, action);
-            ms_engine_action_free(action);
-        }
+        answer_queued_actions(fixture->engine, answer, fixture);
     }
 }
 
--- a/tests/batch/unit_closed.c
+++ b/tests/batch/unit_closed.c
@@ -56,8 +56,9 @@
  * until the test ends.  What the server does with starts, nobody knows.
  */
 static void
-answer(struct fixture *fixture, const struct ms_engine_action *action)
+answer(void *opaque, const struct ms_engine_action *action)
 {
+    struct fixture *fixture = opaque;
     struct ms_server_report report = {.start_unix_ms = fixture->entry.start_unix_ms,
                                       .clock_ms = fixture->now};
     switch (action->kind) {
@@ -90,17 +91,9 @@
 static void
 tick(struct fixture *fixture)
 {
-    GQueue actions = G_QUEUE_INIT;
-    struct ms_engine_action *action = NULL;
     fixture->now += TICK_MS;
     ms_engine_tick(fixture->engine, fixture->now, fixture->now);
-    while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
-        g_queue_push_tail(&actions, action);
-    }
-    while ((action = g_queue_pop_head(&actions)) != NULL) {
-        answer(fixture, action);
-        ms_engine_action_free(action);
-    }
+    answer_queued_actions(fixture->engine, answer, fixture);
 }
 
 /* A start had no answer; from now on nothing may be ordered to start on the server. */
--- a/tests/batch/unit_health.c
+++ b/tests/batch/unit_health.c
@@ -73,8 +73,9 @@
 
 /* Answers ACTION, which the engine has queued. */
 static void
-answer(struct fixture *fixture, const struct ms_engine_action *action)
+answer(void *opaque, const struct ms_engine_action *action)
 {
+    struct fixture *fixture = opaque;
     struct started_run *run = NULL;
     switch (action->kind) {
     case MS_ENGINE_RENEW_LEASE:
@@ -100,17 +101,9 @@
 static void
 tick(struct fixture *fixture)
 {
-    GQueue actions = G_QUEUE_INIT;
-    struct ms_engine_action *action = NULL;
     fixture->now += TICK_MS;
     ms_engine_tick(fixture->engine, fixture->now, fixture->now);
-    while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
-        g_queue_push_tail(&actions, action);
-    }
-    while ((action = g_queue_pop_head(&actions)) != NULL) {
-        answer(fixture, action);
-        ms_engine_action_free(action);
-    }
+    answer_queued_actions(fixture->engine, answer, fixture);
 }
 
 static void
--- a/tests/batch/unit_helpers.c
+++ b/tests/batch/unit_helpers.c
@@ -28,3 +28,19 @@
     ck_assert_str_eq(simulator_violation(simulator), "");
     ck_assert_int_eq(simulator_job_phase(simulator, id), phase);
 }
+
+void
+answer_queued_actions(struct ms_engine *engine,
+                      void (*answer)(void *opaque, const struct ms_engine_action *action),
+                      void *opaque)
+{
+    GQueue actions = G_QUEUE_INIT;
+    struct ms_engine_action *action = NULL;
+    while ((action = ms_engine_pop_action(engine)) != NULL) {
+        g_queue_push_tail(&actions, action);
+    }
+    while ((action = g_queue_pop_head(&actions)) != NULL) {
+        answer(opaque, action);
+        ms_engine_action_free(action);
+    }
+}
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -178,8 +178,9 @@
 }
 
 static void
-answer(struct fixture *fixture, const struct ms_engine_action *action)
+answer(void *opaque, const struct ms_engine_action *action)
 {
+    struct fixture *fixture = opaque;
     switch (action->kind) {
     case MS_ENGINE_RENEW_LEASE:
         answer_renewal(fixture, action);
@@ -202,15 +203,7 @@
 static void
 answer_queued(struct fixture *fixture)
 {
-    GQueue actions = G_QUEUE_INIT;
-    struct ms_engine_action *action = NULL;
-    while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
-        g_queue_push_tail(&actions, action);
-    }
-    while ((action = g_queue_pop_head(&actions)) != NULL) {
-        answer(fixture, action);
-        ms_engine_action_free(action);
-    }
+    answer_queued_actions(fixture->engine, answer, fixture);
 }
 
 static void
--- a/tests/batch/unit_takeover.c
+++ b/tests/batch/unit_takeover.c
@@ -84,8 +84,9 @@
 }
 
 static void
-answer(struct fixture *fixture, const struct ms_engine_action *action)
+answer(void *opaque, const struct ms_engine_action *action)
 {
+    struct fixture *fixture = opaque;
     size_t index = strcmp(action->server, server_ids[0]) == 0 ? 0 : 1;
     struct ms_reported_run run = {.run = 1};
     struct ms_server_report report = {.start_unix_ms = 5000, .clock_ms = fixture->now};
@@ -124,17 +125,8 @@
 {
     int64_t until = fixture->now + ms;
     for (; fixture->now < until; fixture->now += TICK_MS) {
-        GQueue actions = G_QUEUE_INIT;
-        struct ms_engine_action *action = NULL;
         ms_engine_tick(fixture->engine, fixture->now, fixture->now);
-        while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
-            g_queue_push_tail(&actions, action);
-        }
-        /* What these answers lead to is queued for the next tick. */
-        while ((action = g_queue_pop_head(&actions)) != NULL) {
-            answer(fixture, action);
-            ms_engine_action_free(action);
-        }
+        answer_queued_actions(fixture->engine, answer, fixture);
     }
 }
 
--- a/tests/batch/unit_withdraw.c
+++ b/tests/batch/unit_withdraw.c
@@ -119,32 +119,38 @@
     }
 }
 
-/* Withdraws the start that ACTION names, if it waits; returns whether it did. */
-static bool
-withdraw(struct fixture *fixture, struct ms_engine_action *action)
+/* Withdraws the start that ACTION names, if it waits. */
+static void
+withdraw(struct fixture *fixture, const struct ms_engine_action *action)
 {
-    const struct ms_order_command withdrawal = {.order = action};
+    struct ms_engine_action copy = *action;
+    const struct ms_order_command withdrawal = {.order = &copy};
     struct ms_order_command *start = ms_order_queue_withdraw(fixture->waiting, &withdrawal);
-    if (start == NULL) {
-        return false;
+    if (start != NULL) {
+        fixture->withdrawn_count++;
+        answer_order(fixture, start->order, MS_ORDER_WITHDRAWN);
+        ms_order_command_free(start);
     }
-    fixture->withdrawn_count++;
-    answer_order(fixture, start->order, MS_ORDER_WITHDRAWN);
-    ms_order_command_free(start);
-    return true;
 }
 
-/* Carries out ACTION and frees it, unless it is a start, which waits. */
+/* Adds a copy of START to those that wait to be sent. */
 static void
-carry_out(struct fixture *fixture, struct ms_engine_action *action)
+queue_start(struct fixture *fixture, const struct ms_engine_action *start)
 {
+    struct ms_order_command *command = g_new0(struct ms_order_command, 1);
+    command->order = g_memdup2(start, sizeof(*start));
+    command->order->payload = g_strdup(start->payload);
+    ms_order_queue_add(fixture->waiting, command);
+}
+
+static void
+answer(void *opaque, const struct ms_engine_action *action)
+{
+    struct fixture *fixture = opaque;
     switch (action->kind) {
-    case MS_ENGINE_START: {
-        struct ms_order_command *command = g_new0(struct ms_order_command, 1);
-        command->order = action;
-        ms_order_queue_add(fixture->waiting, command);
-        return;
-    }
+    case MS_ENGINE_START:
+        queue_start(fixture, action);
+        break;
     case MS_ENGINE_STOP:
         fixture->stop_count++;
         answer_order(fixture, action, MS_ORDER_OK);
@@ -162,23 +168,15 @@
     case MS_ENGINE_STEP_DOWN:
         break;
     }
-    ms_engine_action_free(action);
 }
 
 static void
 run(struct fixture *fixture, int64_t ms)
 {
     for (int64_t until = fixture->now + ms; fixture->now < until;) {
-        GQueue actions = G_QUEUE_INIT;
-        struct ms_engine_action *action = NULL;
         fixture->now += TICK_MS;
         ms_engine_tick(fixture->engine, fixture->now, fixture->now);
-        while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
-            g_queue_push_tail(&actions, action);
-        }
-        while ((action = g_queue_pop_head(&actions)) != NULL) {
-            carry_out(fixture, action);
-        }
+        answer_queued_actions(fixture->engine, answer, fixture);
     }
 }
 
--- a/tests/batch/unit_withheld.c
+++ b/tests/batch/unit_withheld.c
@@ -148,8 +148,9 @@
 }
 
 static void
-answer(struct fixture *fixture, const struct ms_engine_action *action)
+answer(void *opaque, const struct ms_engine_action *action)
 {
+    struct fixture *fixture = opaque;
     size_t index = strcmp(action->server, server_ids[FIRST]) == 0 ? FIRST : SECOND;
     switch (action->kind) {
     case MS_ENGINE_RENEW_LEASE:
@@ -176,17 +177,8 @@
 {
     int64_t until = fixture->now + ms;
     for (; fixture->now < until; fixture->now += TICK_MS) {
-        GQueue actions = G_QUEUE_INIT;
-        struct ms_engine_action *action = NULL;
         ms_engine_tick(fixture->engine, fixture->now, fixture->now);
-        while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
-            g_queue_push_tail(&actions, action);
-        }
-        /* What these answers lead to is queued for the next tick. */
-        while ((action = g_queue_pop_head(&actions)) != NULL) {
-            answer(fixture, action);
-            ms_engine_action_free(action);
-        }
+        answer_queued_actions(fixture->engine, answer, fixture);
     }
 }
 
