Bench of the leader: starts are withdrawn from the sender's queue

Cause: the model of the order sender in bench/leader_cost.c took a WITHDRAW for a stop.

Change: it answers the start as withdrawn if it has not been sent.

--- a/bench/leader_cost.c
+++ b/bench/leader_cost.c
@@ -505,6 +505,26 @@
     event->sent_at = bench.now;
 }
 
+/* Answers the start that WITHDRAWAL names if the sender has not sent it; frees WITHDRAWAL. */
+static void
+withdraw_start(struct ms_engine_action *withdrawal)
+{
+    GQueue *unsent = bench.unsent[bench.fifo ? 0 : 1];
+    for (GList *item = unsent->head; item != NULL; item = item->next) {
+        struct ms_engine_action *order = item->data;
+        if (order->kind == MS_ENGINE_START && order->run == withdrawal->run &&
+            strcmp(order->task, withdrawal->task) == 0) {
+            struct event *event = schedule(bench.now, EVENT_ANSWER);
+            event->action = order;
+            event->sent_at = bench.now;
+            event->result = MS_ORDER_WITHDRAWN;
+            g_queue_delete_link(unsent, item);
+            break;
+        }
+    }
+    ms_engine_action_free(withdrawal);
+}
+
 /* Queues ACTION for the sender. */
 static void
 queue_action(struct ms_engine_action *action)
@@ -558,6 +578,9 @@
             fprintf(stderr, "the engine stepped down: %s\n", action->reason);
             exit(EXIT_FAILURE);
         }
+        else if (action->kind == MS_ENGINE_WITHDRAW) {
+            withdraw_start(action);
+        }
         else {
             queue_action(action);
         }
