--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -348,7 +348,7 @@
  * has not started and its server may no longer be given tasks.
  */
 void ms_batch_task_send_order(struct ms_engine *engine, struct ms_batch_task *task);
-/* Withdraws the start order of TASK if one is pending. */
+/* Withdraws the start order of TASK if one is pending: it is not sent if it has not been yet. */
 void ms_batch_task_withdraw_start(struct ms_engine *engine, struct ms_batch_task *task);
 /* Withdraws the pending start order of TASK if it may not be started on its server any more. */
 void ms_batch_task_recheck_start(struct ms_engine *engine, struct ms_batch_task *task);
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -139,7 +139,7 @@
     size_t count = kept ? job->occurrences->len : 0;
     record.phase = job->phase;
     record.begun = job->started;
-    ms_list_remove(&job->started_link);
+    ms_list_remove(&job->started_link); /* this state tells of its start */
     record.n_occurrences = count;
     record.occurrences = g_new0(Ms__Batch__OccurrenceRecord *, count + 1);
     for (size_t i = 0; i < count; i++) {
--- a/src/entry/order_queue.h
+++ b/src/entry/order_queue.h
@@ -19,7 +19,10 @@
  */
 void ms_order_queue_add(GQueue *waiting, struct ms_order_command *command);
 
-/* Removes the start that WITHDRAWAL is about from WAITING and returns it, or NULL. */
+/*
+ * Removes the start that WITHDRAWAL (MS_ENGINE_WITHDRAW) names from WAITING and returns it, or
+ * returns NULL if it does not wait there.
+ */
 struct ms_order_command *ms_order_queue_withdraw(GQueue *waiting,
                                                  const struct ms_order_command *withdrawal);
 
--- a/src/entry/order_sender.c
+++ b/src/entry/order_sender.c
@@ -251,7 +251,7 @@
     push_answer(sender, message);
 }
 
-/* Answers the start that WITHDRAWAL is about, unless it was sent; frees WITHDRAWAL. */
+/* Answers the start that WITHDRAWAL names as withdrawn, unless it was sent; frees WITHDRAWAL. */
 static void
 withdraw_start(struct ms_order_sender *sender, struct ms_order_command *withdrawal)
 {
