--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -85,7 +85,7 @@
      "    if (!account->capped) {\n        return limit;", "    if (true) {\n        return limit;",
      "no start above the cap"),
     ("cap_not_ordered", "src/batch/engine_task_order.c",
-     "    if (start && ms_account_is_over_cap(", "    if (false && ms_account_is_over_cap(",
+     "    if (ms_account_is_over_cap(ms_batch_task_job(task)->account)) {", "    if (false) {",
      "no start above the cap"),
     ("failures_counted_per_member", "src/batch/engine_task.c",
      "    if (task->failed_run == run) {", "    if (false) {", "a gang is tried as often as allowed"),
@@ -181,8 +181,8 @@
      "    while (unit->count > 0 && !pass->own_account_only &&\n"
      "           ms_plan_unit(pass, MS_LEVEL_FREE) != MS_NO_PLAN) {", "idle capacity is lent"),
     ("retries_charged", "src/batch/engine_place.c",
-     "    job->started = true;\n    unit->step->unplaced_since = 0;",
-     "    job->virtual_us += job->started ? 1000000 : 0;\n    job->started = true;\n"
+     "    unit->step->unplaced_since = 0;\n    unit->step->ample_since = 0;",
+     "    job->virtual_us += job->started ? 1000000 : 0;\n"
      "    unit->step->unplaced_since = 0;", "retries are charged once"),
     ("guarantee_held_to_rate", "src/batch/engine_place.c",
      "        !pass->within_guarantee && step->rank.order_class == MS_ORDER_BEYOND_RATE;",
