Test of the fences of an epoch: the middle ones are skipped

Change: the test sets the server's fence number near the end of the epoch after 100 restarts, and goes on for 1,000. It checks the same: each fence is above the one before, and the term ends once.

--- a/tests/batch/unit_term.c
+++ b/tests/batch/unit_term.c
@@ -7,13 +7,15 @@
  */
 #include <string.h>
 
-#include "batch/engine.h"
+#include "batch/engine_private.h"
 #include "batch/unit.h"
 
 #define EARLIER_EPOCH 4
 #define EPOCH 5
 #define START_UNIX_MS 5000
-#define RESTARTS 1000100 /* of one server, more than an epoch has fences */
+#define RESTARTS 1100   /* of one server */
+#define SKIPPED_AT 100  /* restart at which the fences up to the last ones are skipped */
+#define LAST_FENCES 500 /* that are left then in the epoch */
 
 /* The engines of two terms, each with the same server and job. */
 struct fixture {
@@ -190,6 +192,15 @@
     return stepped_down ? 0 : fence;
 }
 
+/* Leaves LAST_FENCES fences in the epoch of ENGINE for server "one", as if it had used the others.
+ */
+static void
+skip_fences(struct ms_engine *engine)
+{
+    struct ms_batch_server *server = ms_engine_get_or_add_server(engine, "one");
+    server->fence_number = MS_FENCES_PER_EPOCH - LAST_FENCES;
+}
+
 /*
  * Each incarnation of a server needs a higher fence than the one before: else it carries out
  * late orders to that one, and a task runs twice.  A leader that has used up the fences of its
@@ -205,6 +216,9 @@
     ms_engine_limits_defaults(&limits);
     struct ms_engine *engine = ms_engine_new(&limits, epoch, 0, 0);
     for (int64_t restart = 1; restart <= RESTARTS; restart++) {
+        if (restart == SKIPPED_AT) {
+            skip_fences(engine);
+        }
         entry.start_unix_ms = restart * 1000;
         ms_engine_update_server(engine, &entry, restart * 1000);
         uint64_t fence = next_fence(engine, restart * 1000 + 100);
