--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -152,6 +152,7 @@
     }
     g_hash_table_add(seen, task);
     task->seen_in_report = true;
+    task->start_confirmed = true;
     if (task->state == MS_BATCH_TASK_STARTING) {
         if (task->awaits_report) {
             limit_wait_of_restored_gang(engine, task, row->percent);
@@ -202,12 +203,19 @@
                         row->task, row->run, server->id, task->run);
 }
 
-/* ROW is the end of a run whose task has another run now, or none that it belongs to. */
+/*
+ * ROW is the end of a run whose task has another run now, or none that it belongs to.  It is
+ * logged: how a run ended that was given up shows whether it went on beside a later one.
+ */
 static void
 process_superseded_end(struct ms_engine *engine, struct ms_batch_server *server,
                        const struct ms_reported_end *row)
 {
     struct ms_batch_task *task = ms_engine_find_task(engine, row->task);
+    if (task != NULL) {
+        ms_engine_log_event(engine, "event=run_end task=%s run=%u server=%s how=%s later_run=%u",
+                            row->task, row->run, server->id, ms_run_end_name(row->end), task->run);
+    }
     bool failed_late = task != NULL && row->end == MS_RUN_END_FAILED &&
                        ms_batch_task_is_lost_run(task, row->run) && task->run > row->run &&
                        ms_batch_task_job(task)->phase == MS_PHASE_OPEN;
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -76,6 +76,7 @@
     task->stop_confirmed = false;
     task->preempted = false;
     task->seen_in_report = false;
+    task->start_confirmed = false;
     task->order_unanswered = false;
     task->last_answer_at = 0;
     task->running_since = 0;
@@ -283,8 +284,11 @@
 {
     char name[MS_TASK_NAME_MAX];
     struct ms_batch_job *job = ms_batch_task_job(task);
-    ms_engine_log_event(engine, "event=run_lost task=%s run=%u server=%s reason=%s",
-                        ms_batch_task_name(task, name), task->run, task->server->id, reason);
+    ms_engine_log_event(engine,
+                        "event=run_lost task=%s run=%u server=%s reason=%s start_confirmed=%d"
+                        " heard_age_ms=%" G_GINT64_FORMAT,
+                        ms_batch_task_name(task, name), task->run, task->server->id, reason,
+                        task->start_confirmed, engine->now - task->server->last_answer_at);
     if (task->failed_run != task->run) {
         add_lost_run(task, task->run); /* its gang has not failed in this run */
     }
@@ -305,6 +309,7 @@
     ms_batch_job_note_started(engine, ms_batch_task_job(task));
     ms_batch_task_assign(engine, task, server);
     task->state = MS_BATCH_TASK_RUNNING;
+    task->start_confirmed = true;
     engine->orders.to_come--;
     task->running_since = engine->now;
     ms_engine_mark_dirty(engine, ms_batch_task_job(task), false);
@@ -352,10 +357,6 @@
 ms_batch_task_on_late_failure(struct ms_engine *engine, struct ms_batch_task *task,
                               const struct ms_batch_server *server, uint32_t run)
 {
-    char name[MS_TASK_NAME_MAX];
-    ms_engine_log_event(engine, "event=run_end task=%s run=%u server=%s how=%s later_run=%u",
-                        ms_batch_task_name(task, name), run, server->id,
-                        ms_run_end_name(MS_RUN_END_FAILED), task->run);
     count_failure(task, server->id, run);
     ms_engine_mark_dirty(engine, ms_batch_task_job(task), false);
     ms_batch_job_update_phase(engine, ms_batch_task_job(task));
@@ -441,6 +442,7 @@
 ms_batch_task_on_started(struct ms_engine *engine, struct ms_batch_task *task)
 {
     set_state(task, MS_BATCH_TASK_RUNNING);
+    task->start_confirmed = true;
     ms_batch_job_note_started(engine, ms_batch_task_job(task));
     task->running_since = engine->now;
     task->last_progress_at = engine->now;
--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -134,6 +134,7 @@
         (int64_t)((double)lease_ms(entry) * CLOCK_RATE_SLACK) + LEASE_END_MARGIN_MS;
     int64_t leases_until = entry->now + longest_lease + (resigned ? 0 : RENEWAL_TIMEOUT_MS);
     entry->last_leader_record_at = entry->now;
+    entry->earlier_leader_resigned = resigned;
     entry->earlier_leases_until = MAX(leases_until, entry->older_leases_until);
 }
 
@@ -230,6 +231,11 @@
     limits.ended_retention_ms =
         (entry->settings->ended_retention_s + ENDED_RETENTION_MARGIN_S) * 1000;
     int64_t earlier_leases_until = entry->term_epoch > 1 ? entry->earlier_leases_until : 0;
+    ms_log(MS_LOG_NOTICE,
+           "event=earlier_leases epoch=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+           " leader=%s",
+           entry->term_epoch, MAX(earlier_leases_until - entry->now, 0),
+           entry->earlier_leader_resigned ? "resigned" : "silent");
     entry->engine = ms_engine_new(&limits, entry->term_epoch, earlier_leases_until, entry->now);
     ms_engine_set_log(entry->engine, ms_actions_log, entry);
     ms_engine_set_policy(entry->engine, entry->policy);
