--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -95,13 +95,17 @@
     GPtrArray *records;    /* STORE: ms_store_record */
 };
 
+/* Time limit of a START or STOP without an answer, after which it is not sent any more. */
+#define MS_ORDER_TIMEOUT_MS 1000
+
 struct ms_engine;
 
 void ms_engine_limits_defaults(struct ms_engine_limits *limits);
 
 /*
- * Creates the engine of the leader of EPOCH.  Until EARLIER_LEASES_UNTIL, runs ordered
- * by an earlier leader may still be active on servers that have not answered yet.
+ * Creates the engine of the leader of EPOCH.  Until EARLIER_LEASES_UNTIL, runs ordered by an
+ * earlier leader may still be active on servers that have not answered yet, under leases of
+ * limits.lease_ms; for starts that the log does not say to be confirmed, the engine waits longer.
  */
 struct ms_engine *ms_engine_new(const struct ms_engine_limits *limits, uint64_t epoch,
                                 int64_t earlier_leases_until, int64_t now);
--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -85,6 +85,22 @@
     return server->clock_ms + (int64_t)((double)elapsed_ms / CLOCK_DRIFT_FACTOR);
 }
 
+/*
+ * When the runs of earlier leaders on SERVER, which has not answered this one, have ended.  They
+ * counted on our lease; a start of theirs without an answer, under way for as long as an order may
+ * take to arrive, may hold the longest one.
+ */
+static int64_t
+earlier_leases_end(const struct ms_engine *engine, const struct ms_batch_server *server)
+{
+    if (!server->earlier_start_uncertain) {
+        return engine->earlier_leases_until;
+    }
+    double longer_ms =
+        (double)(engine->limits.lease_max_ms - engine->limits.lease_ms) * CLOCK_DRIFT_FACTOR;
+    return engine->earlier_leases_until + (int64_t)longer_ms + MS_ORDER_TIMEOUT_MS;
+}
+
 int64_t
 ms_batch_server_lease_end(const struct ms_engine *engine, const struct ms_batch_server *server)
 {
@@ -95,7 +111,16 @@
     if (server->lease_state != MS_LEASE_NORMAL) {
         return MAX(lease_end, server->frozen_until);
     }
-    return server->fence_confirmed ? lease_end : MAX(lease_end, engine->earlier_leases_until);
+    return server->fence_confirmed ? lease_end : MAX(lease_end, earlier_leases_end(engine, server));
+}
+
+bool
+ms_batch_server_holds_our_lease(const struct ms_engine *engine,
+                                const struct ms_batch_server *server)
+{
+    int64_t clock_ms = server->clock_ms + (engine->now - server->last_answer_at);
+    bool longer = server->lease_deadline_max > clock_ms + engine->limits.lease_ms;
+    return !server->fence_confirmed || (!longer && server->uncertain_since == 0);
 }
 
 /* When the longest lease that a server grants now has certainly expired. */
@@ -221,12 +246,12 @@
 
 void
 ms_batch_server_lease_on_answer(struct ms_engine *engine, struct ms_batch_server *server,
-                                bool first_answer)
+                                bool lease_unknown)
 {
     if (server->lease_state == MS_LEASE_FROZEN) {
         begin_unfreeze(engine, server);
     }
-    else if (first_answer) {
+    else if (lease_unknown) {
         ms_batch_server_assume_longest_lease(engine, server);
     }
 }
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -173,6 +173,9 @@
     /* A start had no answer; if it has reached an unknown incarnation, its lease ends by then. */
     int64_t uncertain_lease_until;
     int64_t uncertain_since; /* when the last such start had no answer, 0: none */
+    /* Whether an earlier leader's start here may have had no answer; see batch.proto, `confirmed`.
+     */
+    bool earlier_start_uncertain;
     int64_t frozen_deadline; /* lease not NORMAL: deadline of all renewals, 0: none */
     int64_t frozen_until;    /* lease not NORMAL: by then it has certainly expired */
     enum ms_lease_state lease_state;
@@ -429,6 +432,12 @@
                                              struct ms_batch_server *server, int64_t deadline_ms);
 /* SERVER has reported its runs in the answer to a call sent at SENT_AT: they are certain again. */
 void ms_batch_server_note_certain_report(struct ms_batch_server *server, int64_t sent_at);
+/*
+ * Whether SERVER holds no longer lease than one that we have requested.  What a leader before this
+ * one has stored of it holds on until SERVER has answered this one.
+ */
+bool ms_batch_server_holds_our_lease(const struct ms_engine *engine,
+                                     const struct ms_batch_server *server);
 /* From now on the lease of SERVER is not extended; it has certainly expired by UNTIL. */
 void ms_batch_server_freeze_lease(struct ms_batch_server *server, int64_t until);
 /* All records that rely on the lease of SERVER, which is UNFREEZING, are replaced: it is NORMAL. */
@@ -451,9 +460,12 @@
  */
 void ms_batch_server_on_clock_back(struct ms_engine *engine, struct ms_batch_server *server,
                                    int64_t clock_ms);
-/* SERVER has answered a renewal; FIRST_ANSWER: its first one to this leader. */
+/*
+ * SERVER has answered a renewal; LEASE_UNKNOWN: the first one of this leader, and it may have runs
+ * under a lease from an earlier one.
+ */
 void ms_batch_server_lease_on_answer(struct ms_engine *engine, struct ms_batch_server *server,
-                                     bool first_answer);
+                                     bool lease_unknown);
 /* SERVER has a new incarnation: if its lease was not NORMAL, it stays frozen or is frozen again. */
 void ms_batch_server_lease_on_reset(struct ms_engine *engine, struct ms_batch_server *server);
 /* Freezes the lease of SERVER, or extends it again, if this is due. */
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -57,6 +57,11 @@
     else if (task->server != NULL) {
         status = STORED_ACTIVE;
         record->server[index] = server_index(engine, servers, task->server);
+        record->confirmed.data[index] =
+            task->start_confirmed && ms_batch_server_holds_our_lease(engine, task->server);
+        if (record->confirmed.data[index]) {
+            record->confirmed.len = record->n_run;
+        }
     }
     if (task->state == MS_BATCH_TASK_RECORDING) {
         task->store_pending = true;
@@ -96,6 +101,7 @@
     }
     record->status.len = count;
     record->status.data = g_malloc0(count);
+    record->confirmed.data = g_malloc0(count);
     record->n_run = record->n_failures = record->n_server = record->n_checkpoint = count;
     record->run = g_new0(uint32_t, count);
     record->failures = g_new0(uint32_t, count);
@@ -117,6 +123,7 @@
 free_occurrence_record(Ms__Batch__OccurrenceRecord *record)
 {
     g_free(record->status.data);
+    g_free(record->confirmed.data);
     g_free(record->run);
     g_free(record->failures);
     g_free(record->failed_run);
@@ -242,10 +249,13 @@
     ms_engine_mark_dirty(engine, job, true);
 }
 
-/* Assigns TASK to the server SERVER_REF of its record, which was read at READ_AT. */
+/*
+ * Assigns TASK to the server SERVER_REF of its record, which was read at READ_AT, and says whether
+ * the server had CONFIRMED the start.
+ */
 static void
 restore_active(struct ms_engine *engine, struct ms_batch_task *task, const char *server_ref,
-               int64_t read_at)
+               int64_t read_at, bool confirmed)
 {
     char **fields = g_strsplit(server_ref, "/", 0);
     guint count = g_strv_length(fields);
@@ -267,6 +277,8 @@
     task->state = MS_BATCH_TASK_STARTING;
     engine->orders.to_come--;
     task->awaits_report = true;
+    task->start_confirmed = confirmed;
+    server->earlier_start_uncertain |= !confirmed;
     g_strfreev(fields);
 }
 
@@ -304,7 +316,9 @@
             }
             if (record->status.data[index] == STORED_ACTIVE && index < record->n_server &&
                 record->server[index] > 0 && record->server[index] <= state->n_servers) {
-                restore_active(engine, task, state->servers[record->server[index] - 1], read_at);
+                bool confirmed = index < record->confirmed.len && record->confirmed.data[index];
+                restore_active(engine, task, state->servers[record->server[index] - 1], read_at,
+                               confirmed);
             }
         }
     }
--- a/src/wire/batch.pb-c.c
+++ b/src/wire/batch.pb-c.c
@@ -665,7 +665,7 @@
   (ProtobufCMessageInit) ms__batch__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ms__batch__occurrence_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ms__batch__occurrence_record__field_descriptors[10] =
 {
   {
     "number",
@@ -775,10 +775,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirmed",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__OccurrenceRecord, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ms__batch__occurrence_record__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
   1,   /* field[1] = complete */
+  9,   /* field[9] = confirmed */
   8,   /* field[8] = failed_run */
   4,   /* field[4] = failures */
   7,   /* field[7] = lost_run */
@@ -790,7 +803,7 @@
 static const ProtobufCIntRange ms__batch__occurrence_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ms__batch__occurrence_record__descriptor =
 {
@@ -800,7 +813,7 @@
   "Ms__Batch__OccurrenceRecord",
   "ms.batch",
   sizeof(Ms__Batch__OccurrenceRecord),
-  9,
+  10,
   ms__batch__occurrence_record__field_descriptors,
   ms__batch__occurrence_record__field_indices_by_name,
   1,  ms__batch__occurrence_record__number_ranges,
--- a/src/wire/batch.pb-c.h
+++ b/src/wire/batch.pb-c.h
@@ -125,10 +125,15 @@
    */
   size_t n_failed_run;
   uint32_t *failed_run;
+  /*
+   * One byte per task, or empty if all are 0.  1: its server has confirmed the start of its run,
+   * and holds no longer lease than the leader has requested.
+   */
+  ProtobufCBinaryData confirmed;
 };
 #define MS__BATCH__OCCURRENCE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ms__batch__occurrence_record__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, {0,NULL} }
 
 
 /*
--- a/tests/batch/unit_lease.c
+++ b/tests/batch/unit_lease.c
@@ -4,9 +4,10 @@
 #include "batch/unit.h"
 #include "batch/simulator_private.h"
 
-#define TAKEOVER_MS 1000 /* from the loss of a leader until the next one starts */
-#define FREEZE_MS 1010   /* from then until it freezes the lease of a server that is gone */
-#define SHORT_TERM_MS 10 /* shorter than the delay of a store that is not urgent */
+#define TAKEOVER_MS 1000  /* from the loss of a leader until the next one starts */
+#define FREEZE_MS 1010    /* from then until it freezes the lease of a server that is gone */
+#define CONFIRMED_MS 1700 /* after which the log says that servers have confirmed the runs */
+#define SHORT_TERM_MS 10  /* shorter than the delay of a store that is not urgent */
 
 static const struct simulator_faults no_faults;
 
@@ -100,7 +101,10 @@
     simple_spec(&spec, "job", "q1", 3, 8);
     spec.steps[0].gang = true;
     simulator_submit_job(simulator, &spec);
-    simulator_run(simulator, 300);
+    for (size_t i = 0; i < 4; i++) {
+        simulator_stall_runs(simulator, i, CONFIRMED_MS); /* the gang is not done before */
+    }
+    simulator_run(simulator, CONFIRMED_MS);
     simulator_lose_server(simulator, 0);
     simulator_change_leader(simulator, TAKEOVER_MS);
     return simulator;
@@ -158,6 +162,7 @@
     simulator_submit_job(simulator, &spec);
     simulator_run(simulator, 300);
     simulator_stall_runs(simulator, 0, 1000000);
+    simulator_run(simulator, CONFIRMED_MS);
     return simulator;
 }
 
