Batch: a leader extends a server's lease only by a clock that the server has told it

Callers would see a task run twice at once.

Now renewals extend a lease only once the server has answered this leader. The deadline of a frozen lease is always 0, so the field is gone.

--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -61,18 +61,15 @@
 int64_t
 ms_batch_server_renewal_deadline(struct ms_engine *engine, struct ms_batch_server *server)
 {
-    if (server->lease_state != MS_LEASE_NORMAL) {
-        return server->frozen_deadline;
-    }
+    bool busy = !ms_list_is_empty(&server->tasks);
     /*
      * A renewal of an unresponsive server may still arrive.  It must not extend the lease, and to
-     * an incarnation that is not known yet every deadline, also an earlier one, does.
+     * an incarnation that is not known yet every deadline, also an earlier one, does.  The clock of
+     * a server that has not answered this leader may be that of an earlier incarnation.
      */
-    bool busy = !ms_list_is_empty(&server->tasks);
-    if (is_lapsing(server) || (server->unresponsive && busy)) {
-        return 0;
-    }
-    return extend_deadline(engine, server);
+    bool uncertain = !server->fence_confirmed || (server->unresponsive && busy);
+    bool extends = server->lease_state == MS_LEASE_NORMAL && !is_lapsing(server) && !uncertain;
+    return extends ? extend_deadline(engine, server) : 0;
 }
 
 int64_t
@@ -176,7 +173,6 @@
 {
     server->lease_state = MS_LEASE_FROZEN;
     server->unfreeze_storing = false;
-    server->frozen_deadline = server->lease_deadline_max;
     server->frozen_until = MAX(server->frozen_until, until);
 }
 
@@ -205,7 +201,7 @@
            !ms_list_is_empty(&server->tasks);
 }
 
-/* From now on every deadline sent to SERVER is the one sent before, also if it answers. */
+/* From now on no renewal of SERVER extends its lease, also if it answers. */
 static void
 freeze_lease_until_end(struct ms_engine *engine, struct ms_batch_server *server)
 {
@@ -264,7 +260,6 @@
     }
     /* Its kept tasks, if any, may run under the lease of the new incarnation. */
     ms_batch_server_freeze_lease(server, ms_batch_server_lease_end(engine, server));
-    server->frozen_deadline = 0;
     mark_jobs_dirty(engine, server);
 }
 
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -176,8 +176,7 @@
     /* Whether an earlier leader's start here may have had no answer; see batch.proto, `confirmed`.
      */
     bool earlier_start_uncertain;
-    int64_t frozen_deadline; /* lease not NORMAL: deadline of all renewals, 0: none */
-    int64_t frozen_until;    /* lease not NORMAL: by then it has certainly expired */
+    int64_t frozen_until; /* lease not NORMAL: by then it has certainly expired */
     enum ms_lease_state lease_state;
     bool unfreeze_storing;     /* UNFREEZING: the store in progress replaces the last such record */
     uint64_t ends_seen;        /* last end reported */
--- a/tests/batch/unit_successor.c
+++ b/tests/batch/unit_successor.c
@@ -301,6 +301,22 @@
 }
 END_TEST
 
+/*
+ * Guards against a lease that a new leader extends without knowing the clock that it goes by: its
+ * renewals arrive and their answers are lost, and the clock in the directory is an earlier one.
+ */
+START_TEST(first_renewals_of_a_leader_do_not_extend_a_lease)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, true);
+    fixture.reachable = true;
+    fixture.loses_answers = true;
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
 /* Guards against a wait that is longer than needed: the log says that the server had confirmed the
  * run, so that its lease is one of ours. */
 START_TEST(confirmed_run_is_given_up_when_our_lease_has_ended)
@@ -365,6 +381,7 @@
     tcase_add_test(cases, start_without_answer_of_a_leader_that_resigned_is_waited_for);
     tcase_add_test(cases, start_under_way_when_its_leader_resigned_is_waited_for);
     tcase_add_test(cases, end_of_a_frozen_lease_covers_a_start_without_answer);
+    tcase_add_test(cases, first_renewals_of_a_leader_do_not_extend_a_lease);
     tcase_add_test(cases, confirmed_run_is_given_up_when_our_lease_has_ended);
     tcase_add_test(cases, run_confirmed_by_a_new_incarnation_is_waited_for);
     tcase_add_test(cases, run_on_a_server_that_was_idle_for_long_is_waited_for);
