Entry: a stored job state counts as a sign of life of an earlier leader

Callers would see a task run twice at once. While appends take seconds, a renewal is not repeated before it is answered, and job states stored meanwhile come later.

--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -122,20 +122,36 @@
     }
 }
 
+/*
+ * When the leases that the leader of the newest epoch grants have expired, if it was heard now. One
+ * that has RESIGNED renews none any more.
+ */
+static int64_t
+leases_end(const struct ms_entry *entry, bool resigned)
+{
+    int64_t longest_lease =
+        (int64_t)((double)lease_ms(entry) * CLOCK_RATE_SLACK) + LEASE_END_MARGIN_MS;
+    return entry->now + longest_lease + (resigned ? 0 : RENEWAL_TIMEOUT_MS);
+}
+
 /*
  * Notes that the leader of the newest epoch was heard now.  It, or a leader before it, may have
- * runs at servers that we cannot reach until `earlier_leases_until`.  A leader that has RESIGNED
- * renews no leases any more.
+ * runs at servers that we cannot reach until `earlier_leases_until`.
  */
 static void
 note_leader_heard(struct ms_entry *entry, bool resigned)
 {
-    int64_t longest_lease =
-        (int64_t)((double)lease_ms(entry) * CLOCK_RATE_SLACK) + LEASE_END_MARGIN_MS;
-    int64_t leases_until = entry->now + longest_lease + (resigned ? 0 : RENEWAL_TIMEOUT_MS);
     entry->last_leader_record_at = entry->now;
     entry->earlier_leader_resigned = resigned;
-    entry->earlier_leases_until = MAX(leases_until, entry->older_leases_until);
+    entry->earlier_leases_until = MAX(leases_end(entry, resigned), entry->older_leases_until);
+}
+
+void
+ms_leader_job_state_applied(struct ms_entry *entry)
+{
+    if (entry->engine == NULL) {
+        entry->earlier_leases_until = MAX(leases_end(entry, false), entry->earlier_leases_until);
+    }
 }
 
 /* Notes that a record of another epoch than before was read. */
--- a/src/entry/log_streams.c
+++ b/src/entry/log_streams.c
@@ -52,6 +52,7 @@
         break;
     case MS_CHANGED_STATE:
         job->state_read_at = entry->now;
+        ms_leader_job_state_applied(entry);
         break;
     case MS_CHANGED_HOST:
     case MS_CHANGED_NOTHING:
--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -128,6 +128,11 @@
 
 /* A leader record was read from the jobs stream and applied to the table. */
 void ms_leader_record_applied(struct ms_entry *entry);
+/*
+ * The state of a job was read, which only a leader stores.  If that is an earlier one, it renews
+ * leases for a while from then, as after a renewal of its epoch.
+ */
+void ms_leader_job_state_applied(struct ms_entry *entry);
 /* Claims, renews or ends the leadership if that is due. */
 void ms_leader_tick(struct ms_entry *entry);
 /* APPEND (of a claim, or by the fenced appender) was answered; its result may be a failure. */
