--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -98,13 +98,13 @@
     int64_t newest_epoch_since;    /* when that epoch was first seen */
     int64_t earlier_leases_until;  /* leases from earlier leaders may be valid until then */
     int64_t older_leases_until;    /* those from the leaders before the newest epoch */
-    bool earlier_leader_resigned;  /* the leader of the newest epoch, as last heard */
     uint64_t catch_up_offset;      /* CATCHING_UP: read the jobs stream up to this offset */
     uint64_t claim_retry_offset;   /* CLAIMING: claim again once this is read; 0: not rejected */
     struct ms_engine *engine;      /* LISTING, PLACING; else NULL */
     int64_t next_renewal_at;
-    int64_t last_renewal_at; /* sending time of the newest fenced append that succeeded */
-    bool renewal_in_flight;  /* a renewal was sent and not answered yet */
+    int64_t last_renewal_at;      /* sending time of the newest fenced append that succeeded */
+    bool earlier_leader_resigned; /* the leader of the newest epoch, as last heard */
+    bool renewal_in_flight;       /* a renewal was sent and not answered yet */
 
     /* Other entry hosts. */
     int64_t last_announce_at; /* when our host record was sent; 0: never */
