--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -284,6 +284,8 @@
 bool ms_engine_sent_action(struct ms_engine *engine, const struct ms_engine_action *action);
 /* Marks the state of JOB as to be stored: without delay if URGENT. */
 void ms_engine_mark_dirty(struct ms_engine *engine, struct ms_batch_job *job, bool urgent);
+
+/* engine_job.c */
 /* JOB, whose phase is no longer OPEN, has ended now. */
 void ms_engine_note_job_ended(struct ms_engine *engine, struct ms_batch_job *job);
 /* Removes JOB, which must have no active tasks, from the engine and frees it. */
@@ -299,6 +301,16 @@
 /* Occurrence INDEX of JOB; it and those before it are added if they are missing. */
 struct ms_batch_occurrence *ms_batch_job_get_or_add_occurrence(struct ms_batch_job *job,
                                                                uint32_t index);
+/* Frees JOB, a struct ms_batch_job, and its occurrences. */
+void ms_batch_job_free(gpointer job);
+/* Adds the occurrences of JOB that have become due. */
+void ms_batch_job_add_due_occurrences(struct ms_engine *engine, struct ms_batch_job *job);
+/* Looks up the queue of JOB in the current policy. */
+void ms_batch_job_resolve_queue(const struct ms_engine *engine, struct ms_batch_job *job);
+/* Marks jobs for removal from the log ended_retention_ms after their ends. */
+void ms_engine_remove_expired_jobs(struct ms_engine *engine);
+/* Marks the jobs as to be stored that started a while ago, if no state tells of it yet. */
+void ms_engine_store_started_jobs(struct ms_engine *engine);
 
 /* engine_task.c: state transitions of tasks. */
 /* Assigns TASK, which has no server, to SERVER; it is RECORDING then. */
