--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -20,6 +20,7 @@
 #define LATE_ANSWER_MS 6000
 #define LATE_START_MS 3000
 #define ORDER_TIMEOUT_MS 1000
+#define DARK_MS 600 /* from the end of an incarnation to the start of the next one */
 #define JOB_COUNT 2
 #define LISTED_ENDS_MAX 4
 #define LEASE_MAX_MS 10000  /* the longest lease that the server grants, on its clock */
@@ -606,6 +607,105 @@
 }
 END_TEST
 
+/* Takes the next renewal, and the next start if WITH_START, out of the queue, unanswered. */
+static void
+take_orders(struct fixture *fixture, bool with_start, struct ms_engine_action **renewal,
+            struct ms_engine_action **start)
+{
+    *renewal = NULL;
+    *start = NULL;
+    for (; *renewal == NULL || (with_start && *start == NULL); fixture->now += TICK_MS) {
+        struct ms_engine_action *action = NULL;
+        ms_engine_tick(fixture->engine, fixture->now, fixture->now);
+        while ((action = ms_engine_pop_action(fixture->engine)) != NULL) {
+            if (action->kind == MS_ENGINE_RENEW_LEASE) {
+                ck_assert_ptr_null(*renewal);
+                *renewal = action;
+            }
+            else if (action->kind == MS_ENGINE_START) {
+                ck_assert_ptr_null(*start);
+                *start = action;
+            }
+            else {
+                answer(fixture, action);
+                ms_engine_action_free(action);
+            }
+        }
+    }
+}
+
+/* The first job's task runs on the server for a while. */
+static void
+run_first_job(struct fixture *fixture)
+{
+    run(fixture, 500);
+    submit(fixture, 0, "job");
+    while (fixture->start_count < 1) {
+        run(fixture, TICK_MS);
+    }
+    run(fixture, 500);
+}
+
+/*
+ * Guards against a run that is given up while it goes on: a renewal that was under way when the
+ * server started again has reached the new incarnation, which has no run yet, and has given it the
+ * longest lease.  Its answer tells of the start; the next task runs there at once.
+ */
+START_TEST(lease_of_a_new_incarnation_without_runs_is_waited_for)
+{
+    struct fixture fixture;
+    struct ms_engine_action *renewal = NULL;
+    struct ms_engine_action *start = NULL;
+    fixture_init(&fixture);
+    run_first_job(&fixture);
+    take_orders(&fixture, false, &renewal, &start);
+    restart(&fixture);
+    fixture.now += DARK_MS;
+    answer_renewal(&fixture, renewal);
+    ms_engine_action_free(renewal);
+    list_server(&fixture);
+    while (fixture.start_count < 2) {
+        run(&fixture, TICK_MS);
+    }
+    fixture.lost_at = 0; /* of the first run */
+    run(&fixture, 300);
+    fixture.reachable = false;
+    run(&fixture, 3 * LEASE_MAX_MS);
+    ck_assert_int_gt(fixture.lost_at, 0);
+    ck_assert_int_ge(fixture.lost_at, fixture.lost_lease_until);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that is given up while it goes on: the clock in the answer to its start has
+ * told that the server has started again, and a renewal that was sent before arrives a second
+ * later; its answer is lost.
+ */
+START_TEST(renewal_under_way_when_a_clock_has_gone_back_is_waited_for)
+{
+    struct fixture fixture;
+    struct ms_engine_action *renewal = NULL;
+    struct ms_engine_action *start = NULL;
+    fixture_init(&fixture);
+    run_first_job(&fixture);
+    submit(&fixture, 1, "later");
+    take_orders(&fixture, true, &renewal, &start);
+    restart(&fixture);
+    fixture.now += DARK_MS;
+    answer_start(&fixture, start);
+    ms_engine_action_free(start);
+    run(&fixture, ORDER_TIMEOUT_MS);
+    fixture.loses_answers = true;
+    answer_renewal(&fixture, renewal);
+    ms_engine_action_free(renewal);
+    fixture.reachable = false;
+    run(&fixture, 3 * LEASE_MAX_MS);
+    ck_assert_int_ge(fixture.lost_at, fixture.lost_lease_until);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 restart_cases(void)
 {
@@ -626,6 +726,8 @@
     tcase_add_test(cases, run_is_given_up_in_time_if_the_clock_was_read_long_ago);
     tcase_add_test(cases, answer_that_comes_very_late_does_not_reset_its_server);
     tcase_add_test(cases, clock_that_stood_still_does_not_lose_runs);
+    tcase_add_test(cases, lease_of_a_new_incarnation_without_runs_is_waited_for);
+    tcase_add_test(cases, renewal_under_way_when_a_clock_has_gone_back_is_waited_for);
     return cases;
 }
 
--- a/tests/batch/unit_successor.c
+++ b/tests/batch/unit_successor.c
@@ -19,6 +19,7 @@
 #define STORE_MS 350     /* after which a change of a job is stored */
 #define FROZEN_MS 500    /* after which a new leader has stored that a lease is frozen */
 #define ORDER_TIMEOUT_MS 1000
+#define RENEWAL_UNDER_WAY_MS 2400 /* less than its time-out with a long poll */
 #define IDLE_MS 80000
 #define RESIGNED_WAIT_MS 8740 /* what src/entry/leader.c counts from a resignation */
 #define SETTLED_MS 30000      /* after which a run on a server that is gone has been given up */
@@ -374,6 +375,147 @@
 }
 END_TEST
 
+/* The directory shows the present incarnation of the server. */
+static void
+list_present_incarnation(struct fixture *fixture)
+{
+    struct ms_directory_entry entry = {.start_unix_ms = fixture->start_unix_ms,
+                                       .id = "one",
+                                       .address = "127.0.0.1:1",
+                                       .dc = "dc",
+                                       .service = "service",
+                                       .clock_ms = server_clock(fixture),
+                                       .capacity = {64000, 64000, 8}};
+    ms_engine_update_server(fixture->engine, &entry, fixture->now);
+}
+
+/*
+ * Guards against a run that is given up at once while it goes on, as the first answer tells a new
+ * leader that the server has started again: an earlier leader's start has reached that incarnation.
+ */
+START_TEST(run_at_a_new_incarnation_that_answers_once_is_waited_for)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, true);
+    fixture.reachable = true;
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, TICK_MS);
+    fixture.reachable = false;
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/* The same if the directory tells of it, and the server cannot be reached at all. */
+START_TEST(run_at_a_new_incarnation_that_the_directory_shows_is_waited_for)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, true);
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, FROZEN_MS);
+    list_present_incarnation(&fixture);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against the same with a run that the log confirms, on the incarnation that it names: the
+ * directory still shows the one before.
+ */
+START_TEST(run_confirmed_at_an_incarnation_that_the_directory_lacks_is_waited_for)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    restart(&fixture);
+    list_present_incarnation(&fixture);
+    run(&fixture, 500);
+    submit(&fixture);
+    run(&fixture, 2 * STORED_MS);
+    ck_assert_uint_eq(fixture.start_count, 1);
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, TICK_MS);
+    fixture.reachable = false;
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against a lease that the log takes for one of ours: a leader had frozen it, the server has
+ * answered, and nothing of its lease is known yet when this leader resigns.
+ */
+START_TEST(lease_of_a_server_that_was_frozen_is_not_stored_as_ours)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    restart(&fixture);
+    submit(&fixture);
+    struct ms_engine_action *start = take_start(&fixture);
+    fixture.reachable = false;
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    ms_engine_unlist_server(fixture.engine, "one", fixture.now);
+    run(&fixture, ORDER_TIMEOUT_MS - 100);
+    fixture.runs = true;
+    extend_lease(&fixture, start->deadline_ms);
+    ms_engine_action_free(start);
+    fixture.reachable = true;
+    list_present_incarnation(&fixture);
+    run(&fixture, FROZEN_MS);
+    fixture.reachable = false;
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against a wait that covers the time-out of a start but not that of a renewal, which is
+ * longer: both were under way when their leader resigned.
+ */
+START_TEST(renewal_under_way_when_its_leader_resigned_is_waited_for)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    restart(&fixture);
+    submit(&fixture);
+    struct ms_engine_action *start = take_start(&fixture);
+    int64_t deadline_ms = start->deadline_ms; /* that of a renewal sent now would be the same */
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    fixture.reachable = false;
+    fixture.runs = true;
+    extend_lease(&fixture, deadline_ms);
+    ms_engine_action_free(start);
+    run(&fixture, RENEWAL_UNDER_WAY_MS);
+    extend_lease(&fixture, deadline_ms);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against a run that is given up while it goes on: a renewal of the leader before this one
+ * has reached a new incarnation without runs and has given it the longest lease.
+ */
+START_TEST(lease_of_an_idle_new_incarnation_is_waited_for_after_a_takeover)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    restart(&fixture);
+    extend_lease(&fixture, server_clock(&fixture) + LEASE_MAX_MS);
+    fixture.now += 600;
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    list_present_incarnation(&fixture);
+    submit(&fixture);
+    while (fixture.start_count == 0) {
+        run(&fixture, TICK_MS);
+    }
+    fixture.reachable = false;
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
 TCase *
 successor_cases(void)
 {
@@ -385,5 +527,11 @@
     tcase_add_test(cases, confirmed_run_is_given_up_when_our_lease_has_ended);
     tcase_add_test(cases, run_confirmed_by_a_new_incarnation_is_waited_for);
     tcase_add_test(cases, run_on_a_server_that_was_idle_for_long_is_waited_for);
+    tcase_add_test(cases, run_at_a_new_incarnation_that_answers_once_is_waited_for);
+    tcase_add_test(cases, run_at_a_new_incarnation_that_the_directory_shows_is_waited_for);
+    tcase_add_test(cases, lease_of_a_server_that_was_frozen_is_not_stored_as_ours);
+    tcase_add_test(cases, renewal_under_way_when_its_leader_resigned_is_waited_for);
+    tcase_add_test(cases, lease_of_an_idle_new_incarnation_is_waited_for_after_a_takeover);
+    tcase_add_test(cases, run_confirmed_at_an_incarnation_that_the_directory_lacks_is_waited_for);
     return cases;
 }
--- a/tests/batch/unit_withheld.c
+++ b/tests/batch/unit_withheld.c
@@ -29,6 +29,7 @@
     size_t end_count;
     uint64_t acked;        /* position up to which FIRST may forget its ends */
     int64_t last_deadline; /* of the last renewal of FIRST */
+    int64_t lease_end;     /* of FIRST: the latest deadline before its ends were acknowledged */
     GBytes *state;         /* of the job, as stored last */
     bool second_fails;     /* run 2 has failed on SECOND */
     bool job_failed;       /* the engine has logged that the job failed */
@@ -132,6 +133,9 @@
     if (index == FIRST) {
         fixture->acked = MAX(fixture->acked, renewal->ack_position);
         fixture->last_deadline = renewal->deadline_ms;
+        if (fixture->acked == 0) {
+            fixture->lease_end = MAX(fixture->lease_end, renewal->deadline_ms);
+        }
         report.ended = fixture->ends + fixture->acked;
         report.ended_count = fixture->end_count - fixture->acked;
     }
@@ -253,6 +257,27 @@
 }
 END_TEST
 
+/* The same if a leader before this one has extended that lease last. */
+START_TEST(withheld_end_is_acknowledged_after_the_lease_of_an_earlier_leader)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    end_behind_cut(&fixture, GATHERED_ENDS);
+    ms_engine_free(fixture.engine);
+    create_engine(&fixture, 2);
+    list_server(&fixture, FIRST);
+    list_server(&fixture, SECOND);
+    fixture.job.state = fixture.state;
+    ms_engine_add_job(fixture.engine, &fixture.job, fixture.now);
+    while (fixture.acked == 0) {
+        run(&fixture, TICK_MS);
+        ck_assert_int_le(fixture.now, 200000);
+    }
+    ck_assert_int_gt(fixture.now, fixture.lease_end);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 /* A few ends cost less than a server that is out of use for the length of a lease. */
 START_TEST(few_withheld_ends_leave_the_server_in_use)
 {
@@ -329,6 +354,7 @@
     TCase *cases = tcase_create("withheld");
     tcase_add_test(cases, many_ends_behind_a_withheld_one_are_acknowledged);
     tcase_add_test(cases, withheld_end_is_acknowledged_after_the_lease_has_expired);
+    tcase_add_test(cases, withheld_end_is_acknowledged_after_the_lease_of_an_earlier_leader);
     tcase_add_test(cases, late_failure_counts_after_a_change_of_the_leader);
     tcase_add_test(cases, few_withheld_ends_leave_the_server_in_use);
     tcase_add_test(cases, failure_counts_although_a_later_run_was_given_up_too);
