Batch: the first answer counts as a full lease again, also of a server without runs

Callers would see a task run twice, or again after its end was taken note of. Cause: took an idle server for one without a lease. A lease belongs to the server, never shortens, and holds for what it runs later. A renewal under way when a server starts again reaches the new incarnation, which has no runs yet and grants the longest lease from then on; what was started there next was given up too early, also by the next leader, and a withheld end was acknowledged inside a lease of the leader before.

Now each first answer to a leader, and to it after each restart, counts as before. Tests about the length of the wait begin 2 s after the first answer, as a lease is known to be one of ours from then on.

--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -242,12 +242,12 @@
 
 void
 ms_batch_server_lease_on_answer(struct ms_engine *engine, struct ms_batch_server *server,
-                                bool lease_unknown)
+                                bool first_answer)
 {
     if (server->lease_state == MS_LEASE_FROZEN) {
         begin_unfreeze(engine, server);
     }
-    else if (lease_unknown) {
+    else if (first_answer) {
         ms_batch_server_assume_longest_lease(engine, server);
     }
 }
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -472,11 +472,11 @@
 void ms_batch_server_on_clock_back(struct ms_engine *engine, struct ms_batch_server *server,
                                    int64_t clock_ms);
 /*
- * SERVER has answered a renewal; LEASE_UNKNOWN: the first one of this leader, and it may have runs
- * under a lease from an earlier one.
+ * SERVER has answered a renewal; FIRST_ANSWER: its first one to this leader.  Its lease, which it
+ * holds also without runs, may be one from an earlier leader or incarnation.
  */
 void ms_batch_server_lease_on_answer(struct ms_engine *engine, struct ms_batch_server *server,
-                                     bool lease_unknown);
+                                     bool first_answer);
 /* SERVER has a new incarnation: if its lease was not NORMAL, it stays frozen or is frozen again. */
 void ms_batch_server_lease_on_reset(struct ms_engine *engine, struct ms_batch_server *server);
 /* Freezes the lease of SERVER, or extends it again, if this is due. */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -494,8 +494,7 @@
     server->last_report_at = engine->now;
     ms_batch_server_note_certain_report(server, sent_at);
     server->ends_acked = MAX(server->ends_acked, renewal->ack_position);
-    bool may_run = report->running_count > 0 || !ms_list_is_empty(&server->tasks);
-    ms_batch_server_lease_on_answer(engine, server, first_answer && may_run);
+    ms_batch_server_lease_on_answer(engine, server, first_answer);
     ms_batch_server_on_report(engine, server, report, sent_at);
     ms_batch_server_update_speed(engine, server);
     schedule_renewal(engine, server);
--- a/tests/batch/unit_lease.c
+++ b/tests/batch/unit_lease.c
@@ -6,6 +6,7 @@
 
 #define TAKEOVER_MS 1000  /* from the loss of a leader until the next one starts */
 #define FREEZE_MS 1010    /* from then until it freezes the lease of a server that is gone */
+#define IDLE_MS 2100      /* after which a server that has just answered holds a lease of ours */
 #define CONFIRMED_MS 1700 /* after which the log says that servers have confirmed the runs */
 #define SHORT_TERM_MS 10  /* shorter than the delay of a store that is not urgent */
 
@@ -100,6 +101,7 @@
     struct ms_batch_spec spec;
     simple_spec(&spec, "job", "q1", 3, 8);
     spec.steps[0].gang = true;
+    simulator_run(simulator, IDLE_MS);
     simulator_submit_job(simulator, &spec);
     for (size_t i = 0; i < 4; i++) {
         simulator_stall_runs(simulator, i, CONFIRMED_MS); /* the gang is not done before */
@@ -159,6 +161,7 @@
     struct ms_batch_spec spec;
     simple_spec(&spec, "job", "q1", 2, 8);
     spec.steps[0].estimate_ms = 100000;
+    simulator_run(simulator, IDLE_MS);
     simulator_submit_job(simulator, &spec);
     simulator_run(simulator, 300);
     simulator_stall_runs(simulator, 0, 1000000);
