Batch: a lease that was frozen is not stored as one of ours

Callers would see a task run twice at once. Cause, found by a review of the fixes: once a server whose lease was frozen has answered, nothing is known of its lease until the states that rely on the frozen one are replaced, yet these states said that it is one of ours. If the leader resigned then, the next one waited too briefly.

Evidence: lease_of_a_server_that_was_frozen_is_not_stored_as_ours failed (given up 1.0 s too early) and passes.

--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -115,9 +115,12 @@
 ms_batch_server_holds_our_lease(const struct ms_engine *engine,
                                 const struct ms_batch_server *server)
 {
+    if (!server->fence_confirmed) {
+        return true;
+    }
     int64_t clock_ms = server->clock_ms + (engine->now - server->last_answer_at);
     bool longer = server->lease_deadline_max > clock_ms + engine->limits.lease_ms;
-    return !server->fence_confirmed || (!longer && server->uncertain_since == 0);
+    return server->lease_state == MS_LEASE_NORMAL && !longer && server->uncertain_since == 0;
 }
 
 /* When the longest lease that a server grants now has certainly expired. */
