Batch: a successor keeps runs whose start no record confirms when a server has started again

Callers would see a task run twice at once. Cause, found by a review of the fixes: a start of an earlier leader may have reached an incarnation that was not known then. When the directory, or the server's first answer, told the next leader of the restart, it gave the run up at once as one of the incarnation before, as it had not ordered it itself, and started the task again 0.1 s later. If the server is not cut off in between, the next report finds the run; else both go on.

Now such a task is kept, like one whose own order has no answer, until a report of the new incarnation decides or the longest lease has ended; only runs that the earlier incarnation has confirmed are lost at once.

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -77,8 +77,9 @@
 
 /*
  * SERVER has restarted under the same id, so its earlier runs are gone and their tasks are
- * lost.  Tasks that were not ordered yet are kept.  So are tasks whose unanswered order may
- * still arrive, and tasks that have started but were in no report, whose start the new
+ * lost.  Tasks that were not ordered yet are kept.  So are tasks whose start the earlier
+ * incarnation has not confirmed, as their order, also one of an earlier leader, may reach the new
+ * one or may have done so, and tasks that have started but were in no report, whose start the new
  * incarnation may have confirmed: its first report decides whether these run.
  */
 static void
@@ -93,7 +94,9 @@
             bool ordered =
                 task->state == MS_BATCH_TASK_STARTING || task->state == MS_BATCH_TASK_STOPPING;
             bool unreported = task->state == MS_BATCH_TASK_RUNNING && !task->seen_in_report;
-            if (task->order_unanswered || unreported || (ordered && task->order_pending)) {
+            bool unconfirmed = ordered && !task->start_confirmed;
+            if (task->order_unanswered || unreported || unconfirmed ||
+                (ordered && task->order_pending)) {
                 ms_batch_task_withdraw_start(engine, task);
                 task->awaits_report = true;
                 task->start_confirmed = false;
