Batch: the report decides if the log and the directory name different incarnations of a server

Callers would see a task run twice at once. Cause, found by a review of the fixes: the directory still showed a server's earlier incarnation, while the log named the present one for a run that this one had confirmed. The next leader went by the directory, took the server's first answer for a restart, and gave the run up at once.

Evidence: run_confirmed_at_an_incarnation_that_the_directory_lacks_is_waited_for, given up 8.1 s too early without this. Weighed: taking the later of the two starts; a time of day may step back.

--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -161,15 +161,16 @@
     bool renewal_pending;             /* a renewal awaits its answer */
     uint32_t snapshot_number;         /* number of the directory snapshot that last listed it */
     int64_t earlier_start_unix_ms;    /* start of the incarnation before, 0: none known */
-    uint32_t incarnation;             /* rises whenever a new incarnation is noticed */
-    uint32_t fence_number;            /* within the epoch, of the next call */
-    bool fence_acknowledges;          /* a renewal with this fence has acknowledged ends */
-    uint32_t renewal_failure_count;   /* consecutive renewals without an answer */
-    int64_t next_renewal_at;          /* when to renew its lease, INT64_MAX: not needed */
-    int64_t last_answer_at;           /* when it last answered */
-    int64_t last_report_at;           /* when its last report arrived */
-    int64_t clock_ms;                 /* its clock at last_answer_at */
-    int64_t lease_deadline_max;       /* latest lease deadline sent to it, on its clock */
+    bool start_disputed;   /* records and directory name different ones: the next report decides */
+    uint32_t incarnation;  /* rises whenever a new incarnation is noticed */
+    uint32_t fence_number; /* within the epoch, of the next call */
+    bool fence_acknowledges;        /* a renewal with this fence has acknowledged ends */
+    uint32_t renewal_failure_count; /* consecutive renewals without an answer */
+    int64_t next_renewal_at;        /* when to renew its lease, INT64_MAX: not needed */
+    int64_t last_answer_at;         /* when it last answered */
+    int64_t last_report_at;         /* when its last report arrived */
+    int64_t clock_ms;               /* its clock at last_answer_at */
+    int64_t lease_deadline_max;     /* latest lease deadline sent to it, on its clock */
     /* A start had no answer; if it has reached an unknown incarnation, its lease ends by then. */
     int64_t uncertain_lease_until;
     int64_t uncertain_since; /* when the last such start had no answer, 0: none */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -155,6 +155,7 @@
     server->incarnation++;
     ms_batch_server_raise_fence(engine, server);
     server->entry.start_unix_ms = 0; /* that incarnation is over */
+    server->start_disputed = false;
     server->listed = false;
     server->fence_confirmed = false;
     server->unresponsive = false;
@@ -288,7 +289,7 @@
     int64_t known_start_unix_ms = server->entry.start_unix_ms;
     server->entry = *entry;
     server->capacity = entry->capacity;
-    if (entry->start_unix_ms == 0) {
+    if (entry->start_unix_ms == 0 || server->start_disputed) {
         server->entry.start_unix_ms = known_start_unix_ms;
     }
     server->listed = true;
@@ -488,6 +489,7 @@
     }
     if (server->entry.start_unix_ms == 0) {
         server->entry.start_unix_ms = report->start_unix_ms;
+        server->start_disputed = false;
     }
     server->fence_confirmed = true;
     server->unresponsive = false;
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -249,6 +249,24 @@
     ms_engine_mark_dirty(engine, job, true);
 }
 
+/*
+ * A record names the incarnation of SERVER that started at START_UNIX_MS, 0: none.  If the
+ * directory or another record names another one, the first report decides which it is.
+ */
+static void
+set_restored_start(struct ms_batch_server *server, int64_t start_unix_ms)
+{
+    int64_t known_unix_ms = server->entry.start_unix_ms;
+    server->start_disputed |=
+        start_unix_ms != 0 && known_unix_ms != 0 && start_unix_ms != known_unix_ms;
+    if (server->start_disputed) {
+        server->entry.start_unix_ms = 0;
+    }
+    else if (known_unix_ms == 0) {
+        server->entry.start_unix_ms = start_unix_ms;
+    }
+}
+
 /*
  * Assigns TASK to the server SERVER_REF of its record, which was read at READ_AT, and says whether
  * the server had CONFIRMED the start.
@@ -266,9 +284,7 @@
     if (count > SERVER_LEASE_LEFT_MS) {
         restore_frozen_lease(engine, ms_batch_task_job(task), server, fields, read_at);
     }
-    if (server->entry.start_unix_ms == 0) {
-        server->entry.start_unix_ms = start_unix_ms;
-    }
+    set_restored_start(server, start_unix_ms);
     /*
      * The run may exist, even if the server has restarted since: an order may have reached
      * its new incarnation.  The first report of the server decides.
