Batch: a renewal under way when a server starts again may extend the lease of what runs there

Callers would see a task run twice at once. Cause, found by a review of the fixes: a renewal sent before the leader knew of a restart, with a deadline on the earlier clock, may arrive after the start of a run, up to its time-out later, and then the lease is the longest one from that moment. This was counted after a start without an answer only, not after a clock that has gone back in an answer or after a restart that leaves tasks undecided; and the failure of a renewal to an earlier incarnation was dropped.

Now each of them makes the lease uncertain until a report that was requested later, and such a renewal without an answer counts, whichever incarnation it was for.

--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -132,7 +132,7 @@
 }
 
 void
-ms_batch_server_note_uncertain_start(const struct ms_engine *engine, struct ms_batch_server *server)
+ms_batch_server_note_uncertain_run(const struct ms_engine *engine, struct ms_batch_server *server)
 {
     server->uncertain_since = engine->now;
     server->uncertain_lease_until = longest_lease_end(engine);
@@ -168,6 +168,7 @@
     server->clock_ms = clock_ms;
     server->lease_deadline_max = 0; /* on the earlier clock */
     ms_batch_server_assume_longest_lease(engine, server);
+    ms_batch_server_note_uncertain_run(engine, server);
     server->next_renewal_at = MIN(server->next_renewal_at, engine->now);
 }
 
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -433,13 +433,13 @@
 int64_t ms_batch_server_lease_end(const struct ms_engine *engine,
                                   const struct ms_batch_server *server);
 /*
- * A start that was sent to SERVER has no answer, or one that does not tell which incarnation has
- * carried it out.  If it was one that is not known yet, the start's deadline, on the clock of the
- * known one, was far ahead, and the server has granted the longest lease.
+ * SERVER may have a run in an incarnation that is not known yet: a start has no answer, or one that
+ * does not tell which incarnation has carried it out.  The deadline of a call that has reached that
+ * incarnation, on the clock of the known one, was far ahead, so that it holds the longest lease.
  */
-void ms_batch_server_note_uncertain_start(const struct ms_engine *engine,
-                                          struct ms_batch_server *server);
-/* A renewal with DEADLINE_MS has no answer: it may have extended the lease of such a start. */
+void ms_batch_server_note_uncertain_run(const struct ms_engine *engine,
+                                        struct ms_batch_server *server);
+/* A renewal with DEADLINE_MS has no answer: it may have extended the lease of such a run. */
 void ms_batch_server_note_unanswered_renewal(const struct ms_engine *engine,
                                              struct ms_batch_server *server, int64_t deadline_ms);
 /* SERVER has reported its runs in the answer to a call sent at SENT_AT: they are certain again. */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -201,6 +201,7 @@
     server->next_renewal_at = engine->now;
     if (!ms_list_is_empty(&server->tasks)) {
         ms_batch_server_assume_longest_lease(engine, server);
+        ms_batch_server_note_uncertain_run(engine, server);
     }
     ms_batch_server_lease_on_reset(engine, server);
 }
@@ -516,7 +517,13 @@
         return;
     }
     struct ms_batch_server *server = g_hash_table_lookup(engine->servers_by_id, renewal->server);
-    if (server == NULL || server->incarnation != renewal->incarnation) {
+    if (server == NULL) {
+        return;
+    }
+    if (result == MS_ORDER_NO_ANSWER) {
+        ms_batch_server_note_unanswered_renewal(engine, server, renewal->deadline_ms);
+    }
+    if (server->incarnation != renewal->incarnation) {
         return;
     }
     server->renewal_pending = false;
@@ -543,7 +550,6 @@
         return;
     }
     if (result != MS_ORDER_OK || report == NULL) {
-        ms_batch_server_note_unanswered_renewal(engine, server, renewal->deadline_ms);
         renewal_failed(engine, server);
         return;
     }
--- a/src/batch/engine_task_order.c
+++ b/src/batch/engine_task_order.c
@@ -213,7 +213,7 @@
     }
     bool other_incarnation = server->incarnation != order->incarnation;
     if (start && (result == MS_ORDER_NO_ANSWER || (other_incarnation && result == MS_ORDER_OK))) {
-        ms_batch_server_note_uncertain_start(engine, server);
+        ms_batch_server_note_uncertain_run(engine, server);
     }
     if (other_incarnation) {
         return;
