Batch: the wait for an earlier leader's runs covers the time-out of its renewals

Callers would see a task run twice at once. Cause, found by a review of the fixes: the wait for a start that no record confirms covered 1 s for calls under way, the time-out of starts. A renewal with a long poll is under way for up to 2.5 s, and extends the lease when it arrives.

The time-outs of calls to servers now stand in engine.h, as the adapter and the engine both go by them.

--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -95,8 +95,10 @@
     GPtrArray *records;    /* STORE: ms_store_record */
 };
 
-/* Time limit of a START or STOP without an answer, after which it is not sent any more. */
-#define MS_ORDER_TIMEOUT_MS 1000
+/* Time limits of calls to servers: one without an answer is not sent any more after that. */
+#define MS_ORDER_TIMEOUT_MS 1000         /* START, STOP */
+#define MS_RENEWAL_TIMEOUT_MS 1000       /* RENEW_LEASE, beyond `long_poll_ms` */
+#define MS_RENEWAL_LONG_POLL_MAX_MS 1500 /* highest `long_poll_ms` */
 
 struct ms_engine;
 
--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -22,6 +22,8 @@
 #define DRAINING_LEASE_MS 4500  /* maximum lease of a draining server */
 #define CLOCK_DRIFT_FACTOR 1.03 /* for a server's clock that may run 2 % slow */
 #define LEASE_MARGIN_MS 100     /* added to the computed end of a lease */
+/* From when a call with a deadline was sent until it can arrive no more. */
+#define CALL_TIMEOUT_MAX_MS (MS_RENEWAL_TIMEOUT_MS + MS_RENEWAL_LONG_POLL_MAX_MS)
 
 /*
  * Whether the lease of SERVER is left to expire now: it has no tasks, or the ends of its
@@ -84,8 +86,8 @@
 
 /*
  * When the runs of earlier leaders on SERVER, which has not answered this one, have ended.  They
- * counted on our lease; a start of theirs without an answer, under way for as long as an order may
- * take to arrive, may hold the longest one.
+ * counted on our lease; a run whose start they did not see confirmed may hold the longest one, from
+ * the arrival of the last call that was under way.
  */
 static int64_t
 earlier_leases_end(const struct ms_engine *engine, const struct ms_batch_server *server)
@@ -95,7 +97,7 @@
     }
     double longer_ms =
         (double)(engine->limits.lease_max_ms - engine->limits.lease_ms) * CLOCK_DRIFT_FACTOR;
-    return engine->earlier_leases_until + (int64_t)longer_ms + MS_ORDER_TIMEOUT_MS;
+    return engine->earlier_leases_until + (int64_t)longer_ms + CALL_TIMEOUT_MAX_MS;
 }
 
 int64_t
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -5,8 +5,7 @@
 
 #include "batch/engine_private.h"
 
-/* How long a server may wait for a run to end before it answers a renewal. */
-#define RENEWAL_WAIT_MS 1500
+/* How long a server may wait for a run to end before it answers a renewal, in special cases. */
 #define YOUNG_RUN_WAIT_MS 800 /* while one of its runs is younger than YOUNG_RUN_MS */
 #define YOUNG_RUN_MS 700
 #define TOP_PRIORITY_WAIT_MS 700 /* while it has a run of the top priority */
@@ -423,7 +422,7 @@
 static int64_t
 renewal_wait_ms(const struct ms_engine *engine, const struct ms_batch_server *server)
 {
-    int64_t wait_ms = RENEWAL_WAIT_MS;
+    int64_t wait_ms = MS_RENEWAL_LONG_POLL_MAX_MS;
     MS_LIST_FOREACH(link, (struct ms_list_link *)&server->tasks)
     {
         const struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
