Batch: a new leader that notices a restart waits for a start without an answer

Callers would see a task run twice at once. When the directory or a report then shows that the server has started again, the run was given up at once, as if it had ended with the incarnation before, and its task was placed elsewhere. But the start may have reached the new incarnation, and if that is not reached, nobody stops it. The leader that had sent the start would have waited.

Now such a run is kept until the first report of the new incarnation, or the end of its longest lease, like one whose start went unanswered under the present leader. A run that the log says to be confirmed is given up at once as before.

--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -54,7 +54,7 @@
     bool start_withdrawn;  /* the pending start has been withdrawn: it may have been sent before */
     bool seen_in_report;   /* a report of the server has listed this run */
     bool start_confirmed;  /* the server has confirmed the start of this run */
-    bool order_unanswered; /* a start order went unanswered and may still arrive */
+    bool order_unanswered; /* a start order went unanswered, or may have, and may still arrive */
     bool stop_confirmed;   /* STOPPING: the server has confirmed the stop order */
     bool preempted;        /* STOPPING: preempted by more urgent work */
     uint32_t preemptor_priority; /* PREEMPTED: priority of that work */
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -278,6 +278,7 @@
     engine->orders.to_come--;
     task->awaits_report = true;
     task->start_confirmed = confirmed;
+    task->order_unanswered = !confirmed; /* as far as this leader knows */
     server->earlier_start_uncertain |= !confirmed;
     g_strfreev(fields);
 }
--- a/tests/batch/unit_successor.c
+++ b/tests/batch/unit_successor.c
@@ -3,7 +3,8 @@
  * reach: how long the runs of earlier leaders go on there.
  *
  * Engines of several leaders follow one another, with one server, modelled here.  The directory
- * goes on showing the server's first incarnation.  Its clock is 2 % slow.
+ * goes on showing the server's first incarnation, unless a test has it show the present one.  The
+ * server's clock is 2 % slow.
  */
 #include <string.h>
 
@@ -14,6 +15,7 @@
 #define LEASE_MS 8000
 #define LEASE_MAX_MS 10000
 #define CLOCK_RATE 0.98
+#define FIRST_START_UNIX_MS 5000
 #define UPTIME_MS 500000 /* of the server at the start */
 #define STORED_MS 1500   /* after which the log says that a job has started */
 #define STORE_MS 350     /* after which a change of a job is stored */
@@ -21,6 +23,7 @@
 #define ORDER_TIMEOUT_MS 1000
 #define IDLE_MS 80000
 #define RESIGNED_WAIT_MS 8740 /* what src/entry/leader.c counts from a resignation */
+#define NOTICED_MS 1000       /* from a take-over until the directory shows a restart */
 #define SETTLED_MS 30000      /* after which a run on a server that is gone has been given up */
 #define GIVEN_UP_MS 500       /* from the end of a lease until its runs are given up */
 
@@ -32,6 +35,7 @@
     int64_t now;
     int64_t started_at; /* when the server started */
     int64_t start_unix_ms;
+    bool listed_again; /* the directory shows the present incarnation */
     bool reachable;
     bool loses_answers; /* it receives calls, and carries them out */
     bool runs;          /* run 1 of the job's task */
@@ -65,6 +69,24 @@
     }
 }
 
+/* The directory shows the server, as its first incarnation unless it is LISTED_AGAIN. */
+static void
+list_server(const struct fixture *fixture)
+{
+    struct ms_directory_entry entry = {.start_unix_ms = FIRST_START_UNIX_MS,
+                                       .id = "one",
+                                       .address = "127.0.0.1:1",
+                                       .dc = "dc",
+                                       .service = "service",
+                                       .capacity = {64000, 64000, 8}};
+    entry.clock_ms = (int64_t)((double)(UPTIME_MS + fixture->now) * CLOCK_RATE);
+    if (fixture->listed_again) {
+        entry.start_unix_ms = fixture->start_unix_ms;
+        entry.clock_ms = server_clock(fixture);
+    }
+    ms_engine_update_server(fixture->engine, &entry, fixture->now);
+}
+
 /* Creates the engine of the next leader, which waits WAIT_MS for our leases of the one before. */
 static void
 begin_term(struct fixture *fixture, int64_t wait_ms)
@@ -72,12 +94,6 @@
     static struct ms_queue_rule queues[] = {
         {.name = "q0", .service = "service", .failures_max = 9}};
     static const struct ms_policy policy = {.version = 1, .queues = queues, .queue_count = 1};
-    static struct ms_directory_entry entry = {.start_unix_ms = 5000,
-                                              .id = "one",
-                                              .address = "127.0.0.1:1",
-                                              .dc = "dc",
-                                              .service = "service",
-                                              .capacity = {64000, 64000, 8}};
     struct ms_engine_limits limits;
     ms_engine_limits_defaults(&limits);
     limits.lease_ms = LEASE_MS;
@@ -87,8 +103,7 @@
     fixture->engine = ms_engine_new(&limits, fixture->epoch, fixture->now + wait_ms, fixture->now);
     ms_engine_set_policy(fixture->engine, &policy);
     ms_engine_set_log(fixture->engine, note_event, fixture);
-    entry.clock_ms = (int64_t)((double)(UPTIME_MS + fixture->now) * CLOCK_RATE);
-    ms_engine_update_server(fixture->engine, &entry, fixture->now);
+    list_server(fixture);
     fixture->job.state = fixture->state;
     ms_engine_add_job(fixture->engine, &fixture->job, fixture->now);
 }
@@ -99,7 +114,7 @@
     memset(fixture, 0, sizeof(*fixture));
     fixture->now = 1000;
     fixture->started_at = -UPTIME_MS;
-    fixture->start_unix_ms = 5000;
+    fixture->start_unix_ms = FIRST_START_UNIX_MS;
     fixture->reachable = true;
     g_strlcpy(fixture->job.id, "job", sizeof(fixture->job.id));
     simple_spec(&fixture->job.spec, "job", "q0", 1, 1);
@@ -374,6 +389,45 @@
 }
 END_TEST
 
+/*
+ * Guards against a second run beside the first one: the directory tells the next leader that the
+ * server has started again, but not whether a start without an answer, of the leader before, has
+ * reached it before or after.
+ */
+START_TEST(start_without_answer_is_waited_for_if_the_next_leader_notices_a_restart)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, true);
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, NOTICED_MS);
+    fixture.listed_again = true;
+    list_server(&fixture);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/* Guards against a wait that is longer than needed: the log says that the incarnation before had
+ * confirmed the run, so that it has ended with it. */
+START_TEST(confirmed_run_is_given_up_when_the_next_leader_notices_a_restart)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    submit(&fixture);
+    run(&fixture, STORED_MS);
+    restart(&fixture);
+    fixture.reachable = false;
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, NOTICED_MS);
+    fixture.listed_again = true;
+    list_server(&fixture);
+    run(&fixture, GIVEN_UP_MS);
+    ck_assert_int_gt(fixture.lost_at, 0);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 successor_cases(void)
 {
@@ -385,5 +439,7 @@
     tcase_add_test(cases, confirmed_run_is_given_up_when_our_lease_has_ended);
     tcase_add_test(cases, run_confirmed_by_a_new_incarnation_is_waited_for);
     tcase_add_test(cases, run_on_a_server_that_was_idle_for_long_is_waited_for);
+    tcase_add_test(cases, start_without_answer_is_waited_for_if_the_next_leader_notices_a_restart);
+    tcase_add_test(cases, confirmed_run_is_given_up_when_the_next_leader_notices_a_restart);
     return cases;
 }
