Batch: a restart does not end the run of a stopped task whose start may still arrive

Callers would see a task run twice at once. Cause: when a server has started again under its id, tasks whose start may still reach the new incarnation are kept until its first report. But a start that had no answer while its task was already being stopped (a member of its gang was refused, say) was not noted as unanswered, and one under way was forgotten when the stop was ordered. Such a run was given up at once and its task placed elsewhere; the new incarnation knows neither the stop nor the fence, and starts the run.

Now a start counts as pending until its own answer, whatever is ordered after it, and as unanswered also if its task is being stopped by then, unless a report has shown the run, which is the only copy of it.

Nothing waits longer without a restart, as the new notes count only then and when a start is withdrawn. No deployment has shown it.

--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -51,6 +51,7 @@
     bool awaits_report;    /* may already run there: the next report decides; no start is ordered */
     bool store_pending;    /* RECORDING: the store in progress contains the run */
     bool order_pending;    /* an order awaits its answer */
+    bool start_pending;    /* a start order awaits its answer, also if a stop was ordered since */
     bool start_withdrawn;  /* the pending start has been withdrawn: it may have been sent before */
     bool seen_in_report;   /* a report of the server has listed this run */
     bool start_confirmed;  /* the server has confirmed the start of this run */
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -78,7 +78,8 @@
 /*
  * SERVER has restarted under the same id, so its earlier runs are gone and their tasks are
  * lost.  Tasks that were not ordered yet are kept.  So are tasks whose unanswered order may
- * still arrive, and tasks that have started but were in no report, whose start the new
+ * still arrive, also if it was a start and they have been stopped since, as the new incarnation
+ * knows of no stop, and tasks that have started but were in no report, whose start the new
  * incarnation may have confirmed: its first report decides whether these run.
  */
 static void
@@ -92,9 +93,12 @@
             struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
             bool ordered =
                 task->state == MS_BATCH_TASK_STARTING || task->state == MS_BATCH_TASK_STOPPING;
+            bool start_under_way = task->start_pending && !task->seen_in_report;
             bool unreported = task->state == MS_BATCH_TASK_RUNNING && !task->seen_in_report;
+            task->order_unanswered |= start_under_way; /* its answer will be ignored */
             if (task->order_unanswered || unreported || (ordered && task->order_pending)) {
                 ms_batch_task_withdraw_start(engine, task);
+                task->start_pending = false;
                 task->awaits_report = true;
                 task->start_confirmed = false;
                 task->stop_confirmed = true;
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -73,6 +73,7 @@
     task->store_pending = false;
     task->awaits_report = false;
     task->order_pending = false;
+    task->start_pending = false;
     task->stop_confirmed = false;
     task->preempted = false;
     task->seen_in_report = false;
--- a/src/batch/engine_task_order.c
+++ b/src/batch/engine_task_order.c
@@ -94,6 +94,7 @@
         action->deadline_ms = ms_batch_server_start_deadline(engine, server);
     }
     task->order_pending = true;
+    task->start_pending |= start;
     task->start_withdrawn = false;
     task->ordered_at = engine->now;
     task->next_order_at = engine->now + ORDER_RETRY_MS;
@@ -157,11 +158,16 @@
     }
     if (start && task->state == MS_BATCH_TASK_STARTING) {
         task->order_pending = false;
+        task->start_pending = false;
         task->last_answer_at = engine->now;
         start_answered(engine, task, result);
     }
-    else if (start && task->state == MS_BATCH_TASK_STOPPING && result == MS_ORDER_WITHDRAWN) {
-        ms_batch_task_on_withdrawn(engine, task);
+    else if (start && task->state == MS_BATCH_TASK_STOPPING) {
+        task->start_pending = false;
+        task->order_unanswered |= result == MS_ORDER_NO_ANSWER && !task->seen_in_report;
+        if (result == MS_ORDER_WITHDRAWN) {
+            ms_batch_task_on_withdrawn(engine, task);
+        }
     }
     else if (!start && task->state == MS_BATCH_TASK_STOPPING) {
         task->order_pending = false;
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -20,6 +20,7 @@
 #define LATE_ANSWER_MS 6000
 #define LATE_START_MS 3000
 #define ORDER_TIMEOUT_MS 1000
+#define NOTICED_MS 500 /* from a cut until the directory shows a start */
 #define JOB_COUNT 2
 #define LISTED_ENDS_MAX 4
 #define LEASE_MAX_MS 10000  /* the longest lease that the server grants, on its clock */
@@ -110,6 +111,18 @@
     ms_engine_add_job(fixture->engine, job, fixture->now);
 }
 
+/* Submits a job of one gang of two. */
+static void
+submit_gang(struct fixture *fixture)
+{
+    struct ms_stored_job *job = &fixture->jobs[0];
+    g_strlcpy(job->id, "gang", sizeof(job->id));
+    job->accepted = true;
+    simple_spec(&job->spec, "gang", "q0", 2, 1);
+    job->spec.steps[0].gang = true;
+    ms_engine_add_job(fixture->engine, job, fixture->now);
+}
+
 /* The server starts again under its id: it has nothing of before. */
 static void
 restart(struct fixture *fixture)
@@ -198,6 +211,14 @@
                               answers ? fixture->now - fixture->clock_started_at : 0, fixture->now);
 }
 
+static void
+answer_stop(struct fixture *fixture, const struct ms_engine_action *stop)
+{
+    bool answers = fixture->reachable && !fixture->loses_answers;
+    ms_engine_on_order_answer(fixture->engine, stop, answers ? MS_ORDER_OK : MS_ORDER_NO_ANSWER,
+                              answers ? fixture->now - fixture->clock_started_at : 0, fixture->now);
+}
+
 static void
 answer(void *opaque, const struct ms_engine_action *action)
 {
@@ -213,6 +234,8 @@
         ms_engine_on_stored(fixture->engine, fixture->now);
         break;
     case MS_ENGINE_STOP:
+        answer_stop(fixture, action);
+        break;
     case MS_ENGINE_WITHDRAW:
     case MS_ENGINE_QUERY_ADVICE:
     case MS_ENGINE_STEP_DOWN:
@@ -467,6 +490,58 @@
 }
 END_TEST
 
+/*
+ * The run of TASK, a member of a gang, is stopped while its START is under way, as the other member
+ * was refused.  The server answers the stop if ANSWERS_STOP, starts again, carries out START, whose
+ * answer is lost, and is cut off; the directory shows its start 500 ms later.
+ */
+static void
+expect_stopped_start_waited_for(bool answers_stop)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    submit_gang(&fixture);
+    struct ms_engine_action *start = take_start(&fixture);
+    struct ms_engine_action *other = take_start(&fixture);
+    ms_engine_on_order_answer(fixture.engine, other, MS_ORDER_NO_CAPACITY, 0, fixture.now);
+    fixture.reachable = answers_stop;
+    answer_queued(&fixture);
+    restart(&fixture);
+    fixture.reachable = true;
+    fixture.loses_answers = true;
+    if (answers_stop) {
+        list_server(&fixture);
+    }
+    answer_start(&fixture, start);
+    fixture.reachable = false;
+    run(&fixture, NOTICED_MS);
+    list_server(&fixture);
+    run(&fixture, 3 * LEASE_MAX_MS);
+    ck_assert_int_gt(fixture.lease_until, 0);
+    ck_assert_int_ge(fixture.lost_at, fixture.lease_until);
+    ms_engine_action_free(start);
+    ms_engine_action_free(other);
+    fixture_clear(&fixture);
+}
+
+/*
+ * Guards against a run that is given up while it goes on: it was being stopped when its start went
+ * unanswered and the server was seen to have started again, as one that knows no stops.
+ */
+START_TEST(start_without_answer_is_waited_for_after_a_stop_without_answer)
+{
+    expect_stopped_start_waited_for(false);
+}
+END_TEST
+
+/* The same if the incarnation before has confirmed the stop, and the start is still under way. */
+START_TEST(start_under_way_is_waited_for_after_a_confirmed_stop)
+{
+    expect_stopped_start_waited_for(true);
+}
+END_TEST
+
 /*
  * Guards against a run that is given up while it goes on: the clock in an answer had told of the
  * server's start, its report had listed the run, and then an entry of the earlier incarnation
@@ -620,6 +695,8 @@
     tcase_add_test(cases,
                    renewals_without_answers_do_not_extend_the_lease_of_a_start_without_answer);
     tcase_add_test(cases, start_under_way_when_a_restart_is_noticed_is_waited_for);
+    tcase_add_test(cases, start_without_answer_is_waited_for_after_a_stop_without_answer);
+    tcase_add_test(cases, start_under_way_is_waited_for_after_a_confirmed_stop);
     tcase_add_test(cases, late_entry_of_the_earlier_incarnation_does_not_reset_the_next_one);
     tcase_add_test(cases, further_start_is_noticed_before_the_directory_shows_the_one_before);
     tcase_add_test(cases, start_is_noticed_after_an_entry_without_a_start_time);
