Batch: a leader hands on how long a late start may keep a restarted server busy

Callers would see a task run twice at once. Cause: a leader that has noticed a restart waits for a late start, but once it stores the job's state again, that names the new incarnation. The next leader then sees no restart and waits for 3 s more than for our own lease only.

Now the lease of such a server is frozen once it does not answer after the restart, like that of a server with runs of an earlier leader: its end is stored, no renewal extends it, and the next leader counts on the record.

Price: one more record for each job there, and once such a server answers it is used after one more. Servers that answer after their restart, or have no start without an answer, are not concerned.

--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -199,16 +199,29 @@
 }
 
 /*
- * Whether the lease of SERVER is to be frozen: it runs tasks of an earlier leader until its lease
- * expires, has not answered this leader, and is not expected to.
+ * Whether SERVER may run tasks that the next leader knows too little of, if it does not answer by
+ * then: they are of an earlier leader, or a start may have reached its new incarnation late.
  */
 static bool
-needs_freezing(const struct ms_engine *engine, const struct ms_batch_server *server)
+runs_are_uncertain(const struct ms_batch_server *server)
 {
-    bool answered = server->fence_confirmed || server->last_report_at != 0;
+    bool restarted = server->last_report_at != 0;
     bool may_answer = server->listed && !server->unresponsive;
+    if (server->fence_confirmed) {
+        return false;
+    }
+    return restarted ? server->unresponsive && server->uncertain_since != 0 : !may_answer;
+}
+
+/*
+ * Whether the lease of SERVER is to be frozen: it has tasks of this kind until its lease expires,
+ * and is not expected to answer.
+ */
+static bool
+needs_freezing(const struct ms_engine *engine, const struct ms_batch_server *server)
+{
     bool expired = engine->now >= ms_batch_server_lease_end(engine, server);
-    return server->lease_state == MS_LEASE_NORMAL && !answered && !may_answer && !expired &&
+    return server->lease_state == MS_LEASE_NORMAL && runs_are_uncertain(server) && !expired &&
            !ms_list_is_empty(&server->tasks);
 }
 
--- a/tests/batch/unit_successor.c
+++ b/tests/batch/unit_successor.c
@@ -432,6 +432,34 @@
 }
 END_TEST
 
+/*
+ * Guards against the same if the leader before has noticed the restart, and the job's state has
+ * been stored since: it names the new incarnation, so that the next leader sees no restart.
+ */
+START_TEST(late_start_is_waited_for_by_the_leader_after_the_one_that_noticed_a_restart)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    submit(&fixture);
+    struct ms_engine_action *start = take_start(&fixture);
+    restart(&fixture);
+    fixture.reachable = false;
+    ms_engine_on_order_answer(fixture.engine, start, MS_ORDER_NO_ANSWER, 0, fixture.now);
+    fixture.listed_again = true;
+    list_server(&fixture);
+    run(&fixture, FROZEN_MS);
+    ms_engine_cancel_job(fixture.engine, "job", fixture.now); /* its state is stored */
+    run(&fixture, STORE_MS);
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, LATE_START_MS);
+    fixture.runs = true;
+    extend_lease(&fixture, start->deadline_ms);
+    ms_engine_action_free(start);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
 /* Guards against a wait that is longer than needed: the log says that the incarnation before had
  * confirmed the run, so that it has ended with it. */
 START_TEST(confirmed_run_is_given_up_when_the_next_leader_notices_a_restart)
@@ -466,6 +494,8 @@
     tcase_add_test(cases, run_on_a_server_that_was_idle_for_long_is_waited_for);
     tcase_add_test(cases, start_without_answer_is_waited_for_if_the_next_leader_notices_a_restart);
     tcase_add_test(cases, late_start_of_the_leader_before_is_waited_for_after_a_restart);
+    tcase_add_test(cases,
+                   late_start_is_waited_for_by_the_leader_after_the_one_that_noticed_a_restart);
     tcase_add_test(cases, confirmed_run_is_given_up_when_the_next_leader_notices_a_restart);
     return cases;
 }
