Batch: a task waits while a late run of it is being stopped

Callers would see a task run twice at once. Cause: a server that has started again takes a late start of a run that was given up. Its report lists the run, which the engine orders to stop; but the task, if it was waiting and not taken back (a member of a gang, or an earlier run), could be placed elsewhere in the same pass, while the stop takes up to stopGraceMs.

Now the task is not placed before the run has not been listed for stopGraceMs and 500 ms; a run that is still being stored is dropped. Runs that the engine has assigned do not count, so nothing waits where no unknown run is listed.

Evidence: task_is_not_placed_while_a_late_run_of_it_is_being_stopped fails without the change (two starts).

--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -320,6 +320,9 @@
 /* The server of TASK, which is STARTING, has refused its start: this order created no run. */
 void ms_batch_task_on_refused(struct ms_engine *engine, struct ms_batch_task *task,
                               enum ms_order_result result);
+/* TASK, if it has no run that may have been ordered, is not placed for DELAY_MS. */
+void ms_batch_task_hold_back(struct ms_engine *engine, struct ms_batch_task *task,
+                             int64_t delay_ms);
 /* Takes back a run that was declared lost but is reported by SERVER. */
 void ms_batch_task_recover_run(struct ms_engine *engine, struct ms_batch_task *task,
                                struct ms_batch_server *server);
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -11,8 +11,9 @@
 #include "batch/engine_private.h"
 #include "batch/engine_speed.h"
 
-#define ENDED_ROWS_MAX 500    /* a report with this many ends may be truncated */
-#define WITHHELD_ROWS_MAX 100 /* ends that may gather from a withheld one on */
+#define ENDED_ROWS_MAX 500     /* a report with this many ends may be truncated */
+#define LATE_RUN_MARGIN_MS 500 /* until the next report, which may list the run again */
+#define WITHHELD_ROWS_MAX 100  /* ends that may gather from a withheld one on */
 
 /* An earlier leader's gang without progress has this long to be reported by all its servers. */
 #define RESTORED_GANG_WAIT_MS 500
@@ -86,7 +87,10 @@
     return run_matches && !task->step->spec->gang ? task : NULL;
 }
 
-/* Orders SERVER to stop the run in ROW, which no record allows. */
+/*
+ * Orders SERVER to stop the run in ROW, which no record allows.  Its task, if that waits, is not
+ * placed before the run has ended.
+ */
 static void
 stop_unknown_run(struct ms_engine *engine, struct ms_batch_server *server,
                  const struct ms_reported_run *row)
@@ -95,6 +99,10 @@
     g_strlcpy(action->task, row->task, sizeof(action->task));
     action->run = row->run;
     server->unknown_run_count++;
+    struct ms_batch_task *task = ms_engine_find_task(engine, row->task);
+    if (task != NULL) {
+        ms_batch_task_hold_back(engine, task, engine->limits.stop_grace_ms + LATE_RUN_MARGIN_MS);
+    }
     ms_engine_log_event(engine, "event=stop_unknown task=%s run=%u server=%s", row->task, row->run,
                         server->id);
 }
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -246,6 +246,17 @@
     engine->next_retry_at = MIN(engine->next_retry_at, task->not_before);
 }
 
+void
+ms_batch_task_hold_back(struct ms_engine *engine, struct ms_batch_task *task, int64_t delay_ms)
+{
+    if (task->state == MS_BATCH_TASK_RECORDING) {
+        ms_batch_task_stop_unit(engine, task, "late_run"); /* this drops the run */
+    }
+    if (task->state == MS_BATCH_TASK_WAITING && task->not_before < engine->now + delay_ms) {
+        back_off(engine, task, delay_ms);
+    }
+}
+
 bool
 ms_batch_task_is_lost_run(const struct ms_batch_task *task, uint32_t run)
 {
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -427,6 +427,7 @@
     suite_add_tcase(suite, started_cases());
     suite_add_tcase(suite, fence_cases());
     suite_add_tcase(suite, successor_cases());
+    suite_add_tcase(suite, late_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -51,5 +51,6 @@
 TCase *started_cases(void);
 TCase *fence_cases(void);
 TCase *successor_cases(void);
+TCase *late_cases(void);
 
 #endif
