--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -99,6 +99,8 @@
 #define MS_ORDER_TIMEOUT_MS 1000         /* START, STOP */
 #define MS_RENEWAL_TIMEOUT_MS 1000       /* RENEW_LEASE, beyond `long_poll_ms` */
 #define MS_RENEWAL_LONG_POLL_MAX_MS 1500 /* highest `long_poll_ms` */
+/* By how much later the server may still carry out a START or STOP; see docs/PLATFORM.md. */
+#define MS_ORDER_LATE_MS 12000
 
 struct ms_engine;
 
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -51,10 +51,11 @@
     bool awaits_report;    /* may already run there: the next report decides; no start is ordered */
     bool store_pending;    /* RECORDING: the store in progress contains the run */
     bool order_pending;    /* an order awaits its answer */
+    bool start_pending;    /* a start order awaits its answer, also if a stop was ordered since */
     bool start_withdrawn;  /* the pending start has been withdrawn: it may have been sent before */
     bool seen_in_report;   /* a report of the server has listed this run */
     bool start_confirmed;  /* the server has confirmed the start of this run */
-    bool order_unanswered; /* a start order went unanswered and may still arrive */
+    bool order_unanswered; /* a start order went unanswered, or may have, and may still arrive */
     bool stop_confirmed;   /* STOPPING: the server has confirmed the stop order */
     bool preempted;        /* STOPPING: preempted by more urgent work */
     uint32_t preemptor_priority; /* PREEMPTED: priority of that work */
@@ -160,35 +161,33 @@
     bool unresponsive;                /* the last call had no answer */
     bool renewal_pending;             /* a renewal awaits its answer */
     uint32_t snapshot_number;         /* number of the directory snapshot that last listed it */
-    int64_t earlier_start_unix_ms;    /* start of the incarnation before, 0: none known */
-    bool start_disputed;   /* records and directory name different ones: the next report decides */
-    uint32_t incarnation;  /* rises whenever a new incarnation is noticed */
-    uint32_t fence_number; /* within the epoch, of the next call */
-    bool fence_acknowledges;        /* a renewal with this fence has acknowledged ends */
+    bool start_disputed;     /* records and directory name different starts: a report decides */
+    bool fence_acknowledges; /* a renewal with this fence has acknowledged ends */
+    bool earlier_start_uncertain; /* a task of an earlier leader is not `confirmed` in its record */
+    bool unfreeze_storing;        /* UNFREEZING: the store in progress replaces the last record */
+    int64_t earlier_start_unix_ms;  /* start of the incarnation before, 0: none known */
+    uint32_t incarnation;           /* rises whenever a new incarnation is noticed */
+    uint32_t fence_number;          /* within the epoch, of the next call */
     uint32_t renewal_failure_count; /* consecutive renewals without an answer */
-    int64_t next_renewal_at;        /* when to renew its lease, INT64_MAX: not needed */
-    int64_t last_answer_at;         /* when it last answered */
-    int64_t last_report_at;         /* when its last report arrived */
-    int64_t clock_ms;               /* its clock at last_answer_at */
-    int64_t lease_deadline_max;     /* latest lease deadline sent to it, on its clock */
-    /* A start had no answer; if it has reached an unknown incarnation, its lease ends by then. */
-    int64_t uncertain_lease_until;
-    int64_t uncertain_since; /* when the last such start had no answer, 0: none */
-    /* Whether an earlier leader's start here may have had no answer; see batch.proto, `confirmed`.
-     */
-    bool earlier_start_uncertain;
-    int64_t frozen_until; /* lease not NORMAL: by then it has certainly expired */
     enum ms_lease_state lease_state;
-    bool unfreeze_storing;     /* UNFREEZING: the store in progress replaces the last such record */
-    uint64_t ends_seen;        /* last end reported */
-    uint64_t ends_storing;     /* ends up to here are stored when the store in progress is */
-    uint64_t ends_stored;      /* ends up to here are stored */
-    uint64_t ends_acked;       /* ends up to here are acknowledged */
-    uint64_t withheld_end;     /* first end that must not be acknowledged, 0: none */
-    bool lapse_due;            /* its lease has to expire, so that this end may be */
-    bool report_full;          /* the last report may lack ends, see ENDED_ROWS_MAX */
-    struct ms_list_link tasks; /* struct ms_batch_task, linked by server_link */
-    uint32_t unknown_run_count;       /* runs in the last report that no record allows */
+    int64_t next_renewal_at;    /* when to renew its lease, INT64_MAX: not needed */
+    int64_t last_answer_at;     /* when it last answered */
+    int64_t last_report_at;     /* when its last report arrived */
+    int64_t clock_ms;           /* its clock at last_answer_at */
+    int64_t lease_deadline_max; /* latest lease deadline sent to it, on its clock */
+    /* It may have runs in an unknown incarnation; these have certainly ended by then. */
+    int64_t uncertain_lease_until;
+    int64_t uncertain_since;    /* a report that was requested later tells of these runs, 0: none */
+    int64_t frozen_until;       /* lease not NORMAL: by then it has certainly expired */
+    uint64_t ends_seen;         /* last end reported */
+    uint64_t ends_storing;      /* ends up to here are stored when the store in progress is */
+    uint64_t ends_stored;       /* ends up to here are stored */
+    uint64_t ends_acked;        /* ends up to here are acknowledged */
+    uint64_t withheld_end;      /* first end that must not be acknowledged, 0: none */
+    bool lapse_due;             /* its lease has to expire, so that this end may be */
+    bool report_full;           /* the last report may lack ends, see ENDED_ROWS_MAX */
+    struct ms_list_link tasks;  /* struct ms_batch_task, linked by server_link */
+    uint32_t unknown_run_count; /* runs in the last report that no record allows */
     uint32_t consecutive_failed_jobs; /* since the last success; repeats of one job count once */
     char last_failed_job[MS_JOB_ID_MAX];
     int64_t quarantined_until;    /* quarantined until then */
@@ -332,6 +331,9 @@
 /* The server of TASK, which is STARTING, has refused its start: this order created no run. */
 void ms_batch_task_on_refused(struct ms_engine *engine, struct ms_batch_task *task,
                               enum ms_order_result result);
+/* TASK, if it has no run that may have been ordered, is not placed for DELAY_MS. */
+void ms_batch_task_hold_back(struct ms_engine *engine, struct ms_batch_task *task,
+                             int64_t delay_ms);
 /* Takes back a run that was declared lost but is reported by SERVER. */
 void ms_batch_task_recover_run(struct ms_engine *engine, struct ms_batch_task *task,
                                struct ms_batch_server *server);
@@ -439,6 +441,12 @@
  */
 void ms_batch_server_note_uncertain_run(const struct ms_engine *engine,
                                         struct ms_batch_server *server);
+/*
+ * SERVER is known to have started again, and a start of the incarnation before may still arrive:
+ * until a report says otherwise, it counts as one that comes as late as an order may.
+ */
+void ms_batch_server_expect_late_start(const struct ms_engine *engine,
+                                       struct ms_batch_server *server);
 /* A renewal with DEADLINE_MS has no answer: it may have extended the lease of such a run. */
 void ms_batch_server_note_unanswered_renewal(const struct ms_engine *engine,
                                              struct ms_batch_server *server, int64_t deadline_ms);
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -285,6 +285,9 @@
         restore_frozen_lease(engine, ms_batch_task_job(task), server, fields, read_at);
     }
     set_restored_start(server, start_unix_ms);
+    if (server->start_disputed && !confirmed) {
+        ms_batch_server_expect_late_start(engine, server); /* it has started again, it seems */
+    }
     /*
      * The run may exist, even if the server has restarted since: an order may have reached
      * its new incarnation.  The first report of the server decides.
@@ -294,6 +297,7 @@
     engine->orders.to_come--;
     task->awaits_report = true;
     task->start_confirmed = confirmed;
+    task->order_unanswered = !confirmed; /* as far as this leader knows */
     server->earlier_start_uncertain |= !confirmed;
     g_strfreev(fields);
 }
--- a/tests/batch/unit_restart.c
+++ b/tests/batch/unit_restart.c
@@ -20,7 +20,10 @@
 #define LATE_ANSWER_MS 6000
 #define LATE_START_MS 3000
 #define ORDER_TIMEOUT_MS 1000
-#define DARK_MS 600 /* from the end of an incarnation to the start of the next one */
+#define DARK_MS 600           /* from the end of an incarnation to the start of the next one */
+#define ORDER_LATE_MS 12000   /* by which an order may come after its time limit */
+#define STARTED_AGAIN_MS 1500 /* from when a server answers until a task has started again */
+#define NOTICED_MS 500        /* from a cut until the directory shows a start */
 #define JOB_COUNT 2
 #define LISTED_ENDS_MAX 4
 #define LEASE_MAX_MS 10000  /* the longest lease that the server grants, on its clock */
@@ -111,6 +114,18 @@
     ms_engine_add_job(fixture->engine, job, fixture->now);
 }
 
+/* Submits a job of one gang of two. */
+static void
+submit_gang(struct fixture *fixture)
+{
+    struct ms_stored_job *job = &fixture->jobs[0];
+    g_strlcpy(job->id, "gang", sizeof(job->id));
+    job->accepted = true;
+    simple_spec(&job->spec, "gang", "q0", 2, 1);
+    job->spec.steps[0].gang = true;
+    ms_engine_add_job(fixture->engine, job, fixture->now);
+}
+
 /* The server starts again under its id: it has nothing of before. */
 static void
 restart(struct fixture *fixture)
@@ -199,6 +214,14 @@
                               answers ? fixture->now - fixture->clock_started_at : 0, fixture->now);
 }
 
+static void
+answer_stop(struct fixture *fixture, const struct ms_engine_action *stop)
+{
+    bool answers = fixture->reachable && !fixture->loses_answers;
+    ms_engine_on_order_answer(fixture->engine, stop, answers ? MS_ORDER_OK : MS_ORDER_NO_ANSWER,
+                              answers ? fixture->now - fixture->clock_started_at : 0, fixture->now);
+}
+
 static void
 answer(void *opaque, const struct ms_engine_action *action)
 {
@@ -214,6 +237,8 @@
         ms_engine_on_stored(fixture->engine, fixture->now);
         break;
     case MS_ENGINE_STOP:
+        answer_stop(fixture, action);
+        break;
     case MS_ENGINE_WITHDRAW:
     case MS_ENGINE_QUERY_ADVICE:
     case MS_ENGINE_STEP_DOWN:
@@ -468,6 +493,58 @@
 }
 END_TEST
 
+/*
+ * The run of TASK, a member of a gang, is stopped while its START is under way, as the other member
+ * was refused.  The server answers the stop if ANSWERS_STOP, starts again, carries out START, whose
+ * answer is lost, and is cut off; the directory shows its start 500 ms later.
+ */
+static void
+expect_stopped_start_waited_for(bool answers_stop)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    submit_gang(&fixture);
+    struct ms_engine_action *start = take_start(&fixture);
+    struct ms_engine_action *other = take_start(&fixture);
+    ms_engine_on_order_answer(fixture.engine, other, MS_ORDER_NO_CAPACITY, 0, fixture.now);
+    fixture.reachable = answers_stop;
+    answer_queued(&fixture);
+    restart(&fixture);
+    fixture.reachable = true;
+    fixture.loses_answers = true;
+    if (answers_stop) {
+        list_server(&fixture);
+    }
+    answer_start(&fixture, start);
+    fixture.reachable = false;
+    run(&fixture, NOTICED_MS);
+    list_server(&fixture);
+    run(&fixture, 3 * LEASE_MAX_MS);
+    ck_assert_int_gt(fixture.lease_until, 0);
+    ck_assert_int_ge(fixture.lost_at, fixture.lease_until);
+    ms_engine_action_free(start);
+    ms_engine_action_free(other);
+    fixture_clear(&fixture);
+}
+
+/*
+ * Guards against a run that is given up while it goes on: it was being stopped when its start went
+ * unanswered and the server was seen to have started again, as one that knows no stops.
+ */
+START_TEST(start_without_answer_is_waited_for_after_a_stop_without_answer)
+{
+    expect_stopped_start_waited_for(false);
+}
+END_TEST
+
+/* The same if the incarnation before has confirmed the stop, and the start is still under way. */
+START_TEST(start_under_way_is_waited_for_after_a_confirmed_stop)
+{
+    expect_stopped_start_waited_for(true);
+}
+END_TEST
+
 /*
  * Guards against a run that is given up while it goes on: the clock in an answer had told of the
  * server's start, its report had listed the run, and then an entry of the earlier incarnation
@@ -607,6 +684,105 @@
 }
 END_TEST
 
+/*
+ * A start has no answer, its server has started again, which the directory shows, and is not
+ * reached.  The new incarnation carries out the start LATE_MS later, and grants the longest lease
+ * from then on.  The start is known to have no answer before the restart is noticed, or, if
+ * NOTICED_FIRST, after its time limit.
+ */
+static void
+expect_late_start_waited_for(int64_t late_ms, bool noticed_first)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    submit(&fixture, 0, "job");
+    struct ms_engine_action *start = take_start(&fixture);
+    restart(&fixture);
+    fixture.reachable = false;
+    if (noticed_first) {
+        list_server(&fixture);
+        run(&fixture, ORDER_TIMEOUT_MS);
+    }
+    answer_start(&fixture, start);
+    list_server(&fixture);
+    run(&fixture, late_ms); /* it is carried out then */
+    int64_t lease_end = fixture.now + (int64_t)(LEASE_MAX_MS / CLOCK_RATE_MIN);
+    ms_engine_action_free(start);
+    run(&fixture, 3 * LEASE_MAX_MS);
+    ck_assert_int_ge(fixture.lost_at, lease_end);
+    fixture_clear(&fixture);
+}
+
+/*
+ * Guards against a run that is given up while it goes on: a server that is known to have started
+ * again, and has not been reached since, carries out the start order late and grants the longest
+ * lease from then on, not from the moment at which its start was noticed.
+ */
+START_TEST(late_start_after_a_noticed_restart_is_waited_for)
+{
+    expect_late_start_waited_for(LATE_START_MS, false);
+}
+END_TEST
+
+/* The same if the start comes as late as an order may. */
+START_TEST(latest_start_after_a_noticed_restart_is_waited_for)
+{
+    expect_late_start_waited_for(ORDER_LATE_MS, false);
+    expect_late_start_waited_for(ORDER_LATE_MS, true);
+}
+END_TEST
+
+/*
+ * Guards against waits that are longer than needed: the new incarnation answers, so that it refuses
+ * the late start and has no run.  The task is started again at once.
+ */
+START_TEST(late_start_is_not_waited_for_once_the_new_incarnation_has_answered)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    submit(&fixture, 0, "job");
+    struct ms_engine_action *start = take_start(&fixture);
+    restart(&fixture);
+    fixture.reachable = false;
+    answer_start(&fixture, start);
+    list_server(&fixture);
+    run(&fixture, NOTICED_MS);
+    fixture.reachable = true;
+    run(&fixture, STARTED_AGAIN_MS);
+    ck_assert_uint_eq(fixture.start_count, 1);
+    ms_engine_action_free(start);
+    fixture_clear(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against the same for a run that was confirmed so long ago that no copy of its start can
+ * come any more: the end of the longest lease is waited for, as for a start without an answer.
+ */
+START_TEST(start_without_answer_of_an_old_run_is_not_waited_for_as_a_late_one)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    submit(&fixture, 0, "job");
+    struct ms_engine_action *start = take_start(&fixture);
+    ms_engine_on_order_answer(fixture.engine, start, MS_ORDER_NO_ANSWER, 0, fixture.now);
+    ms_engine_action_free(start);
+    run(&fixture, 2 * ORDER_LATE_MS);
+    ck_assert_uint_eq(fixture.start_count, 1);
+    restart(&fixture);
+    fixture.reachable = false;
+    list_server(&fixture);
+    int64_t noticed_at = fixture.now;
+    run(&fixture, 3 * LEASE_MAX_MS);
+    ck_assert_int_gt(fixture.lost_at, noticed_at);
+    ck_assert_int_le(fixture.lost_at, noticed_at + LEASE_MAX_MS + ORDER_TIMEOUT_MS);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 /* Takes the next renewal, and the next start if WITH_START, out of the queue, unanswered. */
 static void
 take_orders(struct fixture *fixture, bool with_start, struct ms_engine_action **renewal,
@@ -720,6 +896,12 @@
     tcase_add_test(cases,
                    renewals_without_answers_do_not_extend_the_lease_of_a_start_without_answer);
     tcase_add_test(cases, start_under_way_when_a_restart_is_noticed_is_waited_for);
+    tcase_add_test(cases, start_without_answer_is_waited_for_after_a_stop_without_answer);
+    tcase_add_test(cases, start_under_way_is_waited_for_after_a_confirmed_stop);
+    tcase_add_test(cases, late_start_after_a_noticed_restart_is_waited_for);
+    tcase_add_test(cases, latest_start_after_a_noticed_restart_is_waited_for);
+    tcase_add_test(cases, late_start_is_not_waited_for_once_the_new_incarnation_has_answered);
+    tcase_add_test(cases, start_without_answer_of_an_old_run_is_not_waited_for_as_a_late_one);
     tcase_add_test(cases, late_entry_of_the_earlier_incarnation_does_not_reset_the_next_one);
     tcase_add_test(cases, further_start_is_noticed_before_the_directory_shows_the_one_before);
     tcase_add_test(cases, start_is_noticed_after_an_entry_without_a_start_time);
@@ -730,36 +912,3 @@
     tcase_add_test(cases, renewal_under_way_when_a_clock_has_gone_back_is_waited_for);
     return cases;
 }
-
-/*
- * Guards against a run that is given up while it goes on: a server that is known to have started
- * again, and has not been reached since, carries out the start order late and grants the longest
- * lease from then on, not from the moment at which its start was noticed.
- */
-START_TEST(late_start_after_a_noticed_restart_is_waited_for)
-{
-    struct fixture fixture;
-    fixture_init(&fixture);
-    run(&fixture, 500);
-    submit(&fixture, 0, "job");
-    struct ms_engine_action *start = take_start(&fixture);
-    restart(&fixture);
-    fixture.reachable = false;
-    answer_start(&fixture, start);
-    list_server(&fixture);
-    run(&fixture, LATE_START_MS); /* it is carried out then */
-    int64_t lease_end = fixture.now + (int64_t)(LEASE_MAX_MS / CLOCK_RATE_MIN);
-    ms_engine_action_free(start);
-    run(&fixture, 3 * LEASE_MAX_MS);
-    ck_assert_int_ge(fixture.lost_at, lease_end);
-    fixture_clear(&fixture);
-}
-END_TEST
-
-TCase *
-open_restart_cases(void)
-{
-    TCase *cases = tcase_create("open restart");
-    tcase_add_test(cases, late_start_after_a_noticed_restart_is_waited_for);
-    return cases;
-}
