Soak: runs longer than a lease, and series of restarts, cuts and lost leaders

One job in five is long now: its tasks run 6 to 14 s. A new fate, the restart series: 2 to 4 of 8 servers start again under their ids, listed as before for up to 2 s or up to 12 s; up to 1 s later each is cut off (silent or one_way) for 11 to 13 s, or 0.3 to 5 s in 3 of 10 cases; the leader, in half of the cases also the next one, gets SIGTERM, SIGKILL or SIGSTOP meanwhile, and eight long jobs are submitted. The settle time of 45 s grows by the longest run and the longest lease, 24 s: a job may have to begin again after a lease that has to expire.

Clocks got their rate after the hosts had started, and jumped back then; they have it from the start. The stand-ins' own events (starts, ends, restarts, cuts) go to standins.log, and a second run is reported with both run numbers and servers.

--- a/tests/soak/check_standins.py
+++ b/tests/soak/check_standins.py
@@ -16,7 +16,7 @@
 import aiohttp
 
 from soak import FailureOfTest
-from soak_standins import LEASE_MAX_MS, Proxy, StandIns, now_ms
+from soak_standins import LEASE_MAX_MS, LONG_RUN_MS, Proxy, StandIns, now_ms
 
 JOB = "00000000000000ab"
 STEP = {"count": 2, "cpu": 1000, "memMb": 1000, "gpu": 1, "gang": True}
@@ -116,6 +116,27 @@
         self.assertEqual(self.standins.violations, [])
 
 
+class LongRuns(unittest.TestCase):
+    def setUp(self):
+        self.standins = gang_of_two()
+        self.server = self.standins.servers[0]
+        self.run = self.server.runs[f"{JOB}.0.0.0"]
+
+    # All runs reported 50 percent until their end, and long ones were stopped as stalled.
+    def test_progress_follows_the_work(self):
+        self.assertEqual(self.server.percent(self.run), 0)
+        self.run.update(works_since_ms=now_ms() - 3000, ends_ms=now_ms() + 1000)
+        self.assertIn(self.server.percent(self.run), (75, 76))
+        self.run["working"] = False  # a member of a gang that waits for the others
+        self.assertEqual(self.server.percent(self.run), 0)
+
+    def test_runs_of_long_jobs_are_long(self):
+        short_ms = (200, 1200)
+        self.assertLessEqual(self.standins.draw_run_ms(f"{JOB}.0.0", short_ms), short_ms[1])
+        self.standins.long_jobs.add(JOB)
+        self.assertGreaterEqual(self.standins.draw_run_ms(f"{JOB}.0.0", short_ms), LONG_RUN_MS[0])
+
+
 class LateStartAfterRestart(unittest.TestCase):
     def setUp(self):
         self.standins = StandIns(1, 2)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,8 @@
 #!/usr/bin/python3
 """Soak test: real entry host processes under random faults.
 
-usage: soak.py [--seed N] [--seconds S] [--hosts N] [--servers N] [--late] [--keep DIR]
+usage: soak.py [--seed N] [--seconds S] [--hosts N] [--servers N] [--late] [--restarts]
+               [--keep DIR]
 
 Submits, queries and cancels jobs while it injects faults from outside the hosts: signals,
 also in series that overlap on several hosts, changes of the configuration, a proxy between
@@ -9,17 +10,21 @@
 out orders and lease renewals late (renewals also after a restart), refuse starts or the second
 copy of a start that they have carried out, restart and are listed again later, or are cut off
 until their directory entry has expired.  Their clocks are slow, and another writer adds odd
-entries to the directory.  With an odd seed the account has a cap that changes at random.
+entries to the directory.  Some jobs have tasks that run longer than a lease.  In a series of
+restarts several servers start again under their ids, listed as before for a while, and are cut
+off soon after, often for longer than a lease, while leaders get signals.  With an odd seed
+the account has a cap that changes at random.
 Clients use their connections to a host that shuts down until it closes them.
 
 Then it stops the faults, submits jobs for CALM_S more, and at last a gang with a task on
-each server.  With --late the log also carries out appends late, and hangs.  It checks that
+each server.  With --late the log also carries out appends late, and hangs; with --restarts
+series of restarts overlap all the time, and more jobs are long.  It checks that
 jobs make progress (soak_progress.py); that every job ends that was accepted, or that exists
 by a later answer or a start; that no job has run which was refused on each try; and that the
 stand-ins found no violation, and none failed themselves.  Prints one line for each violation
 and a summary; the exit code is 0 when there was none but those of
 soak:late-start-after-restart in KNOWN-RED.txt.  --keep writes
-the hosts' settings and logs to DIR.
+the hosts' settings and logs, and the events of the stand-ins, to DIR.
 """
 import argparse
 import asyncio
@@ -36,11 +41,13 @@
 import aiohttp
 
 from soak_progress import SETTLE_S, ProgressCheck
-from soak_standins import Proxy, StandIns
+from soak_standins import LEASE_MAX_MS, LONG_RUN_MS, Proxy, StandIns
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 BUILD = os.environ.get("MS_BUILD", os.path.join(HERE, "..", "..", "build"))
-SETTLE_TIMEOUT_S = 45
+# A run that begins last, and one more where its server is lost and its lease has to expire first.
+SETTLE_TIMEOUT_S = 45 + (LONG_RUN_MS[1] + LEASE_MAX_MS) / 1000
+LONG_SHARE, LONG_SHARE_RESTARTS = 0.2, 0.4  # of the jobs that are long
 CALM_S = SETTLE_S + 4  # of traffic without faults
 ALL_SERVERS_TIMEOUT_S = 10
 CALL_TIMEOUT_MS = 3000
@@ -52,6 +59,12 @@
                                        "unhealthy_rate": 0.5},
                 "done_closed": {"done_closed_rate": 0.5}, "late_holds": {"late_hold_rate": 0.8}}
 ENTRY_DELAY_MAX_S = 2.0  # of the directory entry of a server that has started again
+ENTRY_DELAY_LONG_S = 12.0  # the same, at most, in some restarts of a series
+RESTART_SPREAD_S, CUT_AFTER_MAX_S = 0.3, 1.0  # of a series: its restarts, then their cuts
+LONG_CUT_S = (11.0, 13.0)  # longer than a lease
+LEADER_FAULT_MAX_S = 1.5  # after the beginning of a series
+SERIES_JOBS = 8  # long ones, submitted in that time
+NEXT_LEADER_FAULT_MAX_S = 9.0  # after that; the next leader has runs to wait for then
 PORT_MIN, PORT_LIMIT = 10000, 32768  # below those that the kernel gives to connections
 CAP_GPUS_MIN, CAP_GPUS_MAX = 12, 32  # caps of the account, of 64 accelerators
 CLOCK_RATE_MIN = 0.98  # a server's clock may be 2 % slow
@@ -181,6 +194,7 @@
         self.unanswered = set()  # submitted, neither accepted nor refused on each try
         self.open_jobs = set()  # accepted, and not yet seen to have ended
         self.faults_end, self.idle_max_s = asyncio.Event(), 0.0
+        self.long_share = LONG_SHARE
         self.has_caps = options.seed % 2 == 1  # the account's cap changes at random
 
     def random_flag(self):
@@ -210,7 +224,12 @@
             {"count": width, "cpu": 26000, "memMb": 140000, "gpu": 1, "estimatedMs": 700,
              "gang": True, "after": []}]}
 
-    def make_spec(self):
+    def make_spec(self, is_long):
+        if is_long:  # one step, and the accelerators of all of them are less than the others'
+            return {"taskSpec": f"payload {self.submitted}", "steps": [
+                {"count": self.random.randint(1, 2), "cpu": 4000, "memMb": 1000, "gpu": 1,
+                 "estimatedMs": sum(LONG_RUN_MS) // 2, "gang": self.random.random() < 0.3,
+                 "after": []}]}
         steps = []
         if self.random.random() < 0.1:  # wide, and only one task fits on a server
             return self.make_wide_gang(self.options.servers // 2)
@@ -221,11 +240,15 @@
                           "after": [number - 1] if number else []})
         return {"taskSpec": f"payload {self.submitted}", "steps": steps}
 
-    async def submit(self, spec=None):
+    async def submit(self, spec=None, is_long=None):
         """Submits SPEC, or a random job and may cancel it; six tries; queries it after 3 s."""
         job = f"{self.random.getrandbits(64):016x}"
         path = f"/q{self.random.randrange(3)}/{job}"
-        self.standins.specs[job] = spec or self.make_spec()
+        if is_long is None:
+            is_long = spec is None and self.random.random() < self.long_share
+        if is_long:
+            self.standins.long_jobs.add(job)
+        self.standins.specs[job] = spec or self.make_spec(is_long)
         self.submitted += 1
         always_refused = True
         for _ in range(6):
@@ -315,14 +338,63 @@
             for name in SERVER_RATES[kind]:
                 setattr(server, name, 0.0)
         else:
-            server.proxy.mode = kind
+            await self.cut(server, kind, duration_s)
+
+    async def cut(self, server, mode, duration_s):
+        async with server.proxy.lock:
+            server.proxy.mode = mode
+            server.note("cut")
             await asyncio.sleep(duration_s)
             server.proxy.mode = "pass"
+            server.note("cut_end")
 
     async def restart_server(self, server):
         await self.standins.restart_server(server, self.random.uniform(0, ENTRY_DELAY_MAX_S))
 
+    async def restart_series(self):
+        """Restarts several servers and cuts them off soon after; signals leaders meanwhile."""
+        servers = [server for server in self.standins.servers if not server.proxy.lock.locked()]
+        count = min(self.random.randint(2, max(2, self.options.servers // 2)), len(servers))
+        await asyncio.gather(self.signal_leaders(),
+                             *(self.restart_and_cut(server)
+                               for server in self.random.sample(servers, count)),
+                             *(self.submit_in_series() for _ in range(SERIES_JOBS)))
+
+    async def submit_in_series(self):
+        await asyncio.sleep(self.random.uniform(0, LEADER_FAULT_MAX_S))
+        await self.submit(is_long=True)
+
+    async def restart_and_cut(self, server):
+        await asyncio.sleep(self.random.uniform(0, RESTART_SPREAD_S))
+        entry_delay_max_s = self.random.choice([ENTRY_DELAY_MAX_S, ENTRY_DELAY_LONG_S])
+        cut_s = self.random.uniform(*(LONG_CUT_S if self.random.random() < 0.7 else (0.3, 5.0)))
+        restart = asyncio.create_task(self.standins.restart_server(
+            server, self.random.uniform(0, entry_delay_max_s)))
+        await asyncio.sleep(self.random.uniform(0, CUT_AFTER_MAX_S))
+        await self.cut(server, self.random.choice(["silent", "one_way"]), cut_s)
+        await restart
+
+    async def signal_leaders(self):
+        """Sends a signal to the leader, and in half of the cases to the one after it."""
+        await asyncio.sleep(self.random.uniform(0, LEADER_FAULT_MAX_S))
+        for _ in range(self.random.randint(1, 2)):
+            leader = self.find_leader()
+            async with leader.lock:
+                await self.inject_host_fault(leader, self.random.choice(["kill", "term", "term",
+                                                                         "freeze"]))
+            await asyncio.sleep(self.random.uniform(0, NEXT_LEADER_FAULT_MAX_S))
+
+    def find_leader(self):
+        """Returns the host that has begun to lead last, by the hosts' logs."""
+        return max(self.hosts, key=lambda host: max(
+            (int(line.split(" epoch=")[1].split()[0])
+             for line in host.log_lines("event=lead state=placing ")), default=-1))
+
     async def expire_directory_entry(self, server):
+        async with server.proxy.lock:
+            await self.cut_until_expired(server)
+
+    async def cut_until_expired(self, server):
         """Cuts a server off until its entry has expired; both return, in either order."""
         server.proxy.mode = "silent"
         await asyncio.sleep(DIRECTORY_ENTRY_TIMEOUT_S)
@@ -419,8 +491,12 @@
             self.standins.report_violation("cancelled without a request", job)
 
     async def run(self):
+        for server in self.standins.servers:
+            server.clock_rate = self.random.uniform(CLOCK_RATE_MIN, 1.0)
         await self.standins.start()
         self.standins.failure_rate = 0.03
+        if self.options.restarts:
+            self.long_share = LONG_SHARE_RESTARTS
         async with aiohttp.ClientSession() as self.session:
             self.hosts = [Host(self, index) for index in range(self.options.hosts)]
             await asyncio.gather(*(host.start() for host in self.hosts))
@@ -430,11 +506,13 @@
             for host in self.hosts:
                 fault_loops.append(self.repeat_fault(lambda host=host: self.fault_host(host), 6))
             for server in self.standins.servers:
-                server.clock_rate = self.random.uniform(CLOCK_RATE_MIN, 1.0)
                 fault_loops.append(
                     self.repeat_fault(lambda server=server: self.fault_server(server), 10))
             fault_loops.append(self.repeat_fault(self.fault_log, 8))
             fault_loops.append(self.repeat_fault(self.fault_series, 10))
+            series_gaps_s = [1, 1] if self.options.restarts else [10]
+            fault_loops += [self.repeat_fault(self.restart_series, gap_s)
+                            for gap_s in series_gaps_s]
             fault_loops.append(self.repeat_fault(self.change_config, 2))
             fault_loops.append(self.repeat_fault(self.write_odd_entry, 3))
             fault_tasks = [asyncio.create_task(loop) for loop in fault_loops]
@@ -456,6 +534,8 @@
         for host in self.hosts:
             await host.proxy.stop()
         await self.standins.stop()
+        with open(os.path.join(self.directory, "standins.log"), "w", encoding="utf-8") as file:
+            file.writelines(f"{line}\n" for line in self.standins.events)
         gc.collect()  # a task that has failed or hangs is reported when it is collected
         return self.standins.violations
 
@@ -467,6 +547,7 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--servers", type=int, default=8)
     parser.add_argument("--late", action="store_true")
+    parser.add_argument("--restarts", action="store_true")
     parser.add_argument("--keep", default=None)
     soak = Soak(parser.parse_args())
     logging.getLogger().addHandler(FailureOfTest(soak.standins))
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import collections
+import datetime
 import json
 import logging
 import math
@@ -19,6 +20,8 @@
 LEASE_MAX_MS = 10000
 GANG_TIMEOUT_MS = 3000
 STOP_DURATION_S = 0.2
+SHORT_RUN_MS, SHORT_GANG_MS = (200, 1200), (300, 1200)
+LONG_RUN_MS = (6000, 14000)  # most of them longer than a lease
 PAGE_RECORDS = 500
 TASK_FAILURES_MAX = 3
 REFUSAL_STATUS = {"unhealthy": 503, "busy": 429}  # of a server that is unhealthy for a moment
@@ -67,11 +70,12 @@
     by 200 ms, "silent" discards all bytes, "one_way" discards what the target
     sends, and "reset" aborts every connection.  `port` is the listening port once
     the proxy has started; `connections` has the tasks of those that are open.
+    A fault that changes the mode holds `lock`: one does not end the cut of another.
     """
 
     def __init__(self, port):
         self.target, self.mode, self.server, self.port = port, "pass", None, None
-        self.connections = set()
+        self.connections, self.lock = set(), asyncio.Lock()
 
     async def start(self):
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
@@ -335,6 +339,10 @@
                 "slots": 8, "state": "ready", "capacity": self.capacity,
                 "labels": ["a", self.rack], "clockMs": self.clock_ms(), "born": self.incarnation}
 
+    def note(self, text):
+        self.standins.note_event(f"server={self.id} mode={self.proxy and self.proxy.mode} "
+                                 f"event={text}")
+
     def clock_ms(self):
         """Returns the time on the server's own clock, which starts anew with the server."""
         return int((now_ms() - self.clock_origin_ms) * self.clock_rate)
@@ -375,6 +383,7 @@
 
     def end_run(self, task, result):
         run = self.runs.pop(task)
+        self.note(f"run_end task={task} run={run['run']} how={result}")
         self.last_position += 1
         self.closed_runs[task] = max(self.closed_runs.get(task, 0), run["run"])
         self.ended.append([self.last_position, task, run["run"], result, ""])
@@ -387,6 +396,7 @@
 
     def restart(self):
         """Simulates a restart: a new incarnation under the same id, with nothing remembered."""
+        self.note(f"restart runs_lost={' '.join(self.runs) or None}")
         lost_runs = list(self.runs.values())
         self.done_closed.clear()
         self.incarnation += 100000
@@ -480,14 +490,19 @@
             return "old"
         if order["deadlineMs"] <= self.clock_ms():
             return "late"
+        self.note(f"run_start task={task} run={run} late={self.applying_late} "
+                  f"ahead_ms={order['deadlineMs'] - self.clock_ms()} "
+                  f"fence={order.get('fencingToken', 0)}")
         step = self.standins.check_start(self, task, order)
         step_id = task.rsplit(".", 1)[0]
         will_fail = self.standins.random.random() < self.standins.failure_rate
+        run_ms = self.standins.draw_run_ms(step_id, SHORT_RUN_MS)
         self.runs[task] = {"run": run, "step_id": step_id, "gang": step.get("gang", False),
                            "working": not step.get("gang"), "started_ms": now_ms(), "step": step,
+                           "works_since_ms": now_ms(),
                            "unfenced": self.is_late_after_restart(),
                            "result": "failed" if will_fail else "done",
-                           "ends_ms": now_ms() + self.standins.random.randint(200, 1200)}
+                           "ends_ms": now_ms() + run_ms}
         if step.get("gang"):
             self.standins.start_gang_if_complete(step_id, run, step["count"])
         return None
@@ -530,10 +545,18 @@
             waiter = asyncio.get_running_loop().create_future()
             self.waiters.append(waiter)
             await asyncio.wait([waiter], timeout=order["waitMs"] / 1000)
-        running_rows = [[task, run["run"], "", 50] for task, run in self.runs.items()]
+        running_rows = [[task, run["run"], "", self.percent(run)]
+                        for task, run in self.runs.items()]
         return await self.respond(request, {"running": running_rows, "ended": self.ended[:500],
                                            "born": self.incarnation})
 
+    def percent(self, run):
+        """Returns how much of its work a run has done; one without progress counts as stalled."""
+        if not run["working"]:
+            return 0
+        duration_ms = max(run["ends_ms"] - run["works_since_ms"], 1)
+        return max(0, min(99, 100 * (now_ms() - run["works_since_ms"]) // duration_ms))
+
 
 class StandIns:
     """The log and the servers of one run, the submitted jobs, and the violations found.
@@ -541,8 +564,8 @@
     `specs` holds every submitted job by id; `acknowledged_tasks` are the tasks whose
     successful end the scheduler acknowledged, `acknowledged_failures` counts the failed runs of
     each task that it acknowledged.  `refused_jobs` were refused on each
-    try.  `failure_rate` is the share of runs that fail.  `last_fault_at` is the time of the
-    latest effect of a fault.
+    try.  The tasks of `long_jobs` run for LONG_RUN_MS.  `failure_rate` is the share of runs that
+    fail.  `last_fault_at` is the time of the latest effect of a fault.
     """
 
     def __init__(self, seed, servers):
@@ -551,6 +574,8 @@
         self.specs, self.done_tasks, self.acknowledged_tasks = {}, set(), set()
         self.acknowledged_failures = collections.Counter()
         self.refused_jobs, self.started_jobs, self.violations = set(), set(), []
+        self.long_jobs = set()
+        self.events = []  # lines
         # Violations of soak:late-start-after-restart in KNOWN-RED.
         self.known_red = []
         self.failure_rate, self.start_count = 0.0, 0
@@ -562,6 +587,12 @@
 
     def report_violation(self, rule, subject):
         self.violations.append(f"{rule}: {subject}")
+        self.note_event(f"broken=\"{rule}: {subject}\"")
+
+    def note_event(self, text):
+        """Notes an event of the stand-ins, in the form of a line of the hosts' logs."""
+        time_text = datetime.datetime.now(datetime.timezone.utc).isoformat("T", "milliseconds")
+        self.events.append(f"time={time_text[:-6]}Z host=standins {text}")
 
     def check_start(self, server, task, order):
         """Checks a start order against the rules; returns the task's step.
@@ -592,8 +623,13 @@
             self.report_violation("started after its success was acknowledged", task)
         if self.acknowledged_failures[task] >= TASK_FAILURES_MAX:
             self.report_violation("started after it failed too often", task)
-        if any(task in other.runs for other in self.servers):
-            self.report_violation("two runs at the same time", task)
+        for other in self.servers:
+            if task in other.runs:
+                self.report_violation(
+                    "two runs at the same time",
+                    f"{task}, run {other.runs[task]['run']} on {other.id} (lease_left_ms="
+                    f"{other.lease_deadline_ms - other.clock_ms()}), run {order['run']} "
+                    f"on {server.id}")
         for earlier in step.get("after", []):
             for index in range(spec["steps"][earlier]["count"]):
                 if f"{job}.0.{earlier}.{index}" not in self.done_tasks:
@@ -609,9 +645,14 @@
         members = [other_run for server in self.servers for other_run in server.runs.values()
                    if other_run["step_id"] == step_id and other_run["run"] == run]
         if len(members) >= count:
-            ends_ms = now_ms() + self.random.randint(300, 1200)
+            ends_ms = now_ms() + self.draw_run_ms(step_id, SHORT_GANG_MS)
             for member in members:
-                member.update(working=True, ends_ms=ends_ms)
+                member.update(working=True, works_since_ms=now_ms(), ends_ms=ends_ms)
+
+    def draw_run_ms(self, step_id, short_ms):
+        """Returns how long a run of the step lasts; SHORT_MS has the limits for jobs not long."""
+        is_long = step_id.split(".")[0] in self.long_jobs
+        return self.random.randint(*(LONG_RUN_MS if is_long else short_ms))
 
     def end_rest_of_gang(self, run, result):
         """Ends the members of RUN's gang that still run, if it belongs to one."""
@@ -639,6 +680,7 @@
 
     def publish_server(self, server):
         """Writes the server's current entry to the directory."""
+        server.note("listed")
         self.log.append_record("keyed.servers", server.id,
                                json.dumps(server.directory_entry()).encode())
 
@@ -655,6 +697,7 @@
 
     def expire_server(self, server):
         """Removes the server's entry from the directory."""
+        server.note("unlisted")
         self.log.append_record("keyed.servers", server.id, b"")
 
     def publish_config(self, guaranteed_gpus, cap_gpus=0):
