Soak: a host's ports stay reserved while it is down

Cause: a port was probed when its host was set up, and free whenever its process was down, so that another soak could draw it then.

A bound socket that never listens now holds each port for the whole run. It allows reuse only once it is bound, so two reservations of one port exclude each other; the hosts' listeners allow reuse and can listen beside it.

--- a/tests/soak/check_standins.py
+++ b/tests/soak/check_standins.py
@@ -10,12 +10,13 @@
 import io
 import json
 import logging
+import socket
 import sys
 import unittest
 
 import aiohttp
 
-from soak import FailureOfTest
+from soak import FailureOfTest, reserve_port
 from soak_standins import LEASE_MAX_MS, LONG_RUN_MS, Proxy, StandIns, now_ms
 
 JOB = "00000000000000ab"
@@ -331,6 +332,32 @@
         self.assertEqual(self.loop_errors, [])
 
 
+class PortReservations(unittest.TestCase):
+    def setUp(self):
+        self.reservation = reserve_port()
+        self.address = self.reservation.getsockname()
+
+    def tearDown(self):
+        self.reservation.close()
+
+    def listen(self, reuse):
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, reuse)
+            listener.bind(self.address)
+            listener.listen()
+
+    # Another process took the port of a host that was down: "cannot listen on".
+    def test_port_is_kept_while_its_host_is_down(self):
+        for _ in range(2):
+            self.listen(reuse=1)
+            with self.assertRaises(OSError):
+                self.listen(reuse=0)
+
+    def test_port_is_not_reserved_twice(self):
+        with self.assertRaises(OSError), socket.socket() as second:
+            second.bind(self.address)
+
+
 class FailuresOfTheTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.standins = StandIns(1, 1)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -71,16 +71,21 @@
 DIRECTORY_ENTRY_TIMEOUT_S = 1.5  # when the entry of a server that is cut off expires
 
 
-def free_port():
-    """Returns a port that nobody uses, and that the kernel gives to no connection either."""
+def reserve_port():
+    """Returns a socket bound to a port that nobody uses; it reserves the port until it is closed.
+
+    It never listens, and allows reuse only after it is bound: a process that allows reuse as well,
+    as our hosts do, can listen there, while a second reservation and binds to any port fail.
+    """
     while True:
-        port = random.SystemRandom().randrange(PORT_MIN, PORT_LIMIT)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+        reservation = socket.socket()
+        try:
+            reservation.bind(("127.0.0.1", random.SystemRandom().randrange(PORT_MIN, PORT_LIMIT)))
+        except OSError:
+            reservation.close()
+            continue
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return reservation
 
 
 async def wait_until(condition):
@@ -99,7 +104,8 @@
     def __init__(self, soak, index):
         self.soak, self.name, self.process, self.frozen = soak, f"host-{index}", None, False
         self.log_path, self.log_start = os.path.join(soak.directory, f"{self.name}.log"), 0
-        self.ports = [free_port() for _ in range(3)]
+        self.reservations = [reserve_port() for _ in range(3)]  # also while the process is down
+        self.ports = [reservation.getsockname()[1] for reservation in self.reservations]
         self.proxy = Proxy(soak.standins.log.port)
         self.lock = asyncio.Lock()  # held by a fault: those of one host do not overlap
 
