Batch: a restart that a successor hears of does not end runs that were begun after it

Callers saw a task run twice at once (seen 3.3 s and 4.0 s after its first start). The leader is lost and the server cut off; the next leader reads the old entry, then the new one, and takes the run for one of before the restart (run_lost reason=reborn), although nothing says that it is. The comment in restore_active() says that the first report decides; lose_tasks_of_restarted() did so only for starts of its own.

Now a restored run that its record does not say was confirmed is kept, its server counts as holding the longest lease from then, and its first report decides. The same applies to a confirmed one if its record names another incarnation than the directory: the directory may tell of that one as a new one later. Runs that the incarnation listed before has confirmed are lost with it, as before.

Tests: four in unit_successor.c.

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -79,7 +79,8 @@
  * SERVER has restarted under the same id, so its earlier runs are gone and their tasks are
  * lost.  Tasks that were not ordered yet are kept.  So are tasks whose unanswered order may
  * still arrive, and tasks that have started but were in no report, whose start the new
- * incarnation may have confirmed: its first report decides whether these run.
+ * incarnation may have confirmed, also to an earlier leader: its first report decides whether these
+ * run.
  */
 static void
 lose_tasks_of_restarted(struct ms_engine *engine, struct ms_batch_server *server)
@@ -93,7 +94,9 @@
             bool ordered =
                 task->state == MS_BATCH_TASK_STARTING || task->state == MS_BATCH_TASK_STOPPING;
             bool unreported = task->state == MS_BATCH_TASK_RUNNING && !task->seen_in_report;
-            if (task->order_unanswered || unreported || (ordered && task->order_pending)) {
+            bool uncertain = task->awaits_report && !task->start_confirmed;
+            if (task->order_unanswered || unreported || uncertain ||
+                (ordered && task->order_pending)) {
                 ms_batch_task_withdraw_start(engine, task);
                 task->awaits_report = true;
                 task->start_confirmed = false;
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -277,7 +277,8 @@
     task->state = MS_BATCH_TASK_STARTING;
     engine->orders.to_come--;
     task->awaits_report = true;
-    task->start_confirmed = confirmed;
+    /* If the directory has been late, it may tell of the incarnation in the record as a new one. */
+    task->start_confirmed = confirmed && server->entry.start_unix_ms == start_unix_ms;
     server->earlier_start_uncertain |= !confirmed;
     g_strfreev(fields);
 }
--- a/tests/batch/unit_successor.c
+++ b/tests/batch/unit_successor.c
@@ -24,6 +24,13 @@
 #define SETTLED_MS 30000      /* after which a run on a server that is gone has been given up */
 #define GIVEN_UP_MS 500       /* from the end of a lease until its runs are given up */
 
+static const struct ms_directory_entry first_entry = {.start_unix_ms = 5000,
+                                                      .id = "one",
+                                                      .address = "127.0.0.1:1",
+                                                      .dc = "dc",
+                                                      .service = "service",
+                                                      .capacity = {64000, 64000, 8}};
+
 struct fixture {
     struct ms_engine *engine;
     struct ms_stored_job job;
@@ -72,12 +79,7 @@
     static struct ms_queue_rule queues[] = {
         {.name = "q0", .service = "service", .failures_max = 9}};
     static const struct ms_policy policy = {.version = 1, .queues = queues, .queue_count = 1};
-    static struct ms_directory_entry entry = {.start_unix_ms = 5000,
-                                              .id = "one",
-                                              .address = "127.0.0.1:1",
-                                              .dc = "dc",
-                                              .service = "service",
-                                              .capacity = {64000, 64000, 8}};
+    struct ms_directory_entry entry = first_entry;
     struct ms_engine_limits limits;
     ms_engine_limits_defaults(&limits);
     limits.lease_ms = LEASE_MS;
@@ -301,6 +303,82 @@
 }
 END_TEST
 
+/* The directory tells of the server's last restart. */
+static void
+list_new_incarnation(struct fixture *fixture)
+{
+    struct ms_directory_entry entry = first_entry;
+    entry.start_unix_ms = fixture->start_unix_ms;
+    entry.clock_ms = server_clock(fixture);
+    ms_engine_update_server(fixture->engine, &entry, fixture->now);
+}
+
+/*
+ * Guards against a second run beside the first one: the directory tells the next leader of the
+ * restart, after which the run was started, and that leader took it for one of before.
+ */
+START_TEST(run_begun_after_a_restart_is_not_lost_with_it)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, true);
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, FROZEN_MS);
+    list_new_incarnation(&fixture);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/* The same if the server had confirmed the start, so that its clock had told of the restart. */
+START_TEST(run_confirmed_after_a_restart_is_not_lost_with_it)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, false);
+    fixture.reachable = false;
+    ms_engine_cancel_job(fixture.engine, "job", fixture.now); /* its state is stored */
+    run(&fixture, STORE_MS);
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    list_new_incarnation(&fixture);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/*
+ * The same if the lease is one of ours again: the record names the incarnation that has confirmed
+ * the run, while the directory goes on showing the one before for a while.
+ */
+START_TEST(run_of_the_incarnation_in_its_record_is_not_lost_with_the_one_listed)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, false);
+    run(&fixture, 2 * LEASE_MAX_MS);
+    fixture.reachable = false;
+    ms_engine_cancel_job(fixture.engine, "job", fixture.now); /* its state is stored */
+    run(&fixture, STORE_MS);
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, FROZEN_MS);
+    list_new_incarnation(&fixture);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/* The same if a report tells of the restart: the run goes on, and is found again. */
+START_TEST(run_begun_after_a_restart_that_a_report_tells_of_goes_on)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, true);
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    fixture.reachable = true;
+    run(&fixture, SETTLED_MS);
+    ck_assert_int_eq(fixture.lost_at, 0);
+    ck_assert_int_eq(fixture.start_count, 1);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 /*
  * Guards against a lease that a new leader extends without knowing the clock that it goes by: its
  * renewals arrive and their answers are lost, and the clock in the directory is an earlier one.
@@ -381,6 +459,10 @@
     tcase_add_test(cases, start_without_answer_of_a_leader_that_resigned_is_waited_for);
     tcase_add_test(cases, start_under_way_when_its_leader_resigned_is_waited_for);
     tcase_add_test(cases, end_of_a_frozen_lease_covers_a_start_without_answer);
+    tcase_add_test(cases, run_begun_after_a_restart_is_not_lost_with_it);
+    tcase_add_test(cases, run_confirmed_after_a_restart_is_not_lost_with_it);
+    tcase_add_test(cases, run_of_the_incarnation_in_its_record_is_not_lost_with_the_one_listed);
+    tcase_add_test(cases, run_begun_after_a_restart_that_a_report_tells_of_goes_on);
     tcase_add_test(cases, first_renewals_of_a_leader_do_not_extend_a_lease);
     tcase_add_test(cases, confirmed_run_is_given_up_when_our_lease_has_ended);
     tcase_add_test(cases, run_confirmed_by_a_new_incarnation_is_waited_for);
