--- a/tests/soak/check_standins.py
+++ b/tests/soak/check_standins.py
@@ -10,13 +10,14 @@
 import io
 import json
 import logging
+import socket
 import sys
 import unittest
 
 import aiohttp
 
-from soak import FailureOfTest
-from soak_standins import LEASE_MAX_MS, Proxy, StandIns, now_ms
+from soak import FailureOfTest, reserve_port
+from soak_standins import LEASE_MAX_MS, LONG_RUN_MS, Proxy, StandIns, now_ms
 
 JOB = "00000000000000ab"
 STEP = {"count": 2, "cpu": 1000, "memMb": 1000, "gpu": 1, "gang": True}
@@ -116,6 +117,27 @@
         self.assertEqual(self.standins.violations, [])
 
 
+class LongRuns(unittest.TestCase):
+    def setUp(self):
+        self.standins = gang_of_two()
+        self.server = self.standins.servers[0]
+        self.run = self.server.runs[f"{JOB}.0.0.0"]
+
+    # All runs reported 50 percent until their end, and long ones were stopped as stalled.
+    def test_progress_follows_the_work(self):
+        self.assertEqual(self.server.percent(self.run), 0)
+        self.run.update(works_since_ms=now_ms() - 3000, ends_ms=now_ms() + 1000)
+        self.assertIn(self.server.percent(self.run), (75, 76))
+        self.run["working"] = False  # a member of a gang that waits for the others
+        self.assertEqual(self.server.percent(self.run), 0)
+
+    def test_runs_of_long_jobs_are_long(self):
+        short_ms = (200, 1200)
+        self.assertLessEqual(self.standins.draw_run_ms(f"{JOB}.0.0", short_ms), short_ms[1])
+        self.standins.long_jobs.add(JOB)
+        self.assertGreaterEqual(self.standins.draw_run_ms(f"{JOB}.0.0", short_ms), LONG_RUN_MS[0])
+
+
 class LateStartAfterRestart(unittest.TestCase):
     def setUp(self):
         self.standins = StandIns(1, 2)
@@ -310,6 +332,32 @@
         self.assertEqual(self.loop_errors, [])
 
 
+class PortReservations(unittest.TestCase):
+    def setUp(self):
+        self.reservation = reserve_port()
+        self.address = self.reservation.getsockname()
+
+    def tearDown(self):
+        self.reservation.close()
+
+    def listen(self, reuse):
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, reuse)
+            listener.bind(self.address)
+            listener.listen()
+
+    # Another process took the port of a host that was down: "cannot listen on".
+    def test_port_is_kept_while_its_host_is_down(self):
+        for _ in range(2):
+            self.listen(reuse=1)
+            with self.assertRaises(OSError):
+                self.listen(reuse=0)
+
+    def test_port_is_not_reserved_twice(self):
+        with self.assertRaises(OSError), socket.socket() as second:
+            second.bind(self.address)
+
+
 class FailuresOfTheTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.standins = StandIns(1, 1)
