Batch: a successor keeps unconfirmed starts when the directory tells of a restart

Callers would see a task run twice at once. Cause, the class of twice- again: a server has started again unseen, carries out a start whose answer is lost, and is cut off. The next leader finds the earlier incarnation in the directory and restores the run; when the directory shows the new incarnation up to 1.9 s later, the leader took the run for one of the earlier incarnation, lost at once, and started the task elsewhere beside it. Had the directory shown the restart before the engine of that leader began, it would have waited, as a comment in restore_active() says.

Now a restored run whose start the log does not confirm is kept: the first report of the new incarnation decides, or the end of the longest lease. One that the log confirms is given up at once, as before.

--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -75,11 +75,24 @@
     return ms_batch_server_exclusion(engine, server) == MS_SERVER_USABLE;
 }
 
+/*
+ * Whether the run of TASK, whose server has restarted, may be one of the new incarnation: a start
+ * of this leader is unanswered, or one of an earlier leader is, as far as the log tells; or the run
+ * has begun but was in no report, so that the new incarnation may have confirmed it.
+ */
+static bool
+may_run_after_restart(const struct ms_batch_task *task)
+{
+    bool ordered = task->state == MS_BATCH_TASK_STARTING || task->state == MS_BATCH_TASK_STOPPING;
+    bool unreported = task->state == MS_BATCH_TASK_RUNNING && !task->seen_in_report;
+    bool restored = task->awaits_report && !task->start_confirmed;
+    return task->order_unanswered || unreported || restored || (ordered && task->order_pending);
+}
+
 /*
  * SERVER has restarted under the same id, so its earlier runs are gone and their tasks are
- * lost.  Tasks that were not ordered yet are kept.  So are tasks whose unanswered order may
- * still arrive, and tasks that have started but were in no report, whose start the new
- * incarnation may have confirmed: its first report decides whether these run.
+ * lost.  Tasks that were not ordered yet are kept.  So are those that may run nevertheless: the
+ * first report of the new incarnation decides.
  */
 static void
 lose_tasks_of_restarted(struct ms_engine *engine, struct ms_batch_server *server)
@@ -90,10 +103,7 @@
         MS_LIST_FOREACH(link, &server->tasks)
         {
             struct ms_batch_task *task = MS_CONTAINER_OF(link, struct ms_batch_task, server_link);
-            bool ordered =
-                task->state == MS_BATCH_TASK_STARTING || task->state == MS_BATCH_TASK_STOPPING;
-            bool unreported = task->state == MS_BATCH_TASK_RUNNING && !task->seen_in_report;
-            if (task->order_unanswered || unreported || (ordered && task->order_pending)) {
+            if (may_run_after_restart(task)) {
                 ms_batch_task_withdraw_start(engine, task);
                 task->awaits_report = true;
                 task->start_confirmed = false;
--- a/tests/batch/unit_successor.c
+++ b/tests/batch/unit_successor.c
@@ -3,7 +3,7 @@
  * reach: how long the runs of earlier leaders go on there.
  *
  * Engines of several leaders follow one another, with one server, modelled here.  The directory
- * goes on showing the server's first incarnation.  Its clock is 2 % slow.
+ * goes on showing the server's first incarnation, but in the last tests.  Its clock is 2 % slow.
  */
 #include <string.h>
 
@@ -15,9 +15,10 @@
 #define LEASE_MAX_MS 10000
 #define CLOCK_RATE 0.98
 #define UPTIME_MS 500000 /* of the server at the start */
-#define STORED_MS 1500   /* after which the log says that a job has started */
-#define STORE_MS 350     /* after which a change of a job is stored */
-#define FROZEN_MS 500    /* after which a new leader has stored that a lease is frozen */
+#define FIRST_START_UNIX_MS 5000
+#define STORED_MS 1500 /* after which the log says that a job has started */
+#define STORE_MS 350   /* after which a change of a job is stored */
+#define FROZEN_MS 500  /* after which a new leader has stored that a lease is frozen */
 #define ORDER_TIMEOUT_MS 1000
 #define IDLE_MS 80000
 #define RESIGNED_WAIT_MS 8740 /* what src/entry/leader.c counts from a resignation */
@@ -65,6 +66,20 @@
     }
 }
 
+/* The directory shows that the server started at START_UNIX_MS, and what its clock was at. */
+static void
+list_server(struct fixture *fixture, int64_t start_unix_ms, int64_t clock_ms)
+{
+    const struct ms_directory_entry entry = {.start_unix_ms = start_unix_ms,
+                                             .clock_ms = clock_ms,
+                                             .id = "one",
+                                             .address = "127.0.0.1:1",
+                                             .dc = "dc",
+                                             .service = "service",
+                                             .capacity = {64000, 64000, 8}};
+    ms_engine_update_server(fixture->engine, &entry, fixture->now);
+}
+
 /* Creates the engine of the next leader, which waits WAIT_MS for our leases of the one before. */
 static void
 begin_term(struct fixture *fixture, int64_t wait_ms)
@@ -72,12 +87,6 @@
     static struct ms_queue_rule queues[] = {
         {.name = "q0", .service = "service", .failures_max = 9}};
     static const struct ms_policy policy = {.version = 1, .queues = queues, .queue_count = 1};
-    static struct ms_directory_entry entry = {.start_unix_ms = 5000,
-                                              .id = "one",
-                                              .address = "127.0.0.1:1",
-                                              .dc = "dc",
-                                              .service = "service",
-                                              .capacity = {64000, 64000, 8}};
     struct ms_engine_limits limits;
     ms_engine_limits_defaults(&limits);
     limits.lease_ms = LEASE_MS;
@@ -87,8 +96,8 @@
     fixture->engine = ms_engine_new(&limits, fixture->epoch, fixture->now + wait_ms, fixture->now);
     ms_engine_set_policy(fixture->engine, &policy);
     ms_engine_set_log(fixture->engine, note_event, fixture);
-    entry.clock_ms = (int64_t)((double)(UPTIME_MS + fixture->now) * CLOCK_RATE);
-    ms_engine_update_server(fixture->engine, &entry, fixture->now);
+    list_server(fixture, FIRST_START_UNIX_MS,
+                (int64_t)((double)(UPTIME_MS + fixture->now) * CLOCK_RATE));
     fixture->job.state = fixture->state;
     ms_engine_add_job(fixture->engine, &fixture->job, fixture->now);
 }
@@ -99,7 +108,7 @@
     memset(fixture, 0, sizeof(*fixture));
     fixture->now = 1000;
     fixture->started_at = -UPTIME_MS;
-    fixture->start_unix_ms = 5000;
+    fixture->start_unix_ms = FIRST_START_UNIX_MS;
     fixture->reachable = true;
     g_strlcpy(fixture->job.id, "job", sizeof(fixture->job.id));
     simple_spec(&fixture->job.spec, "job", "q0", 1, 1);
@@ -374,6 +383,42 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that a new leader takes for lost when the directory tells it that the server
+ * has started again: the start may have reached the new incarnation, and its answer was lost.
+ */
+START_TEST(start_without_answer_may_have_reached_the_incarnation_of_which_the_directory_tells)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, true);
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, 100);
+    list_server(&fixture, fixture.start_unix_ms, server_clock(&fixture));
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
+/* Guards against a wait without need in the same case: the server had confirmed the start before
+ * it started again, so that the run is gone. */
+START_TEST(confirmed_run_is_lost_when_the_directory_tells_of_a_restart)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    run(&fixture, 500);
+    submit(&fixture);
+    run(&fixture, STORED_MS);
+    restart(&fixture);
+    fixture.reachable = false;
+    begin_term(&fixture, RESIGNED_WAIT_MS);
+    run(&fixture, 100);
+    list_server(&fixture, fixture.start_unix_ms, server_clock(&fixture));
+    run(&fixture, 100);
+    ck_assert_int_gt(fixture.lost_at, 0);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 TCase *
 successor_cases(void)
 {
@@ -385,5 +430,8 @@
     tcase_add_test(cases, confirmed_run_is_given_up_when_our_lease_has_ended);
     tcase_add_test(cases, run_confirmed_by_a_new_incarnation_is_waited_for);
     tcase_add_test(cases, run_on_a_server_that_was_idle_for_long_is_waited_for);
+    tcase_add_test(
+        cases, start_without_answer_may_have_reached_the_incarnation_of_which_the_directory_tells);
+    tcase_add_test(cases, confirmed_run_is_lost_when_the_directory_tells_of_a_restart);
     return cases;
 }
