Simulator: servers restart unseen and are cut off, leaders resign (batch-fuzz restarts)

Cause: its leaders were heard until their end and never resigned, so that the wait of the next one always had 2.5 s to spare; the directory showed a restart to a new leader at once; faults at one start were independent of each other; most runs were shorter than a lease.

The new mode "restarts": a start goes to a server that, three times in four, restarts unseen just before (the directory shows the former start and clock for up to 1.9 s, or its entry expires and returns after the cut), and that is cut off after it for 11 to 21 s in both directions, in both after a while, or in one. Within 2 s the leader resigns (60 %; the next one counts 8.74 s from then, or the bound of the leaders before it) or is lost, heard of last up to 2.5 s before, where a stored state counts as heard. Calls under way then arrive up to 1 s after they were sent. Runs last 7 to 21 s; every other seed begins with up to 150 s without work; every other server's clock is 2 % slow, as before.

--- a/tests/batch/engine_fuzz.c
+++ b/tests/batch/engine_fuzz.c
@@ -1,8 +1,8 @@
 /*
  * engine_fuzz.c - runs the engine in the simulator with random jobs and faults.
  *
- * usage: batch-fuzz [liveness | starvation | takeovers | weights | frequent | waits] FIRST LAST
- *        [trace]
+ * usage: batch-fuzz [liveness | starvation | takeovers | weights | frequent | waits | restarts]
+ *        FIRST LAST [trace]
  *
  * Runs the seeds FIRST to LAST; an argument after them, whatever it is, prints a trace.  The
  * seed determines the jobs and the faults.  No invariant of the simulator may be violated, and
@@ -23,6 +23,9 @@
  * "frequent" runs the scenarios without a mode, each with a takeover every 1.7 s and servers
  * whose answers are lost for seconds.  "waits" runs them with many starts that wait for up to 6 s
  * before they are sent.
+ *
+ * "restarts" has runs that are longer than a lease, servers that were idle for long, and starts at
+ * servers that have restarted unseen and are cut off while the leader resigns or is lost.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -32,11 +35,16 @@
 
 #define SERVER_COUNT 16
 #define JOB_COUNT 12
-#define FAULTS_DURATION_MS 25000   /* in which faults occur and jobs are submitted */
-#define FREQUENT_TAKEOVERS_EVERY 5 /* every 5th seed: a takeover each 1.7 s, silent servers */
-#define START_WAIT_PERMILLE 200    /* in mode "waits" */
-#define SLOW_SERVERS_EVERY 4       /* every 4th seed: slow servers, and runs of 4 to 12 s */
-#define SLOW_SERVERS_PER_JOB 2     /* servers that become slow, for up to 31 s, with each job */
+#define FAULTS_DURATION_MS 25000    /* in which faults occur and jobs are submitted */
+#define FREQUENT_TAKEOVERS_EVERY 5  /* every 5th seed: a takeover each 1.7 s, silent servers */
+#define START_WAIT_PERMILLE 200     /* in mode "waits" */
+#define RESTARTS_IDLE_MAX_MS 150000 /* in mode "restarts": before the first job */
+#define RESTARTS_RUN_MIN_MS 7000
+#define RESTARTS_RUN_SPREAD_MS 14000
+#define RESTARTS_RECOVERY_MS 400000
+#define RESTARTS_DRAINS_JOBS 4 /* after which no server drains: the gangs need six */
+#define SLOW_SERVERS_EVERY 4   /* every 4th seed: slow servers, and runs of 4 to 12 s */
+#define SLOW_SERVERS_PER_JOB 2 /* servers that become slow, for up to 31 s, with each job */
 #define LONG_RUN_MIN_MS 4000
 #define LONG_RUN_SPREAD_MS 8000
 #define RECOVERY_DURATION_MS 90000 /* without faults; all jobs have to end in it */
@@ -95,6 +103,8 @@
     totals->failed += counts.failed;
     totals->stopped += counts.stopped;
     totals->leader_changes += counts.leader_changes;
+    totals->resignations += counts.resignations;
+    totals->struck_starts += counts.struck_starts;
     totals->idle_ms_max = MAX(totals->idle_ms_max, counts.idle_ms_max);
 }
 
@@ -149,7 +159,7 @@
 }
 
 /* The modes that do not check liveness. */
-enum plain_mode { MODE_PLAIN = 0, MODE_FREQUENT, MODE_WAITS };
+enum plain_mode { MODE_PLAIN = 0, MODE_FREQUENT, MODE_WAITS, MODE_RESTARTS };
 
 /* Runs one seed and adds its counts to TOTALS; returns whether it passed. */
 static bool
@@ -215,6 +225,55 @@
     return passed;
 }
 
+/* Run time of TASK in mode "restarts": about as long as a lease, up to twice that. */
+static int64_t
+lease_long_run_ms(void *opaque, const char *task)
+{
+    (void)opaque;
+    return RESTARTS_RUN_MIN_MS + g_str_hash(task) % RESTARTS_RUN_SPREAD_MS;
+}
+
+/* As run_seed(), for the mode "restarts". */
+static bool
+run_restarts_seed(uint64_t seed, struct simulator_counts *totals, FILE *trace)
+{
+    uint64_t random_state = seed * 55511u + 11;
+    struct simulator_faults faults = {
+        .answer_loss = (int)simulator_random(&random_state, 20),
+        .order_loss = (int)simulator_random(&random_state, 20),
+        .server_restart = (int)simulator_random(&random_state, 2),
+        .server_disconnect = (int)simulator_random(&random_state, 3),
+        .leader_change = (int)simulator_random(&random_state, 5),
+        .run_failure = (int)simulator_random(&random_state, 20),
+        .server_drain = simulator_random(&random_state, 4) == 0,
+        .struck_start = 20 + (int)simulator_random(&random_state, 150),
+    };
+    const struct simulator_speeds speeds = {.run_ms = lease_long_run_ms};
+    struct simulator *simulator =
+        simulator_new_with_speeds(seed, SERVER_COUNT, &faults, &speeds, trace);
+    if (seed % 2 == 0) {
+        simulator_disable_faults(simulator);
+        simulator_run(simulator, simulator_random(&random_state, RESTARTS_IDLE_MAX_MS));
+        simulator_set_faults(simulator, &faults);
+    }
+    for (uint32_t i = 0; i < JOB_COUNT; i++) {
+        struct ms_batch_spec spec;
+        simulator_random_spec(&random_state, i, &spec);
+        simulator_submit_job(simulator, &spec);
+        if (i == RESTARTS_DRAINS_JOBS) {
+            faults.server_drain = 0;
+            simulator_set_faults(simulator, &faults);
+        }
+        simulator_run(simulator, 2 * FAULTS_DURATION_MS / JOB_COUNT);
+    }
+    simulator_disable_faults(simulator);
+    simulator_run(simulator, RESTARTS_RECOVERY_MS);
+    bool passed = check_end(simulator, seed, JOB_COUNT);
+    add_counts(totals, simulator);
+    simulator_free(simulator);
+    return passed;
+}
+
 /* A mode that checks liveness. */
 struct liveness_mode {
     const char *name;
@@ -376,6 +435,9 @@
     if (strcmp(name, "frequent") == 0) {
         return MODE_FREQUENT;
     }
+    if (strcmp(name, "restarts") == 0) {
+        return MODE_RESTARTS;
+    }
     return strcmp(name, "waits") == 0 ? MODE_WAITS : MODE_PLAIN;
 }
 
@@ -391,7 +453,7 @@
     if (argc != 3 && argc != 4) {
         fprintf(stderr,
                 "usage: batch-fuzz [liveness | starvation | takeovers | weights | frequent |"
-                " waits] FIRST LAST [trace]\n");
+                " waits | restarts] FIRST LAST [trace]\n");
         return 2;
     }
     uint64_t first = strtoull(argv[1], NULL, 10);
@@ -400,8 +462,16 @@
     uint64_t failed = 0;
     struct simulator_counts totals = {0};
     for (uint64_t seed = first; seed <= last; seed++) {
-        bool passed = mode != NULL ? run_liveness_seed(seed, mode, &totals, trace)
-                                   : run_seed(seed, plain_mode, &totals, trace);
+        bool passed = false;
+        if (mode != NULL) {
+            passed = run_liveness_seed(seed, mode, &totals, trace);
+        }
+        else if (plain_mode == MODE_RESTARTS) {
+            passed = run_restarts_seed(seed, &totals, trace);
+        }
+        else {
+            passed = run_seed(seed, plain_mode, &totals, trace);
+        }
         failed += !passed;
     }
     printf("starts=%u done=%u failed=%u stopped=%u take_overs=%u\n", totals.starts, totals.done,
@@ -409,6 +479,9 @@
     if (mode != NULL) {
         printf("idle_ms_max=%" G_GINT64_FORMAT "\n", totals.idle_ms_max);
     }
+    if (plain_mode == MODE_RESTARTS) {
+        printf("struck_starts=%u resignations=%u\n", totals.struck_starts, totals.resignations);
+    }
     printf("%lu seeds, %lu failed\n", (unsigned long)last - (unsigned long)first + 1,
            (unsigned long)failed);
     return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/batch/simulated_server.c
+++ b/tests/batch/simulated_server.c
@@ -39,17 +39,26 @@
 bool
 simulated_server_reachable(const struct simulator *simulator, const struct simulated_server *server)
 {
-    return !server->removed && !server->lost && simulator->now >= server->unreachable_until;
+    bool cut_off =
+        simulator->now >= server->unreachable_from && simulator->now < server->unreachable_until;
+    return !server->removed && !server->lost && !cut_off;
 }
 
 int64_t
-simulated_server_clock(const struct simulator *simulator, const struct simulated_server *server)
+simulated_server_clock_since(const struct simulator *simulator,
+                             const struct simulated_server *server, int64_t started_at)
 {
-    int64_t elapsed_ms = simulator->now - server->clock_started_at;
+    int64_t elapsed_ms = simulator->now - started_at;
     bool is_slow = (server - simulator->servers) % 2 == 1;
     return is_slow ? elapsed_ms * SLOW_CLOCK_PERCENT / 100 : elapsed_ms;
 }
 
+int64_t
+simulated_server_clock(const struct simulator *simulator, const struct simulated_server *server)
+{
+    return simulated_server_clock_since(simulator, server, server->clock_started_at);
+}
+
 /* Length of the prefix that the names of all tasks of a step share: "ID.OCCURRENCE.STEP.". */
 static size_t
 gang_prefix_length(const char *task)
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -90,10 +90,8 @@
 
     simulator->epoch++;
     simulator->generation++;
-    int64_t earlier_leases_until =
-        simulator->epoch > 1 ? simulator->leader_lost_at + EARLIER_LEASES_MS : 0;
     simulator->engine =
-        ms_engine_new(&limits, simulator->epoch, earlier_leases_until, simulator->now);
+        ms_engine_new(&limits, simulator->epoch, simulator->earlier_leases_until, simulator->now);
     if (simulator->trace != NULL) {
         ms_engine_set_log(simulator->engine, trace_engine_event, simulator);
     }
@@ -107,7 +105,8 @@
             server->entry.clock_ms = simulated_server_clock(simulator, server);
         }
         if (!server->removed && !server->unlisted) {
-            ms_engine_update_server(simulator->engine, &server->entry, simulator->now);
+            struct ms_directory_entry entry = simulator_listed_entry(simulator, server);
+            ms_engine_update_server(simulator->engine, &entry, simulator->now);
         }
     }
     ms_engine_end_directory_snapshot(simulator->engine, simulator->now);
@@ -358,6 +357,9 @@
         }
         else {
             simulator_queue_order(simulator, event);
+            if (action->kind == MS_ENGINE_START && !event->unsent) {
+                simulator_strike_start(simulator, find_server(simulator, action->server), event);
+            }
         }
         push_event(simulator, event);
     }
@@ -397,6 +399,7 @@
         /* The log rejects records of leaders of earlier epochs. */
         if (event->epoch == simulator->epoch) {
             apply_records(simulator, event->action->records);
+            simulator->state_stored_at = simulator->now;
             if (simulator->engine != NULL && event->generation == simulator->generation) {
                 ms_engine_on_stored(simulator->engine, simulator->now);
             }
--- a/tests/batch/simulator.h
+++ b/tests/batch/simulator.h
@@ -41,6 +41,11 @@
     int gang_server_loss;     /* a server that runs a member of a gang disappears for good */
     int gang_stall;           /* the runs on such a server make no progress for 1 to 6 s */
     int start_wait;           /* a start waits for up to 6 s before it is sent */
+    /*
+     * A start goes to a server that has mostly restarted unseen and is cut off after it for 11 to
+     * 21 s, in both directions or one; the leader resigns or is lost within 2 s.
+     */
+    int struck_start;
 };
 
 /*
@@ -107,6 +112,9 @@
 /* Advances the simulated clock by MS, or until an invariant is violated. */
 void simulator_run(struct simulator *simulator, int64_t ms);
 
+/* Causes faults of other probabilities from now on. */
+void simulator_set_faults(struct simulator *simulator, const struct simulator_faults *faults);
+
 /* Causes no further faults; those in progress end as scheduled. */
 void simulator_disable_faults(struct simulator *simulator);
 
@@ -120,6 +128,9 @@
 /* Destroys the engine; the engine of a new leader starts after DELAY_MS. */
 void simulator_change_leader(struct simulator *simulator, int64_t delay_ms);
 
+/* Lets the leader resign; the engine of a new leader starts after DELAY_MS. */
+void simulator_resign_leader(struct simulator *simulator, int64_t delay_ms);
+
 /* Makes server INDEX unreachable for MS; its runs go on. */
 void simulator_disconnect_server(struct simulator *simulator, size_t index, int64_t ms);
 
@@ -174,6 +185,8 @@
     uint32_t stopped;
     int64_t stopped_core_ms; /* work of the stopped runs */
     uint32_t leader_changes;
+    uint32_t resignations;  /* of these */
+    uint32_t struck_starts; /* faults of this name */
     uint32_t states_stored; /* records that the engine has stored */
     int64_t idle_ms_max;    /* the longest time that a job could run and did not, if checked */
 };
--- a/tests/batch/simulator_faults.c
+++ b/tests/batch/simulator_faults.c
@@ -51,6 +51,7 @@
 {
     server->unlisted = false;
     server->entry_due_at = 0;
+    server->shows_former = false;
     server->entry.clock_ms = simulated_server_clock(simulator, server);
     if (simulator->engine != NULL) {
         ms_engine_update_server(simulator->engine, &server->entry, simulator->now);
@@ -99,6 +100,7 @@
 disconnect_server(struct simulator *simulator, struct simulated_server *server, int64_t until)
 {
     simulator_trace(simulator, server, "disconnect", "");
+    server->unreachable_from = simulator->now;
     server->unreachable_until = until;
     simulator_note_fault(simulator, until);
 }
@@ -308,22 +310,35 @@
         simulator_note_fault(simulator, simulator->log_outage_until);
     }
     inject_leader_faults(simulator);
+    simulator_inject_term_end(simulator);
     if (simulator_chance(simulator, simulator->faults.job_cancellation)) {
         cancel_random_job(simulator);
     }
 }
 
 void
-simulator_change_leader(struct simulator *simulator, int64_t delay_ms)
+simulator_end_term(struct simulator *simulator, int64_t leases_until, int64_t delay_ms)
 {
     ms_engine_free(simulator->engine);
     simulator->engine = NULL;
-    simulator->leader_lost_at = simulator->now;
+    simulator->earlier_leases_until = MAX(simulator->earlier_leases_until, leases_until);
     simulator->new_leader_at = simulator->now + delay_ms;
     note_leader_loss(simulator, simulator->new_leader_at);
     simulator->counts.leader_changes++;
 }
 
+void
+simulator_change_leader(struct simulator *simulator, int64_t delay_ms)
+{
+    simulator_end_term(simulator, simulator->now + EARLIER_LEASES_MS, delay_ms);
+}
+
+void
+simulator_set_faults(struct simulator *simulator, const struct simulator_faults *faults)
+{
+    simulator->faults = *faults;
+}
+
 void
 simulator_disable_faults(struct simulator *simulator)
 {
--- a/tests/batch/simulator_private.h
+++ b/tests/batch/simulator_private.h
@@ -17,7 +17,9 @@
  * earlier_leases_end() in src/entry/leader.c: a lease, longer by 103/100 as servers' clocks
  * may be slow, and a margin of 500 ms.
  */
-#define EARLIER_LEASES_MS (LEADER_RENEWAL_TIMEOUT_MS + SIMULATOR_LEASE_MS * 103 / 100 + 500)
+#define EARLIER_LEASES_MS (LEADER_RENEWAL_TIMEOUT_MS + RESIGNED_LEASES_MS)
+/* The same for a leader that resigns: it renews no leases any more. */
+#define RESIGNED_LEASES_MS (SIMULATOR_LEASE_MS * 103 / 100 + 500)
 
 /* A run in progress on a server. */
 struct run {
@@ -41,13 +43,17 @@
     uint32_t renewal_count;   /* lease renewals in this incarnation */
     int64_t clock_started_at; /* when its clock, which starts anew with it, was 0 */
     int64_t entry_due_at;     /* when the directory shows its latest start; 0: it does */
-    int64_t lease_deadline;   /* on its clock: when the lease expires */
-    GArray *runs;             /* struct run: runs in progress */
-    GArray *ended;            /* struct ms_reported_end: ends not yet acknowledged, oldest first */
+    bool shows_former;        /* until then the directory shows the start and the clock of before */
+    int64_t former_start_unix_ms;
+    int64_t former_clock_started_at;
+    int64_t lease_deadline; /* on its clock: when the lease expires */
+    GArray *runs;           /* struct run: runs in progress */
+    GArray *ended;          /* struct ms_reported_end: ends not yet acknowledged, oldest first */
     uint64_t last_void_position; /* ends up to this position do not count: the lease expired
                                     before they were acknowledged */
     uint64_t last_end_position;  /* of this incarnation, 0: none */
     GHashTable *closed_runs;     /* task name -> highest run that was stopped or has ended */
+    int64_t unreachable_from;
     int64_t unreachable_until;
     int64_t silent_until; /* its answers are lost until then */
     int64_t stalled_until;
@@ -94,9 +100,11 @@
     int64_t now;
     struct ms_engine *engine; /* NULL while there is no leader */
     uint64_t epoch;
-    uint64_t generation;    /* of the current engine, counted from 1 as its epoch is */
-    int64_t new_leader_at;  /* when the next engine starts, if there is none */
-    int64_t leader_lost_at; /* when the last engine was destroyed */
+    uint64_t generation;          /* of the current engine, counted from 1 as its epoch is */
+    int64_t new_leader_at;        /* when the next engine starts, if there is none */
+    int64_t earlier_leases_until; /* leases of earlier leaders have expired by then */
+    int64_t state_stored_at;      /* when a leader has last stored something */
+    int64_t term_ends_at;         /* when the leader resigns or is lost, 0: not known */
     struct ms_job_table *table;
     struct ms_policy *policy;
     struct simulated_server servers[SIMULATOR_SERVERS_MAX];
@@ -150,6 +158,9 @@
 /* The time on the clock of SERVER, in ms since it started; some clocks are 2 % slow. */
 int64_t simulated_server_clock(const struct simulator *simulator,
                                const struct simulated_server *server);
+/* The same if it had started at STARTED_AT. */
+int64_t simulated_server_clock_since(const struct simulator *simulator,
+                                     const struct simulated_server *server, int64_t started_at);
 /* Simulates one millisecond on SERVER: stalls runs, expires the lease, ends runs. */
 void simulated_server_tick(struct simulator *simulator, struct simulated_server *server);
 /*
@@ -166,6 +177,19 @@
 /* Causes random faults, and ends those that are over; called every 100 ms. */
 void simulator_inject_faults(struct simulator *simulator);
 
+/* The term of the leader ends; the next one begins after DELAY_MS. */
+void simulator_end_term(struct simulator *simulator, int64_t leases_until, int64_t delay_ms);
+
+/* simulator_restarts.c */
+/* The directory entry of SERVER as it is shown, maybe from before its latest restart. */
+struct ms_directory_entry simulator_listed_entry(const struct simulator *simulator,
+                                                 const struct simulated_server *server);
+/* START is about to be scheduled: by chance SERVER restarts unseen, and is cut off after it. */
+void simulator_strike_start(struct simulator *simulator, struct simulated_server *server,
+                            const struct event *start);
+/* Ends the term of the leader if that is due after such a start. */
+void simulator_inject_term_end(struct simulator *simulator);
+
 /* simulator_sender.c */
 /*
  * ORDER is about to be scheduled: a start waits, by chance, before it is sent; a stop is not sent
--- a/tests/check.py
+++ b/tests/check.py
@@ -38,6 +38,7 @@
     yield "batch-weights", [f"{BUILD}/batch-fuzz", "weights", "1", "30"], None
     yield "batch-waits", [f"{BUILD}/batch-fuzz", "waits", "1", "400"], None
     yield "batch-frequent", [f"{BUILD}/batch-fuzz", "frequent", "4750", "4900"], None
+    yield "batch-restarts", [f"{BUILD}/batch-fuzz", "restarts", "1", "120"], None
     yield "reader-fuzz", [f"{BUILD}/reader-fuzz", "1", "500"], None
     yield "batch-open-faults", [f"{BUILD}/batch-open-faults"], None
     yield "platform-names", ["/usr/bin/python3", f"{ROOT}/scripts/check_platform_names.py"], None
