Simulator: leaders that stay after a start at a restarted server, and that take over late

A mutant showed a gap: if a leader's first renewal extends a lease, batch-unit passed, as the longer wait for unconfirmed starts covers a renewal that is sent soon after the resignation; and batch-fuzz restarts did not find the mutants of the fixes but one. Now first_renewal_of_a_late_leader_does_not_extend_a_lease states the case of a leader that takes over 3 s after the resignation. In "restarts" 30 % of the leaders stay, and others take over after up to 5 s in place of 2 s.

--- a/tests/batch/simulator_restarts.c
+++ b/tests/batch/simulator_restarts.c
@@ -14,8 +14,9 @@
 #define ENTRY_LAG_MAX_MS 1900   /* until the directory shows a restart */
 #define ENTRY_EXPIRY_MS 4500    /* until the entry of a server without contact to it expires */
 #define CALL_DURATION_MS 1000   /* at most, from the sender of a leader's host to the server */
-#define NEW_LEADER_MAX_MS 2000  /* at most, from the end of a term to the next leader */
+#define NEW_LEADER_MAX_MS 5000  /* at most, from the end of a term to the next leader */
 #define RESTARTED_PERCENT 75    /* of the servers that are cut off */
+#define TERM_END_PERCENT 70     /* of the starts at such servers: the leader's term ends soon */
 #define RESIGNATION_PERCENT 60  /* of the ends of terms */
 #define HIDDEN_ENTRY_PERCENT 40 /* of the servers: they lose contact to the directory as well */
 
@@ -106,7 +107,7 @@
     }
     simulator_trace(simulator, server, "cut", start->action->task);
     cut_off(simulator, server, start->due_at);
-    if (simulator->term_ends_at == 0) {
+    if (simulator->term_ends_at == 0 && draw(simulator, 100) < TERM_END_PERCENT) {
         simulator->term_ends_at = start->due_at + draw(simulator, LEADER_END_MAX_MS);
     }
 }
--- a/tests/batch/unit_successor.c
+++ b/tests/batch/unit_successor.c
@@ -22,6 +22,7 @@
 #define ORDER_TIMEOUT_MS 1000
 #define IDLE_MS 80000
 #define RESIGNED_WAIT_MS 8740 /* what src/entry/leader.c counts from a resignation */
+#define LATE_LEADER_MS 3000   /* from a resignation until the next leader takes over */
 #define SETTLED_MS 30000      /* after which a run on a server that is gone has been given up */
 #define GIVEN_UP_MS 500       /* from the end of a lease until its runs are given up */
 
@@ -326,6 +327,21 @@
 }
 END_TEST
 
+/* The same for the first renewal alone, of a leader that takes over long after the one before has
+ * resigned: its arrival is later than that of any call of the leader before. */
+START_TEST(first_renewal_of_a_late_leader_does_not_extend_a_lease)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    start_after_unseen_restart(&fixture, true);
+    fixture.reachable = true;
+    fixture.loses_answers = true;
+    fixture.now += LATE_LEADER_MS;
+    begin_term(&fixture, RESIGNED_WAIT_MS - LATE_LEADER_MS);
+    expect_lease_waited_for(&fixture);
+}
+END_TEST
+
 /* Guards against a wait that is longer than needed: the log says that the server had confirmed the
  * run, so that its lease is one of ours. */
 START_TEST(confirmed_run_is_given_up_when_our_lease_has_ended)
@@ -427,6 +443,7 @@
     tcase_add_test(cases, start_under_way_when_its_leader_resigned_is_waited_for);
     tcase_add_test(cases, end_of_a_frozen_lease_covers_a_start_without_answer);
     tcase_add_test(cases, first_renewals_of_a_leader_do_not_extend_a_lease);
+    tcase_add_test(cases, first_renewal_of_a_late_leader_does_not_extend_a_lease);
     tcase_add_test(cases, confirmed_run_is_given_up_when_our_lease_has_ended);
     tcase_add_test(cases, run_confirmed_by_a_new_incarnation_is_waited_for);
     tcase_add_test(cases, run_on_a_server_that_was_idle_for_long_is_waited_for);
