--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -18,7 +18,7 @@
 TESTS = [["build/unit-tests"], ["build/batch-unit"], ["build/differential", "faults", "1", "400"],
          ["build/differential", "agree", "1", "60"], ["build/differential", "guarantees", "1", "2000"],
          ["/usr/bin/python3", "tests/check.py", "replay-reclaim", "replay-takeover", "replay-dc_out",
-          "replay-quarantine", "replay-leaving"]]
+          "replay-quarantine", "replay-leaving", "process-leases_of_a_slow_leader"]]
 TEST_TIMEOUT_S = 60  # for each command
 
 # Name, file, text, its replacement, and the property of the scheduler that it violates (printed
@@ -81,6 +81,26 @@
     ("restart_short_lease", "src/batch/engine_lease.c",
      "server->clock_ms + engine->limits.lease_max_ms", "server->clock_ms + engine->limits.lease_ms",
      "a run is given up only when its lease has expired"),
+    ("successor_counts_our_lease", "src/batch/engine_lease.c",
+     "    if (!server->earlier_start_uncertain) {", "    if (true) {",
+     "a run is given up only when its lease has expired"),
+    ("unanswered_start_counts_our_lease", "src/batch/engine_task_order.c",
+     "    if (start && (result == MS_ORDER_NO_ANSWER ||", "    if (start && (false ||",
+     "a run is given up only when its lease has expired"),
+    ("first_renewal_extends", "src/batch/engine_lease.c",
+     "    bool uncertain = !server->fence_confirmed || (server->unresponsive && busy);",
+     "    bool uncertain = server->unresponsive && busy;",
+     "a run is given up only when its lease has expired"),
+    ("renewal_of_unresponsive_extends", "src/batch/engine_lease.c",
+     "    bool uncertain = !server->fence_confirmed || (server->unresponsive && busy);",
+     "    bool uncertain = !server->fence_confirmed && (busy || !busy);",
+     "a run is given up only when its lease has expired"),
+    ("state_is_no_sign_of_life", "src/entry/log_streams.c",
+     "        ms_leader_job_state_applied(entry);\n", "",
+     "a run is given up only when its lease has expired"),
+    ("restored_start_lost_at_restart", "src/batch/engine_server.c",
+     "    bool restored = task->awaits_report && !task->start_confirmed;", "    bool restored = false;",
+     "a run is given up only when its lease has expired"),
     ("cap_not_placed", "src/batch/account.c",
      "    if (!account->capped) {\n        return limit;", "    if (true) {\n        return limit;",
      "no start above the cap"),
