--- a/tests/process/restart_lost_answers.py
+++ b/tests/process/restart_lost_answers.py
@@ -3,7 +3,7 @@
 
 Guards against the cause of twice-f80d5c1f without a change of the leader: a start has reached the
 server, and from then on calls reach it, but all its answers are lost.  A renewal with a deadline
-on the clock of its former life would extend the lease each time.
+on the clock of the incarnation before would extend the lease each time.
 """
 from restarts import main
 
--- a/tests/process/restarts.py
+++ b/tests/process/restarts.py
@@ -1,7 +1,7 @@
 """Common parts of the process tests in which a server starts again before a start arrives.
 
 A server that has started again under its id has a new clock.  The deadline of a start that the
-leader sends before it knows is on the former clock, far ahead on the new one: the server shortens
+leader sends before it knows is on the clock of the incarnation before, far ahead on the new one: the server shortens
 it to the longest lease that it grants, which is longer than the lease that the leader wants.
 """
 import asyncio
@@ -28,7 +28,7 @@
 class RestartingServer(Server):
     """A server that starts again unseen just before the first start of a test arrives.
 
-    Its directory entry stays that of its former life.  Once it has carried out the start, its
+    Its directory entry stays that of the incarnation before.  Once it has carried out the start, its
     proxy changes to `Restarts.cut_mode`, so that the answer is lost.
     """
 
