--- a/src/entry/http_frontend.c
+++ b/src/entry/http_frontend.c
@@ -8,6 +8,7 @@
  * ms_http_frontend_stop() stops listening, answers the calls that are still open, refuses new
  * ones, and gives the answers a short time to be sent.
  */
+#include <errno.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -339,7 +340,7 @@
     return frontend;
 
 fail:
-    snprintf(error, size, "cannot listen on %s", address);
+    snprintf(error, size, "cannot listen on %s: %s", address, g_strerror(errno));
     ms_http_frontend_stop(frontend);
     return NULL;
 }
