Tests: batch-unit runs as three entries of check.py, one for each of its suites

The program now has three suites (148, 92 and 8 checks); check.py runs each within the same limit, and the program by itself runs all 248. No check is changed.

--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -382,13 +382,41 @@
 }
 END_TEST
 
+/* What a leader may assume of backend servers: leases, orders, restarts, changes of the leader. */
+static Suite *
+server_suite(void)
+{
+    Suite *suite = suite_create("servers");
+    suite_add_tcase(suite, lease_cases());
+    suite_add_tcase(suite, takeover_cases());
+    suite_add_tcase(suite, term_cases());
+    suite_add_tcase(suite, withheld_cases());
+    suite_add_tcase(suite, restart_cases());
+    suite_add_tcase(suite, withdraw_cases());
+    suite_add_tcase(suite, fence_cases());
+    suite_add_tcase(suite, successor_cases());
+    suite_add_tcase(suite, late_cases());
+    suite_add_tcase(suite, server_cases());
+    suite_add_tcase(suite, closed_cases());
+    return suite;
+}
+
+/* Runs of many seeds with answers that are lost, which take most of the time. */
+static Suite *
+lost_answer_suite(void)
+{
+    Suite *suite = suite_create("answers");
+    suite_add_tcase(suite, lost_answer_cases());
+    return suite;
+}
+
 int
 main(void)
 {
     /* Read by tcase_create().  Only a test that hangs is to be ended: all bounds are in simulated
      * time, and the default of 4 s was too short for a sanitizer build on a busy machine. */
     setenv("CK_DEFAULT_TIMEOUT", "60", 0);
-    Suite *suite = suite_create("stored jobs");
+    Suite *suite = suite_create("jobs");
     TCase *cases = tcase_create("all");
     tcase_add_test(cases, spec_round_trip);
     tcase_add_test(cases, spec_errors_name_the_field);
@@ -409,26 +437,16 @@
     suite_add_tcase(suite, advice_cases());
     suite_add_tcase(suite, log_cases());
     suite_add_tcase(suite, placement_cases());
-    suite_add_tcase(suite, server_cases());
-    suite_add_tcase(suite, lease_cases());
     suite_add_tcase(suite, health_cases());
     suite_add_tcase(suite, speed_cases());
-    suite_add_tcase(suite, takeover_cases());
-    suite_add_tcase(suite, term_cases());
-    suite_add_tcase(suite, withheld_cases());
-    suite_add_tcase(suite, closed_cases());
-    suite_add_tcase(suite, restart_cases());
-    suite_add_tcase(suite, lost_answer_cases());
     suite_add_tcase(suite, account_cases());
     suite_add_tcase(suite, account_order_cases());
     suite_add_tcase(suite, load_cases());
-    suite_add_tcase(suite, withdraw_cases());
     suite_add_tcase(suite, attempts_cases());
     suite_add_tcase(suite, started_cases());
-    suite_add_tcase(suite, fence_cases());
-    suite_add_tcase(suite, successor_cases());
-    suite_add_tcase(suite, late_cases());
     SRunner *runner = srunner_create(suite);
+    srunner_add_suite(runner, server_suite());
+    srunner_add_suite(runner, lost_answer_suite());
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
     srunner_free(runner);
--- a/tests/check.py
+++ b/tests/check.py
@@ -32,7 +32,9 @@
     yield "differential-faults", [f"{BUILD}/differential", "faults", "1", "3000"], None
     yield "differential-agree", [f"{BUILD}/differential", "agree"], None
     yield "differential-guarantees", [f"{BUILD}/differential", "guarantees"], None
-    yield "batch-unit", [f"{BUILD}/batch-unit"], None
+    for suite in ("jobs", "servers", "answers"):  # of one program, so that each stays within its time limit
+        command = ["/usr/bin/env", f"CK_RUN_SUITE={suite}", f"{BUILD}/batch-unit"]
+        yield f"batch-unit-{suite}", command, None
     yield "batch-fuzz", [f"{BUILD}/batch-fuzz", "1", "3000"], None
     yield "batch-liveness", [f"{BUILD}/batch-fuzz", "liveness", "1", "60"], None
     yield "batch-weights", [f"{BUILD}/batch-fuzz", "weights", "1", "30"], None
