--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -121,7 +121,7 @@
      "    unit->step->unplaced_since = 0;\n    unit->step->ample_since = 0;\n    ms_engine_mark_dirty(",
      "    job->started = true;\n    unit->step->ample_since = 0;\n    ms_engine_mark_dirty(",
      "a job waits until a server has started it"),
-    ("start_not_stored", "src/batch/engine.c",
+    ("start_not_stored", "src/batch/engine_job.c",
      "        ms_list_remove(&job->started_link);\n        ms_engine_mark_dirty(engine, job, false);",
      "        ms_list_remove(&job->started_link);", "a job waits until a server has started it"),
     ("attempts_not_checked", "src/batch/engine.c",
