review: case 11, a cancelled submission of unknown outcome runs

A caller is answered 504 to a submission whose appends the store carries out late, cancels the job and is answered 410, as the job is not in the log yet. The late appends store it and its task starts.

Adds the stand-ins of the cases 11 to 15.

--- /dev/null
+++ b/review/standins_3.py
@@ -0,0 +1,487 @@
+"""Stand-ins of the cases 11 to 15: the platform's store, workers, entry hosts and callers.
+
+They need the Python standard library only, and speak the users' published protocol on
+loopback addresses.  A case builds a Deployment, submits jobs with call(), and ends with
+finish(), which writes record.txt and exits with 1 if the rule was broken, 0 if it held and
+2 if the case could not run.
+"""
+import base64
+import http.client
+import json
+import os
+import re
+import shutil
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HOST_NAME = "plan.example"
+KEY = "key-1"
+LEASE_MAX_MS = 10000  # holdMaxMs
+STOP_S = 0.2  # of the stopGraceMs below
+RECORD_BYTES, CALL_BYTES = 262144, 2097152  # recordBytes, callBytes
+PAGE_RECORDS, PAGE_BYTES = 500, 1000000  # of a page of log-newest
+BEAT_S = 1.5  # heartbeatMs
+# Bounds of lepilo-grid, which the pages give for the small deployments.
+BOUNDS = {"revokeMs": 5000, "holdMaxMs": LEASE_MAX_MS, "gangTimeoutMs": 3000, "stopGraceMs": 900,
+          "visible_ms": 3000, "status_s": 120, "graceS": 6}
+CONTACT_S, CANCEL_S, FINISH_S = 4.0, 3.0, 14.0  # contactMs, cancel_ms, finish_s
+
+
+def now():
+    return time.monotonic()
+
+
+class Record:
+    """The lines of record.txt, with the time in seconds since the start."""
+
+    def __init__(self):
+        self.started_at, self.lines, self.lock = now(), [], threading.Lock()
+
+    def note(self, text):
+        with self.lock:
+            self.lines.append(f"{now() - self.started_at:8.3f} {text}")
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Passes each request to the `owner` of its server, which returns (status, type, body)."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def handle_one(self):
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length)
+        answer = self.server.owner.answer(self.command, self.path, self.headers, body)
+        if answer is None:  # no answer: the connection is closed
+            self.close_connection = True
+            try:
+                self.connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            return
+        status, kind, data = answer
+        self.send_response(status)
+        self.send_header("Content-Type", kind)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    do_GET = do_POST = do_DELETE = handle_one
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self, owner):
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.owner = owner
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.1},
+                         daemon=True).start()
+
+    def handle_error(self, *_):
+        pass  # the other side has closed its connection
+
+
+def json_answer(status, value):
+    return status, "application/json", json.dumps(value).encode()
+
+
+class Store:
+    """The platform's store: keyed topics with one partition each."""
+
+    def __init__(self, record):
+        self.record, self.topics, self.writers = record, {}, {}
+        self.changed = threading.Condition()
+        self.on_append = None  # may delay or refuse an append: see answer_append()
+        self.server = Server(self)
+        self.port = self.server.server_address[1]
+
+    def answer(self, method, path, _headers, body):
+        url = urlsplit(path)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        if method == "POST" and url.path == "/-/log-append":
+            return self.answer_append(query, body)
+        if method == "GET" and url.path == "/-/log-read":
+            return self.answer_read(query)
+        if method == "GET" and url.path == "/-/log-newest":
+            return self.answer_newest(query)
+        return json_answer(404, {})
+
+    def answer_append(self, query, body):
+        if self.on_append is not None:
+            done = self.on_append(query, body)
+            if done is not False:
+                return done
+        return self.append(query, body)
+
+    def append(self, query, body):
+        """Carries out an append; returns its answer."""
+        records = self.unpack(body)
+        if records is None or len(body) > CALL_BYTES:
+            self.record.note(f"store: append refused, larger than recordBytes or callBytes "
+                             f"({len(body)} bytes)")
+            return json_answer(400, {"error": "too large"})
+        with self.changed:
+            topic = self.topics.setdefault(query["topic"], [])
+            if "at" in query and int(query["at"]) != len(topic):
+                return json_answer(412, {"end": len(topic)})
+            first = {"offset": len(topic), "end": len(topic) + len(records)}
+            if "producer" in query:
+                epoch, sequence = int(query["epoch"]), int(query["sequence"])
+                writer = self.writers.setdefault(query["producer"], {"epoch": -1, "answers": {}})
+                if epoch < writer["epoch"]:
+                    return json_answer(409, {"reason": "fenced"})
+                if epoch == writer["epoch"] and sequence in writer["answers"]:
+                    return json_answer(200, writer["answers"][sequence])
+                if epoch == writer["epoch"] and sequence != writer["last"] + 1:
+                    return json_answer(409, {"reason": "seq", "sequence": writer["last"] + 1})
+                if epoch > writer["epoch"]:
+                    writer["answers"] = {}
+                writer.update(epoch=epoch, last=sequence)
+                writer["answers"][sequence] = first
+                writer["answers"].pop(sequence - 5, None)
+            topic += records
+            self.changed.notify_all()
+        return json_answer(200, first)
+
+    @staticmethod
+    def unpack(body):
+        """The records (key, value) of an append; None if one is too large."""
+        records, position = [], 0
+        while position < len(body):
+            (length,) = struct.unpack_from(">I", body, position)
+            content = body[position + 4:position + 4 + length]
+            if length > RECORD_BYTES:
+                return None
+            records.append((content[1:1 + content[0]], content[1 + content[0]:]))
+            position += 4 + length
+        return records
+
+    def put(self, topic, key, value):
+        """Writes as the operator or a worker does."""
+        with self.changed:
+            self.topics.setdefault(topic, []).append((key.encode(), value))
+            self.changed.notify_all()
+
+    def answer_read(self, query):
+        start, until = int(query["from"]), now() + int(query.get("waitMs", 0)) / 1000
+        most = int(query.get("maxKb", 1024)) * 1024
+        with self.changed:
+            topic = self.topics.setdefault(query["topic"], [])
+            while start >= len(topic) and now() < until:
+                self.changed.wait(until - now())
+            parts, size = [struct.pack(">QQ", len(topic), 0)], 0
+            for key, value in topic[start:]:
+                content = bytes([len(key)]) + key + value
+                if size > 0 and size + len(content) + 4 > most:
+                    break
+                size += len(content) + 4
+                parts.append(struct.pack(">I", len(content)) + content)
+        return 200, "application/octet-stream", b"".join(parts)
+
+    def answer_newest(self, query):
+        with self.changed:
+            topic = self.topics.setdefault(query["topic"], [])
+            newest = {key: (offset, value) for offset, (key, value) in enumerate(topic)}
+            end = len(topic)
+        after = query.get("after", "").encode()
+        keys = sorted(key for key, (_, value) in newest.items() if value and key > after)
+        items, size = [], 0
+        for key in keys[:PAGE_RECORDS]:
+            if items and size + len(newest[key][1]) > PAGE_BYTES:
+                break
+            size += len(newest[key][1])
+            items.append({"key": key.decode(), "offset": newest[key][0],
+                          "value": base64.b64encode(newest[key][1]).decode()})
+        return json_answer(200, {"items": items, "hasMore": len(items) < len(keys), "end": end})
+
+
+class Worker:
+    """A sound worker; `run_s` tells how long a task of a job runs."""
+
+    capacity = {"cpu": 64000, "memMb": 256000, "gpu": 8}
+
+    def __init__(self, deployment, index):
+        self.deployment, self.id = deployment, f"w-{index}"
+        self.index, self.lock = index, threading.Condition()
+        self.born, self.clock_start = int(time.time() * 1000), now()
+        self.fence, self.deadline_ms, self.position = 0, 0, 0
+        self.runs, self.ended, self.closed = {}, [], {}
+        self.server = Server(self)
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.beat, daemon=True).start()
+        threading.Thread(target=self.watch, daemon=True).start()
+
+    def clock_ms(self):
+        return int((now() - self.clock_start) * 1000) + 1000
+
+    def beat(self):
+        sequence = 0
+        while not self.deployment.over:
+            sequence += 1
+            entry = {"service": "planner", "address": f"127.0.0.1:{self.port}", "zone": "dc-0",
+                     "version": "1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+                     "sequence": sequence, "capacity": self.capacity,
+                     "labels": ["a", f"r{self.index // 4}"], "orders": "call", "born": self.born,
+                     "clockMs": self.clock_ms()}
+            self.deployment.store.put("keyed.servers", self.id, json.dumps(entry).encode())
+            time.sleep(BEAT_S if sequence > 1 else BEAT_S / 2)
+
+    def watch(self):
+        while not self.deployment.over:
+            time.sleep(0.02)
+            with self.lock:
+                lapsed = self.clock_ms() >= self.deadline_ms
+                for task, run in list(self.runs.items()):
+                    if lapsed:
+                        self.end(task, "lapsed")
+                    elif now() >= run["ends_at"]:
+                        self.end(task, run["how"])
+
+    def end(self, task, how):
+        run = self.runs.pop(task)
+        self.closed[task] = max(self.closed.get(task, 0), run["run"])
+        self.position += 1
+        self.ended.append([self.position, task, run["run"], how, ""])
+        self.deployment.record.note(f"{self.id}: end {task} run {run['run']} {how}")
+        self.deployment.ends.append((now(), task, run["run"], how))
+        self.lock.notify_all()
+
+    def answer(self, _method, path, headers, body):
+        target = headers.get("X-Mustardspread-Target-Instance")
+        if target not in (None, self.id):
+            return json_answer(421, {})
+        order = json.loads(body)
+        with self.lock:
+            if order.get("fencingToken", 0) < self.fence:
+                return json_answer(409, {"clockMs": self.clock_ms(), "reason": "fence"})
+            self.fence = order.get("fencingToken", 0)
+            reason = {"/-/run-start": self.start, "/-/run-stop": self.stop,
+                      "/-/hold": self.hold}[path](order)
+            if path == "/-/hold":
+                return self.lists(order)
+            answer = {"clockMs": self.clock_ms(), "born": self.born}
+            if reason is not None:
+                return json_answer(409, dict(answer, reason=reason))
+            return json_answer(200, answer)
+
+    def extend(self, order):
+        deadline = min(order.get("deadlineMs", 0), self.clock_ms() + LEASE_MAX_MS)
+        self.deadline_ms = max(self.deadline_ms, deadline)
+
+    def start(self, order):
+        task, run = order["task"], order["run"]
+        if task in self.runs and self.runs[task]["run"] == run:
+            self.extend(order)
+            return None
+        if run <= self.closed.get(task, 0) or task in self.runs:
+            self.extend(order)
+            return "old"
+        if order["deadlineMs"] <= self.clock_ms():
+            return "late"
+        self.extend(order)
+        self.runs[task] = {"run": run, "how": "done", "began_at": now(),
+                           "ends_at": now() + self.deployment.run_s(task)}
+        self.deployment.note_start(self, task, run)
+        return None
+
+    def stop(self, order):
+        task, run = order["task"], order["run"]
+        self.closed[task] = max(self.closed.get(task, 0), run)
+        if task in self.runs and self.runs[task]["run"] <= run:
+            self.runs[task].update(how="stopped", ends_at=now() + STOP_S)
+
+    def hold(self, order):
+        self.extend(order)
+        self.ended = [row for row in self.ended if row[0] > order.get("ackPosition", 0)]
+
+    def lists(self, order):
+        until = now() + order.get("waitMs", 0) / 1000
+        while not self.ended and now() < until:
+            self.lock.wait(until - now())
+        rows = []
+        for task, run in self.runs.items():
+            share = (now() - run["began_at"]) / max(run["ends_at"] - run["began_at"], 0.001)
+            rows.append([task, run["run"], "", min(int(100 * share), 99)])
+        return json_answer(200, {"clockMs": self.clock_ms(), "born": self.born, "running": rows,
+                                 "ended": self.ended[:500]})
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class EntryHost:
+    """A process with the command and the settings template of the deploy file."""
+
+    def __init__(self, deployment, index):
+        self.deployment, self.name = deployment, f"edge-dc-0-{index}"
+        self.ports = [free_port() for _ in range(3)]
+        self.settings = os.path.join(deployment.directory, f"{self.name}.toml")
+        self.log = os.path.join(deployment.directory, f"{self.name}.log")
+        self.process = None
+
+    def fields(self):
+        front, ready, internal = self.ports
+        return {"node": self.name, "zone": "dc-0", "region": "here", "ip": "127.0.0.1",
+                "listenAddrs": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+                "internalPorts": [internal, internal], "bounds": BOUNDS, "advice": "",
+                "platform": {"address": f"127.0.0.1:{self.deployment.store.port}"},
+                "limits": {"cpuShare": 0.25, "maxFds": 4100}}
+
+    def render(self):
+        """Fills in deploy/settings.toml.in as the platform does."""
+        def value(match):
+            item = self.fields()
+            for part in match.group(1).split("."):
+                item = item[int(part)] if isinstance(item, list) else item[part]
+            return str(item)
+        with open(os.path.join(ROOT, "deploy", "settings.toml.in"), encoding="utf-8") as file:
+            return re.sub(r"\{\{([^}]*)\}\}", value, file.read())
+
+    def start(self):
+        with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
+            command = re.search(r'^run = "([^"]*)"', file.read(), re.M).group(1).split()
+        with open(self.settings, "w", encoding="utf-8") as file:
+            file.write(self.render())
+        environment = {"MUSTARDSPREAD_NODE_FILE": self.settings, "HOME": "/tmp",
+                       "PATH": os.environ.get("PATH", "/usr/bin:/bin"), "LANG": "C.UTF-8"}
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log,
+                                            stderr=log, stdin=subprocess.DEVNULL)
+        self.deployment.record.note(f"{self.name}: started")
+
+    def signal(self, number):
+        self.deployment.record.note(f"{self.name}: signal {signal.Signals(number).name}")
+        self.process.send_signal(number)
+
+    def log_has(self, text):
+        with open(self.log, encoding="utf-8", errors="replace") as file:
+            return text in file.read()
+
+    def end(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        if self.process is not None:
+            self.process.wait()
+
+
+class Deployment:
+    """A small deployment: a store, workers, and entry hosts of one zone."""
+
+    def __init__(self, hosts, workers):
+        self.record, self.over = Record(), False
+        self.directory = tempfile.mkdtemp(prefix="review-")
+        self.starts, self.ends, self.runs_s = [], [], {}
+        self.store = Store(self.record)
+        self.publish_config(1)
+        self.hosts = [EntryHost(self, index + 1) for index in range(hosts)]
+        self.workers = [Worker(self, index) for index in range(workers)]
+
+    def publish_config(self, version):
+        route = {"name": "q0", "hostname": HOST_NAME, "pathPrefix": "/q0/", "service": "planner",
+                 "priority": 1, "maxAttempts": 3, "stretch": 3.0, "targetLatencyMs": 1500}
+        config = {"version": version, "routes": [route], "services": [{"name": "planner"}],
+                  "limits": {}, "tenants": [{"name": "tenant-1", "apiKeys": [KEY],
+                                             "guaranteed": {"gpu": 4}}]}
+        self.store.put("keyed.op", "config", json.dumps(config).encode())
+
+    def run_s(self, task):
+        return self.runs_s.get(task.split(".")[0], 0.5)
+
+    def note_start(self, worker, task, run):
+        self.record.note(f"{worker.id}: start {task} run {run}")
+        self.starts.append((now(), task, run, worker.id))
+
+    def starts_of(self, job):
+        return [start for start in self.starts if start[1].split(".")[0] == job]
+
+    def start(self):
+        """Starts the hosts; waits until one leads and all of them are ready for callers."""
+        for host in self.hosts:
+            host.start()
+        self.wait(lambda: self.leader() is not None, 20, "a leader")
+        for host in self.hosts:
+            self.wait(lambda host=host: self.call(host, "GET", "")[0] == 200, 20, "ready hosts")
+        time.sleep(2.5)  # hosts learn of each other, the leader of the workers
+
+    def leader(self):
+        for host in self.hosts:
+            if host.process.poll() is None and host.log_has("state=placing"):
+                return host
+        return None
+
+    def wait(self, condition, seconds, what):
+        until = now() + seconds
+        while not condition():
+            if now() > until:
+                self.finish(2, f"could not run: waited {seconds} s for {what}")
+            time.sleep(0.05)
+
+    def call(self, host, method, job, spec=None, timeout_s=3.0, key=KEY):
+        """One call of a caller; returns status and body, status 0 if there was no answer."""
+        connection = http.client.HTTPConnection("127.0.0.1", host.ports[0], timeout=timeout_s)
+        body = json.dumps(spec) if spec is not None else None
+        headers = {"Host": HOST_NAME, "Content-Type": "application/json",
+                   "X-Mustardspread-Deadline-Ms": str(int(timeout_s * 1000))}
+        if key is not None:
+            headers["Authorization"] = f"Bearer {key}"
+        began = now()
+        try:
+            connection.request(method, f"/q0/{job}", body=body, headers=headers)
+            response = connection.getresponse()
+            status, text = response.status, response.read().decode()
+        except (OSError, http.client.HTTPException) as error:
+            status, text = 0, type(error).__name__
+        finally:
+            connection.close()
+        if job:
+            self.record.note(f"caller: {method} {job} at {host.name} -> {status} {text[:80]} "
+                             f"({int((now() - began) * 1000)} ms)")
+        return status, text
+
+    def finish(self, code, verdict):
+        """Ends all processes, writes record.txt and exits with CODE."""
+        self.record.note(f"verdict: {verdict}")
+        self.over = True
+        for host in self.hosts:
+            host.end()
+        path = os.path.join(os.getcwd(), "record.txt")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(f"TROUBLE={int(TROUBLE)}\n" + "\n".join(self.record.lines) + "\n")
+        keep = os.environ.get("KEEP_LOGS")
+        if keep:
+            shutil.copytree(self.directory, keep, dirs_exist_ok=True)
+        shutil.rmtree(self.directory, ignore_errors=True)
+        print(verdict)
+        sys.stdout.flush()
+        os._exit(code)
+
+
+def main(case):
+    """Runs CASE; an unexpected error means that it could not run."""
+    deployment = []
+    try:
+        case(deployment)
+    except BaseException as error:  # pylint: disable=broad-except
+        if deployment:
+            deployment[0].finish(2, f"could not run: {error!r}")
+        print(f"could not run: {error!r}")
+        sys.exit(2)
