review: case 12, no job of an advised queue starts after a burst

After two jobs more than usual within 4 s each call of the leader to the advice service ends by its own timeout before its turn, and is asked again behind the others: no later job starts while all workers are idle.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -9,7 +9,9 @@
 import http.client
 import json
 import os
+import queue
 import re
+import select
 import shutil
 import signal
 import socket
@@ -25,7 +27,6 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST_NAME = "plan.example"
-KEY = "key-1"
 LEASE_MAX_MS = 10000  # holdMaxMs
 STOP_S = 0.2  # of the stopGraceMs below
 RECORD_BYTES, CALL_BYTES = 262144, 2097152  # recordBytes, callBytes
@@ -41,6 +42,10 @@
     return time.monotonic()
 
 
+def key_of(tenant):
+    return f"key-of-{tenant}"
+
+
 class Record:
     """The lines of record.txt, with the time in seconds since the start."""
 
@@ -64,7 +69,8 @@
     def handle_one(self):
         length = int(self.headers.get("Content-Length") or 0)
         body = self.rfile.read(length)
-        answer = self.server.owner.answer(self.command, self.path, self.headers, body)
+        answer = self.server.owner.answer(self.command, self.path, self.headers, body,
+                                          self.connection)
         if answer is None:  # no answer: the connection is closed
             self.close_connection = True
             try:
@@ -110,7 +116,7 @@
         self.server = Server(self)
         self.port = self.server.server_address[1]
 
-    def answer(self, method, path, _headers, body):
+    def answer(self, method, path, _headers, body, _connection):
         url = urlsplit(path)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         if method == "POST" and url.path == "/-/log-append":
@@ -261,7 +267,7 @@
         self.deployment.ends.append((now(), task, run["run"], how))
         self.lock.notify_all()
 
-    def answer(self, _method, path, headers, body):
+    def answer(self, _method, path, headers, body, _connection):
         target = headers.get("X-Mustardspread-Target-Instance")
         if target not in (None, self.id):
             return json_answer(421, {})
@@ -293,6 +299,8 @@
             return "old"
         if order["deadlineMs"] <= self.clock_ms():
             return "late"
+        if self.deployment.advice is not None and not self.deployment.advice.allows(order, self.id):
+            return "ticket"
         self.extend(order)
         self.runs[task] = {"run": run, "how": "done", "began_at": now(),
                            "ends_at": now() + self.deployment.run_s(task)}
@@ -321,6 +329,69 @@
                                  "ended": self.ended[:500]})
 
 
+def is_closed(connection):
+    """Whether the other side has closed CONNECTION, on which it has nothing else to send."""
+    try:
+        ready, _, _ = select.select([connection], [], [], 0)
+        return bool(ready) and connection.recv(1, socket.MSG_PEEK) == b""
+    except (OSError, ValueError):
+        return True
+
+
+class Advice:
+    """The advice service: handles one call at a time, in turn; 429 when 32 are waiting.
+
+    A call whose connection was closed before its turn is left out.
+    All calls of a case come from one host, the leader, so that there is one line of calls.
+    Every second worker may run a step.
+    """
+
+    waiting_max = 32
+
+    def __init__(self, deployment, decide_ms, each_ms, valid_ms):
+        self.deployment, self.decide_ms, self.each_ms = deployment, decide_ms, each_ms
+        self.valid_ms, self.calls, self.tickets = valid_ms, queue.Queue(), {}
+        self.server = Server(self)
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def times(self):
+        return {"decideMs": self.decide_ms, "eachMs": self.each_ms, "validMs": self.valid_ms}
+
+    def answer(self, _method, _path, _headers, body, connection):
+        question = json.loads(body)
+        if self.calls.qsize() >= self.waiting_max:
+            self.deployment.record.note(f"advice: {question['step']} -> 429")
+            return json_answer(429, {})
+        call = {"question": question, "done": threading.Event(), "arrived": now(),
+                "connection": connection, "good": []}
+        self.calls.put(call)
+        call["done"].wait()
+        return json_answer(200, {"good": call["good"], "validMs": self.valid_ms})
+
+    def serve(self):
+        while not self.deployment.over:
+            call = self.calls.get()
+            if is_closed(call["connection"]):
+                call["done"].set()
+                continue
+            step, workers = call["question"]["step"], call["question"]["workers"]
+            time.sleep((self.decide_ms + self.each_ms * len(workers)) / 1000)
+            call["good"] = [[worker, f"t-{step}-{worker}"] for worker in workers
+                            if int(worker.split("-")[1]) % 2 == 0]
+            for worker, ticket in call["good"]:
+                self.tickets[(step, worker, ticket)] = now() + self.valid_ms / 1000
+            late = ", its caller has left" if is_closed(call["connection"]) else ""
+            self.deployment.record.note(
+                f"advice: {step} about {len(workers)} workers, answered "
+                f"{now() - call['arrived']:.1f} s after its arrival{late}; {self.calls.qsize()} wait")
+            call["done"].set()
+
+    def allows(self, order, worker):
+        step = order["task"].rsplit(".", 1)[0]
+        return self.tickets.get((step, worker, order.get("ticket")), 0) > now()
+
+
 def free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -341,7 +412,7 @@
         front, ready, internal = self.ports
         return {"node": self.name, "zone": "dc-0", "region": "here", "ip": "127.0.0.1",
                 "listenAddrs": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
-                "internalPorts": [internal, internal], "bounds": BOUNDS, "advice": "",
+                "internalPorts": [internal, internal], "bounds": BOUNDS, "advice": self.deployment.advice_address(),
                 "platform": {"address": f"127.0.0.1:{self.deployment.store.port}"},
                 "limits": {"cpuShare": 0.25, "maxFds": 4100}}
 
@@ -384,25 +455,41 @@
 
 
 class Deployment:
-    """A small deployment: a store, workers, and entry hosts of one zone."""
+    """A small deployment: a store, workers, and entry hosts of one zone.
+
+    `queues` maps the name of each queue to its priority; `guaranteed` maps the name of each
+    tenant, whose key is key_of(name), to its guaranteed `gpu`.
+    """
 
-    def __init__(self, hosts, workers):
-        self.record, self.over = Record(), False
+    def __init__(self, hosts, workers, advice=None, queues=None, guaranteed=None):
+        self.queues = queues or {"q0": 1}
+        self.guaranteed = guaranteed or {"tenant-1": 4}
+        self.record, self.over, self.advice = Record(), False, None
         self.directory = tempfile.mkdtemp(prefix="review-")
         self.starts, self.ends, self.runs_s = [], [], {}
         self.store = Store(self.record)
+        if advice is not None:
+            self.advice = Advice(self, *advice)
         self.publish_config(1)
         self.hosts = [EntryHost(self, index + 1) for index in range(hosts)]
         self.workers = [Worker(self, index) for index in range(workers)]
 
     def publish_config(self, version):
-        route = {"name": "q0", "hostname": HOST_NAME, "pathPrefix": "/q0/", "service": "planner",
-                 "priority": 1, "maxAttempts": 3, "stretch": 3.0, "targetLatencyMs": 1500}
-        config = {"version": version, "routes": [route], "services": [{"name": "planner"}],
-                  "limits": {}, "tenants": [{"name": "tenant-1", "apiKeys": [KEY],
-                                             "guaranteed": {"gpu": 4}}]}
+        routes = [{"name": name, "hostname": HOST_NAME, "pathPrefix": f"/{name}/",
+                   "service": "planner", "priority": priority, "maxAttempts": 3, "stretch": 3.0,
+                   "targetLatencyMs": 1500} for name, priority in self.queues.items()]
+        if self.advice is not None:
+            for route in routes:
+                route["advice"] = self.advice.times()
+        config = {"version": version, "routes": routes, "services": [{"name": "planner"}],
+                  "limits": {}, "tenants": [
+                      {"name": name, "apiKeys": [key_of(name)], "guaranteed": {"gpu": gpu}}
+                      for name, gpu in self.guaranteed.items()]}
         self.store.put("keyed.op", "config", json.dumps(config).encode())
 
+    def advice_address(self):
+        return f"127.0.0.1:{self.advice.port}" if self.advice is not None else ""
+
     def run_s(self, task):
         return self.runs_s.get(task.split(".")[0], 0.5)
 
@@ -418,8 +505,10 @@
         for host in self.hosts:
             host.start()
         self.wait(lambda: self.leader() is not None, 20, "a leader")
+        names = {"queue_name": next(iter(self.queues)), "tenant": next(iter(self.guaranteed))}
         for host in self.hosts:
-            self.wait(lambda host=host: self.call(host, "GET", "")[0] == 200, 20, "ready hosts")
+            self.wait(lambda host=host: self.call(host, "GET", "", **names)[0] == 200, 20,
+                      "ready hosts")
         time.sleep(2.5)  # hosts learn of each other, the leader of the workers
 
     def leader(self):
@@ -435,17 +524,17 @@
                 self.finish(2, f"could not run: waited {seconds} s for {what}")
             time.sleep(0.05)
 
-    def call(self, host, method, job, spec=None, timeout_s=3.0, key=KEY):
+    def call(self, host, method, job, spec=None, timeout_s=3.0, queue_name="q0",
+             tenant="tenant-1"):
         """One call of a caller; returns status and body, status 0 if there was no answer."""
         connection = http.client.HTTPConnection("127.0.0.1", host.ports[0], timeout=timeout_s)
         body = json.dumps(spec) if spec is not None else None
         headers = {"Host": HOST_NAME, "Content-Type": "application/json",
-                   "X-Mustardspread-Deadline-Ms": str(int(timeout_s * 1000))}
-        if key is not None:
-            headers["Authorization"] = f"Bearer {key}"
+                   "X-Mustardspread-Deadline-Ms": str(int(timeout_s * 1000)),
+                   "Authorization": f"Bearer {key_of(tenant)}"}
         began = now()
         try:
-            connection.request(method, f"/q0/{job}", body=body, headers=headers)
+            connection.request(method, f"/{queue_name}/{job}", body=body, headers=headers)
             response = connection.getresponse()
             status, text = response.status, response.read().decode()
         except (OSError, http.client.HTTPException) as error:
