review: case 11, the cancelled submission now waits at a frozen host

One disruption in place of lost and late writes: an entry host freezes for 4 s, the caller leaves at its deadline and cancels at another host, which answers 410; the first host wakes and stores the submission.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,10 +1,11 @@
-"""A submission of unknown outcome is cancelled, the cancellation is acknowledged, and it runs.
+"""A submission without an answer is cancelled, the cancelling is acknowledged, and its task runs.
 
-The store carries out the writes of one submission late, without an answer.  The caller is told
-504, cancels, and is told 410 once the store answers everybody again.  The job is a scheduled one
-whose time comes later: its task must not start.
+An entry host freezes just before a caller submits a job there.  The caller gets no answer by its
+deadline, leaves, and cancels the job at another host, which answers 410.  The first host wakes and
+handles the submission.  The job is a scheduled one whose time comes later: its task must not start.
 """
 import os
+import signal
 import sys
 import threading
 import time
@@ -14,8 +15,8 @@
 from standins_3 import CANCEL_S, CONTACT_S, TROUBLE, Deployment, main, now  # noqa: E402
 
 JOB, OTHER_JOB = "00000000000000a1", "00000000000000b2"
-LOST_S = 4.5  # length of platform_lost in the site file
-LATE_S = 5.8  # done 1 to 6 s later
+FREEZE_S = 4.0  # length of node_freeze in the site file
+DEADLINE_S = 3.0  # of the caller: deadline_ms in the site file
 DUE_S = 16.0  # after the submission
 
 
@@ -31,48 +32,24 @@
     deployment = Deployment(hosts=3, workers=4)
     deployments.append(deployment)
     deployment.start()
-    first, second = deployment.hosts[0], deployment.hosts[1]
-    writes = {"all": 0, "lost": 0}
-    window = {"until": now() + LOST_S}
-
-    def lose(query, body):
-        """Of the writes in the window, those with the job get no answer and are done late."""
-        if now() > window["until"]:
-            return False
-        writes["all"] += 1
-        if b"j/" + JOB.encode() not in body:
-            return False
-        writes["lost"] += 1
-        deployment.record.note(f"store: write with {JOB} gets no answer, done {LATE_S} s later")
-        timer = threading.Timer(LATE_S, late, (query, body))
-        timer.daemon = True
-        timer.start()
-        time.sleep(LATE_S + 1)  # the connection returns nothing further
-        return None
-
-    def late(query, body):
-        deployment.record.note(f"store: late write with {JOB} -> "
-                               f"{deployment.store.append(query, body)[0]}")
-
+    time.sleep(2)
+    leader = deployment.leader()  # is not disturbed
+    first, second = [host for host in deployment.hosts if host is not leader]
     if TROUBLE:
-        deployment.store.on_append = lose
-    time.sleep(2.5)
-    status, _ = deployment.call(first, "POST", JOB, job(DUE_S))
+        first.signal(signal.SIGSTOP)
+        wake = threading.Timer(FREEZE_S, first.signal, (signal.SIGCONT,))
+        wake.daemon = True
+        wake.start()
+        time.sleep(0.3)
     submitted_at = now()
-    if status not in (200, 504):
+    status, _ = deployment.call(first, "POST", JOB, job(DUE_S), timeout_s=DEADLINE_S)
+    if status != (0 if TROUBLE else 200):
         deployment.finish(2, f"could not run: the submission was answered {status}")
-    if TROUBLE and status != 504:
-        deployment.finish(2, "could not run: the submission was accepted")
-    time.sleep(max(window["until"] - now(), 0) + 0.1)
-    deployment.record.note(f"store: window over, {writes['lost']} of {writes['all']} writes lost")
-    if writes["lost"] > 0.35 * writes["all"]:
-        deployment.finish(2, "could not run: more writes were lost than the pages name")
     status, _ = deployment.call(second, "DELETE", JOB)
     cancelled_at = now()
     if status not in (200, 410):
         deployment.finish(2, f"could not run: the cancellation was answered {status}")
-    # Calm, a job beside it, and the time of the cancelled one.
-    time.sleep(max(submitted_at + LATE_S + CONTACT_S + 1 - now(), 0))
+    time.sleep(max(submitted_at + FREEZE_S + CONTACT_S + 1 - now(), 0))
     if deployment.call(second, "POST", OTHER_JOB, job())[0] != 200:
         deployment.finish(2, "could not run: a job in calm was not accepted")
     time.sleep(max(submitted_at + DUE_S + 4 - now(), 0))
