--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -10,6 +10,7 @@
 import json
 import os
 import queue
+import random
 import re
 import select
 import shutil
@@ -392,10 +393,20 @@
         return self.tickets.get((step, worker, order.get("ticket")), 0) > now()
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def reserve_port():
+    """A socket that reserves a free port until it is closed; it never listens.
+
+    It allows reuse only after it is bound, so that a host can listen there and nobody else binds.
+    """
+    while True:
+        reservation = socket.socket()
+        try:
+            reservation.bind(("127.0.0.1", random.SystemRandom().randrange(10000, 32768)))
+        except OSError:
+            reservation.close()
+            continue
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return reservation
 
 
 class EntryHost:
@@ -403,7 +414,8 @@
 
     def __init__(self, deployment, index):
         self.deployment, self.name = deployment, f"edge-dc-0-{index}"
-        self.ports = [free_port() for _ in range(3)]
+        self.reservations = [reserve_port() for _ in range(3)]
+        self.ports = [socket_.getsockname()[1] for socket_ in self.reservations]
         self.settings = os.path.join(deployment.directory, f"{self.name}.toml")
         self.log = os.path.join(deployment.directory, f"{self.name}.log")
         self.process = None
