--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -445,7 +445,9 @@
             file.write(self.render())
         environment = {"MUSTARDSPREAD_NODE_FILE": self.settings, "HOME": "/tmp",
                        "PATH": os.environ.get("PATH", "/usr/bin:/bin"), "LANG": "C.UTF-8"}
-        with open(self.log, "ab") as log:
+        with self.deployment.processes, open(self.log, "ab") as log:
+            if self.deployment.over:
+                return
             self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log,
                                             stderr=log, stdin=subprocess.DEVNULL)
         self.deployment.record.note(f"{self.name}: started")
@@ -474,6 +476,7 @@
     """
 
     def __init__(self, hosts, workers, advice=None, queues=None, guaranteed=None):
+        self.processes = threading.Lock()  # held while a host is started, or all are ended
         self.queues = queues or {"q0": 1}
         self.guaranteed = guaranteed or {"tenant-1": 4}
         self.record, self.over, self.advice = Record(), False, None
@@ -561,9 +564,10 @@
     def finish(self, code, verdict):
         """Ends all processes, writes record.txt and exits with CODE."""
         self.record.note(f"verdict: {verdict}")
-        self.over = True
-        for host in self.hosts:
-            host.end()
+        with self.processes:
+            self.over = True
+            for host in self.hosts:
+                host.end()
         path = os.path.join(os.getcwd(), "record.txt")
         with open(path, "w", encoding="utf-8") as file:
             file.write(f"TROUBLE={int(TROUBLE)}\n" + "\n".join(self.record.lines) + "\n")
