review: case 14 is now a withdrawn key that cancels a running job

A caller whose key was taken away 6 s before reads and cancels the job of its former account, which came in on a route that needs a key, under the prefix of a public route.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -471,14 +471,17 @@
 class Deployment:
     """A small deployment: a store, workers, and entry hosts of one zone.
 
-    `queues` maps the name of each queue to its priority; `guaranteed` maps the name of each
-    tenant, whose key is key_of(name), to its guaranteed `gpu`.
+    `queues` maps the name of each queue to its priority; those in `public` need no key.
+    `guaranteed` maps the name of each tenant to its guaranteed `gpu`; the keys of a tenant are
+    key_of(name) for the names in `keys[tenant]`, its own one unless changed.
     """
 
-    def __init__(self, hosts, workers, advice=None, queues=None, guaranteed=None):
+    def __init__(self, hosts, workers, advice=None, queues=None, guaranteed=None, public=()):
+        self.public = public
         self.processes = threading.Lock()  # held while a host is started, or all are ended
         self.queues = queues or {"q0": 1}
         self.guaranteed = guaranteed or {"tenant-1": 4}
+        self.keys = {name: [name] for name in self.guaranteed}
         self.record, self.over, self.advice = Record(), False, None
         self.directory = tempfile.mkdtemp(prefix="review-")
         self.starts, self.ends, self.runs_s = [], [], {}
@@ -493,12 +496,15 @@
         routes = [{"name": name, "hostname": HOST_NAME, "pathPrefix": f"/{name}/",
                    "service": "planner", "priority": priority, "maxAttempts": 3, "stretch": 3.0,
                    "targetLatencyMs": 1500} for name, priority in self.queues.items()]
-        if self.advice is not None:
-            for route in routes:
+        for route in routes:
+            if self.advice is not None:
                 route["advice"] = self.advice.times()
+            if route["name"] in self.public:
+                route["public"] = True
         config = {"version": version, "routes": routes, "services": [{"name": "planner"}],
                   "limits": {}, "tenants": [
-                      {"name": name, "apiKeys": [key_of(name)], "guaranteed": {"gpu": gpu}}
+                      {"name": name, "apiKeys": [key_of(key) for key in self.keys[name]],
+                       "guaranteed": {"gpu": gpu}}
                       for name, gpu in self.guaranteed.items()]}
         self.store.put("keyed.op", "config", json.dumps(config).encode())
 
@@ -541,7 +547,10 @@
 
     def call(self, host, method, job, spec=None, timeout_s=3.0, queue_name="q0",
              tenant="tenant-1"):
-        """One call of a caller; returns status and body, status 0 if there was no answer."""
+        """One call of a caller with key_of(TENANT); returns status and body.
+
+        The status is 0 if there was no answer.
+        """
         connection = http.client.HTTPConnection("127.0.0.1", host.ports[0], timeout=timeout_s)
         body = json.dumps(spec) if spec is not None else None
         headers = {"Host": HOST_NAME, "Content-Type": "application/json",
@@ -557,7 +566,7 @@
         finally:
             connection.close()
         if job:
-            self.record.note(f"caller: {method} {job} at {host.name} -> {status} {text[:80]} "
+            self.record.note(f"caller: {method} /{queue_name}/{job} at {host.name} -> {status} {text[:80]} "
                              f"({int((now() - began) * 1000)} ms)")
         return status, text
 
