--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -443,7 +443,7 @@
             command = re.search(r'^run = "([^"]*)"', file.read(), re.M).group(1).split()
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(self.render())
-        environment = {"MUSTARDSPREAD_NODE_FILE": self.settings, "HOME": "/tmp",
+        environment = {"MUSTARDSPREAD_NODE_FILE": self.settings, "HOME": self.deployment.directory,
                        "PATH": os.environ.get("PATH", "/usr/bin:/bin"), "LANG": "C.UTF-8"}
         with self.deployment.processes, open(self.log, "ab") as log:
             if self.deployment.over:
