--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -590,8 +590,13 @@
 
 
 def main(case):
-    """Runs CASE; an unexpected error means that it could not run."""
+    """Runs CASE; an unexpected error or a SIGTERM means that it could not run."""
     deployment = []
+
+    def on_signal(number, _frame):
+        raise SystemExit(f"signal {number}")
+
+    signal.signal(signal.SIGTERM, on_signal)
     try:
         case(deployment)
     except BaseException as error:  # pylint: disable=broad-except
