--- a/review/11/case.py
+++ b/review/11/case.py
@@ -18,7 +18,7 @@
 JOB = "00000000000000aa"
 WORKERS = 8  # one of them is cut off: 0.125
 OTHER_JOBS = 24  # their starts make the late order less than 0.055 of all
-LATE_S = 8.0  # 2 to 12 s
+LATE_S, LATE_SHARE = 8.0, 0.055  # 2 to 12 s; applied_late x
 CUT_AFTER_S, CUT_S, REBORN_AFTER_S = 3.5, 5.5, 1.0  # from the order; behind the cut
 RUN_S, FAILING_RUN_S = 14.0, 0.5
 
@@ -113,6 +113,8 @@
     runs = [f"run {run} on {worker}" for _, _, run, worker in deployment.starts_of(JOB)]
     share = 1 / len(deployment.starts)
     deployment.record.note(f"starts of the task: {runs}; the late order is {share:.3f} of all")
+    if share > LATE_SHARE:
+        deployment.finish(2, "could not run: the late order is more than the pages name")
     if len(runs) < 2:
         deployment.finish(2, "could not run: the task was not started twice")
     if overlap_s > 0:
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -14,7 +14,8 @@
 # pylint: disable=wrong-import-position
 from standins_3 import CANCEL_S, CONTACT_S, TROUBLE, Deployment, main, now  # noqa: E402
 
-JOB, OTHER_JOB = "00000000000000a1", "00000000000000b2"
+JOB = "00000000000000a1"
+OTHER_JOBS = [f"{0xb0 + index:016x}" for index in range(5)]  # so that 1 of 6 jobs is cancelled
 FREEZE_S = 4.0  # length of node_freeze in the site file
 DEADLINE_S = 3.0  # of the caller: deadline_ms in the site file
 DUE_S = 16.0  # after the submission
@@ -50,11 +51,12 @@
     if status not in (200, 410):
         deployment.finish(2, f"could not run: the cancellation was answered {status}")
     time.sleep(max(submitted_at + FREEZE_S + CONTACT_S + 1 - now(), 0))
-    if deployment.call(second, "POST", OTHER_JOB, job())[0] != 200:
-        deployment.finish(2, "could not run: a job in calm was not accepted")
+    for other_job in OTHER_JOBS:
+        if deployment.call(second, "POST", other_job, job())[0] != 200:
+            deployment.finish(2, "could not run: a job in calm was not accepted")
     time.sleep(max(submitted_at + DUE_S + 4 - now(), 0))
     deployment.call(second, "GET", JOB)
-    if not deployment.starts_of(OTHER_JOB):
+    if not all(deployment.starts_of(other_job) for other_job in OTHER_JOBS):
         deployment.finish(2, "could not run: a job in calm did not start")
     starts = [at for at, *_ in deployment.starts_of(JOB) if at > cancelled_at + CANCEL_S]
     if starts:
