Test: renewal_acknowledges_new_ends_only does not rely on the order of arguments

The call that sets `running` and `running` itself were arguments of one call. The call stands in a statement of its own now; what is checked is the same.

--- a/tests/batch/unit_fence.c
+++ b/tests/batch/unit_fence.c
@@ -194,7 +194,8 @@
     struct fixture fixture;
     struct ms_engine_action *running = NULL;
     fixture_init(&fixture);
-    answer_renewal(&fixture, renewal_after_an_end(&fixture, &running), running, NULL);
+    struct ms_engine_action *acknowledging = renewal_after_an_end(&fixture, &running);
+    answer_renewal(&fixture, acknowledging, running, NULL);
     for (int i = 0; i < 3; i++) {
         struct ms_engine_action *renewal = take_call(&fixture, MS_ENGINE_RENEW_LEASE);
         ck_assert_uint_eq(renewal->ack_position, 0);
