--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 $(BUILD)/batch-unit: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/batch/unit*.c)) $(SIMULATOR_OBJECTS) $(PLATFORM_OBJECTS) $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
-$(BUILD)/batch-open-faults: $(BUILD)/tests/batch/open_faults.o $(BUILD)/tests/batch/unit_restart.o $(BUILD)/tests/batch/unit_helpers.o $(SIMULATOR_OBJECTS) $(LIB)
+$(BUILD)/batch-open-faults: $(BUILD)/tests/batch/open_faults.o $(BUILD)/tests/batch/unit_late_copy.o $(BUILD)/tests/batch/unit_helpers.o $(SIMULATOR_OBJECTS) $(LIB)
 	@echo LD $@; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
 $(BUILD)/batch-fuzz: $(BUILD)/tests/batch/engine_fuzz.o $(SIMULATOR_OBJECTS) $(LIB)
--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "batch/engine_late_start.h"
 #include "batch/engine_private.h"
 
 #define PLACE_INTERVAL_MIN_MS 20    /* minimum time between two placement passes */
@@ -29,6 +30,14 @@
     limits->ended_retention_ms = 150000;
 }
 
+static void
+free_server(gpointer opaque)
+{
+    struct ms_batch_server *server = opaque;
+    ms_late_start_forget_ends(server);
+    g_free(server);
+}
+
 struct ms_engine *
 ms_engine_new(const struct ms_engine_limits *limits, uint64_t epoch, int64_t earlier_leases_until,
               int64_t now)
@@ -41,7 +50,7 @@
     engine->earlier_leases_until = earlier_leases_until;
     engine->next_retry_at = INT64_MAX;
     engine->jobs_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ms_batch_job_free);
-    engine->servers_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    engine->servers_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_server);
     engine->accounts_by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     engine->servers_by_index = g_ptr_array_new();
     engine->attention = g_array_new(FALSE, TRUE, sizeof(uint64_t));
--- a/src/batch/engine_attention.c
+++ b/src/batch/engine_attention.c
@@ -29,7 +29,8 @@
 {
     if (!server->fence_confirmed || server->unresponsive || server->entry.draining ||
         server->lapse_due || server->lease_state != MS_LEASE_NORMAL ||
-        server->ends_seen != server->ends_stored || engine->now < server->slow_until) {
+        server->ends_seen != server->ends_stored || engine->now < server->slow_until ||
+        !ms_list_is_empty(&server->late_starts) || !ms_list_is_empty(&server->held_ends)) {
         return true;
     }
     if (!server->renewal_pending && server->next_renewal_at != INT64_MAX) {
--- a/src/batch/engine_explain.c
+++ b/src/batch/engine_explain.c
@@ -13,8 +13,8 @@
 outcome_name(enum ms_level_outcome outcome)
 {
     static const char *const names[] = {
-        "not_tried",  "granted",  "no_capacity",   "off_rack_wait", "not_yet",
-        "too_costly", "too_many", "too_much_idle", "over_cap",      "orders_held",
+        "not_tried", "granted",       "no_capacity", "off_rack_wait", "not_yet",    "too_costly",
+        "too_many",  "too_much_idle", "over_cap",    "orders_held",   "late_start",
     };
     return names[outcome];
 }
--- a/src/batch/engine_explain.h
+++ b/src/batch/engine_explain.h
@@ -29,6 +29,7 @@
     MS_OUTCOME_TOO_MUCH_IDLE, /* reservations would leave too much capacity idle */
     MS_OUTCOME_OVER_CAP,      /* it does not fit under its account's cap */
     MS_OUTCOME_ORDERS_HELD,   /* orders of other work have to be sent first */
+    MS_OUTCOME_LATE_START,    /* an earlier start may still be carried out elsewhere */
 };
 
 /* What all levels said of the current unit. */
--- a/src/batch/engine_job.c
+++ b/src/batch/engine_job.c
@@ -3,6 +3,7 @@
  */
 #include <string.h>
 
+#include "batch/engine_late_start.h"
 #include "batch/engine_private.h"
 
 /*
@@ -37,6 +38,7 @@
 ms_batch_job_free(gpointer opaque)
 {
     struct ms_batch_job *job = opaque;
+    ms_late_start_clear(job);
     g_ptr_array_unref(job->occurrences);
     g_free(job);
 }
@@ -158,6 +160,7 @@
     ms_list_link_init(&job->jobs_link);
     ms_list_link_init(&job->due_link);
     ms_list_link_init(&job->started_link);
+    ms_list_link_init(&job->late_starts);
     job->sequence = ++engine->last_job_sequence;
     g_hash_table_insert(engine->jobs_by_id, job->id, job);
     ms_order_add_job(engine, job);
--- a/src/batch/engine_lease.c
+++ b/src/batch/engine_lease.c
@@ -127,12 +127,18 @@
     return server->lease_state == MS_LEASE_NORMAL && !longer && server->uncertain_since == 0;
 }
 
+int64_t
+ms_batch_longest_lease_ms(const struct ms_engine *engine)
+{
+    double lease_ms = (double)engine->limits.lease_max_ms * CLOCK_DRIFT_FACTOR;
+    return (int64_t)lease_ms + LEASE_MARGIN_MS;
+}
+
 /* When the longest lease that a server grants now has certainly expired. */
 static int64_t
 longest_lease_end(const struct ms_engine *engine)
 {
-    double lease_ms = (double)engine->limits.lease_max_ms * CLOCK_DRIFT_FACTOR;
-    return engine->now + (int64_t)lease_ms + LEASE_MARGIN_MS;
+    return engine->now + ms_batch_longest_lease_ms(engine);
 }
 
 void
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "batch/engine_cap.h"
+#include "batch/engine_late_start.h"
 #include "batch/engine_placement.h"
 #include "batch/engine_speed.h"
 
@@ -68,33 +69,44 @@
     }
 }
 
-/* Starts the unit's tasks on the planned servers and returns their number. */
-static uint32_t
-start_unit(struct ms_placement_pass *pass)
+void
+ms_place_start(struct ms_placement_pass *pass, struct ms_batch_server *const *servers,
+               uint32_t count)
 {
     struct ms_engine *engine = pass->engine;
     const struct ms_unit *unit = pass->unit;
-    struct ms_batch_job *job = unit->step->occurrence->job;
     uint32_t gang_run = 0;
-    for (uint32_t i = 0; unit->gang && i < unit->count; i++) {
+    for (uint32_t i = 0; unit->gang && i < count; i++) {
         gang_run = MAX(gang_run, unit->tasks[i]->run);
     }
-    uint32_t index = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        struct ms_batch_task *task = unit->tasks[i];
+        start_task(engine, task, servers[i], 1 + (unit->gang ? gang_run : task->run));
+    }
+    for (uint32_t i = 0; unit->step->spec->target_latency_ms > 0 && i < count; i++) {
+        stop_best_effort_tasks(engine, servers[i]);
+        ms_fit_forget(pass);
+    }
+    unit->step->unplaced_since = 0;
+    unit->step->ample_since = 0;
+    ms_engine_mark_dirty(engine, unit->step->occurrence->job, true);
+}
+
+/* Starts the unit's tasks on the planned servers and returns their number. */
+static uint32_t
+start_unit(struct ms_placement_pass *pass)
+{
+    struct ms_batch_server **servers = g_new(struct ms_batch_server *, pass->unit->count);
+    uint32_t count = 0;
     for (guint i = 0; i < pass->planned->len; i++) {
         struct ms_batch_server *server = g_ptr_array_index(pass->planned, i);
-        for (uint32_t k = 0; k < server->planned_task_count; k++, index++) {
-            struct ms_batch_task *task = unit->tasks[index];
-            start_task(engine, task, server, 1 + (unit->gang ? gang_run : task->run));
-        }
-        if (server->planned_task_count > 0 && unit->step->spec->target_latency_ms > 0) {
-            stop_best_effort_tasks(engine, server);
-            ms_fit_forget(pass);
+        for (uint32_t k = 0; k < server->planned_task_count; k++) {
+            servers[count++] = server;
         }
     }
-    unit->step->unplaced_since = 0;
-    unit->step->ample_since = 0;
-    ms_engine_mark_dirty(engine, job, true);
-    return index;
+    ms_place_start(pass, servers, count);
+    g_free(servers);
+    return count;
 }
 
 /* Reserves the planned capacity, so that later units of this pass cannot use it. */
@@ -359,9 +371,8 @@
     ms_explain_unit(pass);
 }
 
-/* How many tasks of UNIT the order backlog allows to start: all or none of a gang. */
-static uint32_t
-orderable_count(const struct ms_placement_pass *pass, const struct ms_unit *unit)
+uint32_t
+ms_place_orderable_count(const struct ms_placement_pass *pass, const struct ms_unit *unit)
 {
     const struct ms_engine *engine = pass->engine;
     int64_t gang_start_ms = engine->limits.gang_start_ms;
@@ -439,7 +450,7 @@
     set_unit_rights(pass, unit->step);
     remaining.count = ms_cap_max_tasks(unit);
     uint32_t over_cap = unit->count - remaining.count;
-    uint32_t orderable = orderable_count(pass, &remaining);
+    uint32_t orderable = ms_place_orderable_count(pass, &remaining);
     uint32_t held = remaining.count - orderable;
     pass->unit = &remaining;
     if (orderable == 0 && held > 0 && is_held_back(pass)) {
@@ -469,6 +480,18 @@
     pass->unit = NULL;
 }
 
+/* Places UNIT; if it HAS_TO_RETURN, only where copies of earlier starts are left. */
+static void
+place_or_return(struct ms_placement_pass *pass, const struct ms_unit *unit, bool has_to_return)
+{
+    if (has_to_return) {
+        ms_place_return_unit(pass, unit);
+    }
+    else {
+        place_unit(pass, unit);
+    }
+}
+
 /* Places the waiting tasks of STEP. */
 static void
 place_step(struct ms_placement_pass *pass, struct ms_batch_step *step)
@@ -476,23 +499,27 @@
     struct ms_engine *engine = pass->engine;
     bool gang = step->spec->gang;
     struct ms_batch_task **group = g_new(struct ms_batch_task *, step->spec->task_count);
+    struct ms_batch_server *server = NULL;
+    bool gang_returns = false;
     uint32_t count = 0;
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
         struct ms_batch_task *task = &step->tasks[i];
         if (task->state != MS_BATCH_TASK_WAITING || engine->now < task->not_before) {
             continue;
         }
-        if (gang || task->avoided_server_count == 0) {
+        bool may_come_late = ms_late_start_scope(engine, task, &server) != MS_LATE_START_NONE;
+        gang_returns |= gang && may_come_late;
+        if (gang || (task->avoided_server_count == 0 && !may_come_late)) {
             group[count++] = task;
             continue;
         }
-        /* A task with servers to avoid is planned separately. */
+        /* A task with servers to avoid, or one to return to, is planned separately. */
         const struct ms_unit unit = {.step = step, .tasks = &task, .count = 1, .gang = false};
-        place_unit(pass, &unit);
+        place_or_return(pass, &unit, may_come_late);
     }
     if (count > 0 && (!gang || count == step->spec->task_count)) {
         const struct ms_unit unit = {.step = step, .tasks = group, .count = count, .gang = gang};
-        place_unit(pass, &unit);
+        place_or_return(pass, &unit, gang_returns);
     }
     else {
         ms_explain_backoff(pass, step);
--- a/src/batch/engine_placement.h
+++ b/src/batch/engine_placement.h
@@ -201,6 +201,23 @@
 /* Whether the current unit still has to wait for capacity in one rack. */
 bool ms_plan_is_bound_to_rack(const struct ms_placement_pass *pass);
 
+/* engine_place.c */
+
+/* Starts the first COUNT tasks of the current unit, each on its item of SERVERS. */
+void ms_place_start(struct ms_placement_pass *pass, struct ms_batch_server *const *servers,
+                    uint32_t count);
+
+/* How many tasks of UNIT the order backlog allows to start: all or none of a gang. */
+uint32_t ms_place_orderable_count(const struct ms_placement_pass *pass, const struct ms_unit *unit);
+
+/* engine_return.c */
+
+/*
+ * Starts UNIT, some of whose earlier starts may still be carried out, on the servers that it had,
+ * if they have room; else it waits, without a reservation.
+ */
+void ms_place_return_unit(struct ms_placement_pass *pass, const struct ms_unit *unit);
+
 /* engine_fit.c */
 
 /* Whether a unit that needs no more than the current one failed TEST in this pass, in SCOPE. */
--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -22,18 +22,6 @@
 #define PENALTY_SLOW 70000        /* its runs are much slower than their siblings */
 #define PENALTY_BEST_EFFORT 30000 /* its best-effort tasks would have to be stopped */
 
-/* Whether TASK has failed on SERVER or was refused by it. */
-static bool
-should_avoid(const struct ms_batch_task *task, const struct ms_batch_server *server)
-{
-    for (uint32_t i = 0; i < MIN(task->avoided_server_count, MS_AVOIDED_SERVERS_MAX); i++) {
-        if (strcmp(task->avoided_servers[i], server->id) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* The penalty for placing TASK on SERVER. */
 static int64_t
 server_penalty(const struct ms_placement_pass *pass, const struct ms_batch_task *task,
@@ -54,7 +42,7 @@
     if (engine->now < server->suspect_until) {
         penalty += PENALTY_SUSPECT;
     }
-    if (should_avoid(task, server)) {
+    if (ms_batch_task_avoids(task, server)) {
         penalty += 2 * PENALTY_SUSPECT;
     }
     if (server->entry.warmup_remaining_ms > 0) {
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -45,9 +45,10 @@
     uint32_t failed_run; /* the latest run that `failures` includes, 0: none */
     /* Runs that were declared lost and have not failed since, latest first; 0: none. */
     uint32_t lost_runs[MS_LOST_RUNS_MAX];
-    char checkpoint[MS_CHECKPOINT_MAX]; /* latest checkpoint, or "" */
-    struct ms_batch_server *server;     /* its server; NULL when WAITING or DONE */
-    struct ms_list_link server_link;    /* in server->tasks */
+    char checkpoint[MS_CHECKPOINT_MAX];  /* latest checkpoint, or "" */
+    struct ms_batch_server *server;      /* its server; NULL when WAITING or DONE */
+    struct ms_list_link server_link;     /* in server->tasks */
+    struct ms_batch_server *last_server; /* where it was assigned last, NULL: nowhere yet */
     bool awaits_report;    /* may already run there: the next report decides; no start is ordered */
     bool store_pending;    /* RECORDING: the store in progress contains the run */
     bool order_pending;    /* an order awaits its answer */
@@ -128,6 +129,7 @@
     struct ms_list_link dirty_link;   /* in engine->dirty while its state has to be stored */
     struct ms_list_link started_link; /* in engine->started while no state has `started` */
     int64_t started_at;               /* when the engine learned that it has started */
+    struct ms_list_link late_starts;  /* struct ms_late_start, linked by job_link */
     bool store_pending;               /* in engine->storing: the store in progress has its state */
     bool store_urgent;                /* dirty: its state has to be stored without delay */
     bool removing;                    /* its records are to be removed from the log */
@@ -177,17 +179,19 @@
     int64_t lease_deadline_max; /* latest lease deadline sent to it, on its clock */
     /* It may have runs in an unknown incarnation; these have certainly ended by then. */
     int64_t uncertain_lease_until;
-    int64_t uncertain_since;    /* a report that was requested later tells of these runs, 0: none */
-    int64_t frozen_until;       /* lease not NORMAL: by then it has certainly expired */
-    uint64_t ends_seen;         /* last end reported */
-    uint64_t ends_storing;      /* ends up to here are stored when the store in progress is */
-    uint64_t ends_stored;       /* ends up to here are stored */
-    uint64_t ends_acked;        /* ends up to here are acknowledged */
-    uint64_t withheld_end;      /* first end that must not be acknowledged, 0: none */
-    bool lapse_due;             /* its lease has to expire, so that this end may be */
-    bool report_full;           /* the last report may lack ends, see ENDED_ROWS_MAX */
-    struct ms_list_link tasks;  /* struct ms_batch_task, linked by server_link */
-    uint32_t unknown_run_count; /* runs in the last report that no record allows */
+    int64_t uncertain_since;   /* a report that was requested later tells of these runs, 0: none */
+    int64_t frozen_until;      /* lease not NORMAL: by then it has certainly expired */
+    uint64_t ends_seen;        /* last end reported */
+    uint64_t ends_storing;     /* ends up to here are stored when the store in progress is */
+    uint64_t ends_stored;      /* ends up to here are stored */
+    uint64_t ends_acked;       /* ends up to here are acknowledged */
+    uint64_t withheld_end;     /* first end that must not be acknowledged, 0: none */
+    bool lapse_due;            /* its lease has to expire, so that this end may be */
+    bool report_full;          /* the last report may lack ends, see ENDED_ROWS_MAX */
+    struct ms_list_link tasks; /* struct ms_batch_task, linked by server_link */
+    struct ms_list_link late_starts;  /* struct ms_late_start, linked by server_link */
+    struct ms_list_link held_ends;    /* ends not to be acknowledged yet, see engine_late_start.c */
+    uint32_t unknown_run_count;       /* runs in the last report that no record allows */
     uint32_t consecutive_failed_jobs; /* since the last success; repeats of one job count once */
     char last_failed_job[MS_JOB_ID_MAX];
     int64_t quarantined_until;    /* quarantined until then */
@@ -316,6 +320,8 @@
 /* Assigns TASK, which has no server, to SERVER; it is RECORDING then. */
 void ms_batch_task_assign(struct ms_engine *engine, struct ms_batch_task *task,
                           struct ms_batch_server *server);
+/* Whether TASK has failed on SERVER or was refused by it. */
+bool ms_batch_task_avoids(const struct ms_batch_task *task, const struct ms_batch_server *server);
 /* Whether RUN of TASK was declared lost and, as far as is known, has not failed since. */
 bool ms_batch_task_is_lost_run(const struct ms_batch_task *task, uint32_t run);
 /* Takes TASK off its server, if any; STATE is WAITING or DONE. */
@@ -431,6 +437,8 @@
 /* What the clock of SERVER has reached by now at least, unless it started again; 0: not known. */
 int64_t ms_batch_server_clock_min(const struct ms_engine *engine,
                                   const struct ms_batch_server *server);
+/* For how long at most a server goes on with a run that it is not told of any more. */
+int64_t ms_batch_longest_lease_ms(const struct ms_engine *engine);
 /* When all runs on SERVER have certainly ended if it stays unresponsive. */
 int64_t ms_batch_server_lease_end(const struct ms_engine *engine,
                                   const struct ms_batch_server *server);
@@ -548,6 +556,9 @@
 void ms_engine_run_placement(struct ms_engine *engine);
 
 /* engine_store.c */
+/* Position in SERVERS, texts of StateRecord.servers, of SERVER, from 1; it is added if missing. */
+uint32_t ms_store_server_index(const struct ms_engine *engine, GPtrArray *servers,
+                               const struct ms_batch_server *server);
 /* Queues a STORE with the states of the dirty jobs, of the urgent ones only unless ALL. */
 void ms_engine_store_dirty_jobs(struct ms_engine *engine, bool all);
 /*
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -8,6 +8,7 @@
  */
 #include <string.h>
 
+#include "batch/engine_late_start.h"
 #include "batch/engine_private.h"
 #include "batch/engine_speed.h"
 
@@ -224,6 +225,9 @@
         ms_engine_log_event(engine, "event=run_end task=%s run=%u server=%s how=%s later_run=%u",
                             row->task, row->run, server->id, ms_run_end_name(row->end), task->run);
     }
+    if (task == NULL || task->run <= row->run) {
+        ms_late_start_on_end(engine, server, row); /* it has counted for an earlier leader */
+    }
     bool failed_late = task != NULL && row->end == MS_RUN_END_FAILED &&
                        ms_batch_task_is_lost_run(task, row->run) && task->run > row->run &&
                        ms_batch_task_job(task)->phase == MS_PHASE_OPEN;
@@ -255,6 +259,7 @@
         }
     }
     if (task != NULL) {
+        ms_late_start_on_end(engine, server, row);
         ms_batch_task_on_ended(engine, task, row->end, row->checkpoint);
     }
     else {
--- a/src/batch/engine_server.c
+++ b/src/batch/engine_server.c
@@ -3,6 +3,7 @@
  */
 #include <string.h>
 
+#include "batch/engine_late_start.h"
 #include "batch/engine_private.h"
 
 /* How long a server may wait for a run to end before it answers a renewal, in special cases. */
@@ -12,8 +13,9 @@
 
 #define FAST_RETRY_MS 300 /* between the first FAST_RETRIES_MAX unanswered renewals */
 #define FAST_RETRIES_MAX 5
-#define SLOW_RETRY_MS 1000       /* between later ones, and for a confirmed server without tasks */
-#define WITHHELD_INTERVAL_MS 500 /* between renewals while an end is withheld (engine_report.c) */
+#define SLOW_RETRY_MS 1000 /* between later ones, and for a confirmed server without tasks */
+/* Between renewals while an end is withheld (engine_report.c) or held (engine_late_start.c). */
+#define WITHHELD_INTERVAL_MS 500
 #define UNKNOWN_RUNS_INTERVAL_MS 200 /* between renewals while unknown runs are being stopped */
 #define STORE_WAIT_MS 300 /* maximum wait for reported ends to be stored before a renewal */
 #define ACK_REPORT_AGE_MAX_MS 1000 /* of a report whose ends are still acknowledged */
@@ -137,6 +139,17 @@
     }
 }
 
+/* The runs of all tasks of SERVER have ended with its lease, if they ever began. */
+static void
+note_lapse(struct ms_engine *engine, const struct ms_batch_server *server)
+{
+    MS_LIST_FOREACH(link, (struct ms_list_link *)&server->tasks)
+    {
+        ms_late_start_on_lapse(engine, MS_CONTAINER_OF(link, struct ms_batch_task, server_link),
+                               server);
+    }
+}
+
 /* Declares the runs of all tasks of SERVER lost. */
 static void
 lose_all_tasks(struct ms_engine *engine, struct ms_batch_server *server, const char *reason)
@@ -192,6 +205,7 @@
     server->ends_stored = 0;
     server->ends_acked = 0;
     server->withheld_end = 0;
+    ms_late_start_forget_ends(server);
     server->lapse_due = false;
     server->report_full = false;
     server->unknown_run_count = 0;
@@ -204,6 +218,7 @@
     ms_engine_log_event(engine, "event=server_reset server=%s reason=%s", server->id, reason);
     forget_incarnation(engine, server);
     lose_all_tasks(engine, server, reason);
+    ms_late_start_on_replaced(engine, server);
     ms_batch_server_lease_on_reset(engine, server);
 }
 
@@ -240,6 +255,8 @@
         server->next_renewal_at = INT64_MAX;
         ms_list_link_init(&server->tasks);
         ms_list_link_init(&server->servers_link);
+        ms_list_link_init(&server->late_starts);
+        ms_list_link_init(&server->held_ends);
         ms_list_append(&engine->servers, &server->servers_link);
         server->index = engine->servers_by_index->len;
         g_ptr_array_add(engine->servers_by_index, server);
@@ -354,8 +371,10 @@
 static uint64_t
 ack_position(const struct ms_batch_server *server)
 {
-    return server->withheld_end != 0 ? MIN(server->ends_stored, server->withheld_end - 1)
-                                     : server->ends_stored;
+    uint64_t held_end = ms_late_start_held_end(server);
+    uint64_t position = server->ends_stored;
+    position = held_end != 0 ? MIN(position, held_end - 1) : position;
+    return server->withheld_end != 0 ? MIN(position, server->withheld_end - 1) : position;
 }
 
 /* Whether a start order to SERVER has no answer yet. */
@@ -406,7 +425,7 @@
     else if (server->unknown_run_count > 0) {
         server->next_renewal_at = engine->now + UNKNOWN_RUNS_INTERVAL_MS;
     }
-    else if (busy && server->withheld_end != 0) {
+    else if (busy && (server->withheld_end != 0 || ms_late_start_held_end(server) != 0)) {
         server->next_renewal_at = engine->now + WITHHELD_INTERVAL_MS;
     }
     else if (busy || ack_position(server) > server->ends_acked) {
@@ -525,6 +544,7 @@
     server->ends_acked = MAX(server->ends_acked, renewal->ack_position);
     ms_batch_server_lease_on_answer(engine, server, first_answer);
     ms_batch_server_on_report(engine, server, report, sent_at);
+    ms_late_start_on_report(engine, server, sent_at);
     ms_batch_server_update_speed(engine, server);
     schedule_renewal(engine, server);
     renew_if_due(engine, server);
@@ -615,6 +635,7 @@
                               MS_BATCH_TASK_RECORDING;
         }
         if (!recording_only) {
+            note_lapse(engine, server);
             lose_all_tasks(engine, server, "lease_lapsed");
         }
     }
@@ -623,6 +644,7 @@
         tick_task(engine, MS_CONTAINER_OF(link, struct ms_batch_task, server_link));
     }
     ms_batch_server_lease_tick(engine, server);
+    ms_late_start_tick(engine, server);
     renew_if_due(engine, server);
     ms_attention_update(engine, server);
 }
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "batch/engine_late_start.h"
 #include "batch/engine_private.h"
 #include "wire/batch.pb-c.h"
 
@@ -29,10 +30,9 @@
                            MAX(server->frozen_until - engine->now, 0));
 }
 
-/* Position in SERVERS, from 1, of the text of SERVER; it is added if missing. */
-static uint32_t
-server_index(const struct ms_engine *engine, GPtrArray *servers,
-             const struct ms_batch_server *server)
+uint32_t
+ms_store_server_index(const struct ms_engine *engine, GPtrArray *servers,
+                      const struct ms_batch_server *server)
 {
     char *text = server_text(engine, server);
     for (guint i = 0; i < servers->len; i++) {
@@ -56,12 +56,16 @@
     }
     else if (task->server != NULL) {
         status = STORED_ACTIVE;
-        record->server[index] = server_index(engine, servers, task->server);
+        record->server[index] = ms_store_server_index(engine, servers, task->server);
         record->confirmed.data[index] =
             task->start_confirmed && ms_batch_server_holds_our_lease(engine, task->server);
+        record->answered.data[index] = task->start_confirmed && !record->confirmed.data[index];
         if (record->confirmed.data[index]) {
             record->confirmed.len = record->n_run;
         }
+        if (record->answered.data[index]) {
+            record->answered.len = record->n_run;
+        }
     }
     if (task->state == MS_BATCH_TASK_RECORDING) {
         task->store_pending = true;
@@ -102,6 +106,7 @@
     record->status.len = count;
     record->status.data = g_malloc0(count);
     record->confirmed.data = g_malloc0(count);
+    record->answered.data = g_malloc0(count);
     record->n_run = record->n_failures = record->n_server = record->n_checkpoint = count;
     record->run = g_new0(uint32_t, count);
     record->failures = g_new0(uint32_t, count);
@@ -124,6 +129,7 @@
 {
     g_free(record->status.data);
     g_free(record->confirmed.data);
+    g_free(record->answered.data);
     g_free(record->run);
     g_free(record->failures);
     g_free(record->failed_run);
@@ -153,6 +159,7 @@
         record.occurrences[i] =
             pack_occurrence(engine, g_ptr_array_index(job->occurrences, i), servers);
     }
+    ms_late_start_pack(engine, job, &record, servers);
     record.n_servers = servers->len;
     record.servers = (char **)servers->pdata;
     size_t length = ms__batch__state_record__get_packed_size(&record);
@@ -162,6 +169,7 @@
         free_occurrence_record(record.occurrences[i]);
     }
     g_free(record.occurrences);
+    ms_late_start_free_packed(&record);
     g_ptr_array_unref(servers);
     /* An open job that has not started packs to 0 bytes, and an empty value removes the key. */
     if (length == 0) {
@@ -269,11 +277,11 @@
 
 /*
  * Assigns TASK to the server SERVER_REF of its record, which was read at READ_AT, and says whether
- * the server had CONFIRMED the start.
+ * the server had CONFIRMED the start, or had only ANSWERED it.
  */
 static void
 restore_active(struct ms_engine *engine, struct ms_batch_task *task, const char *server_ref,
-               int64_t read_at, bool confirmed)
+               int64_t read_at, bool confirmed, bool answered)
 {
     char **fields = g_strsplit(server_ref, "/", 0);
     guint count = g_strv_length(fields);
@@ -299,6 +307,9 @@
     task->start_confirmed = confirmed;
     task->order_unanswered = !confirmed; /* as far as this leader knows */
     server->earlier_start_uncertain |= !confirmed;
+    if (!confirmed && !answered) {
+        ms_late_start_assume(engine, task, server);
+    }
     g_strfreev(fields);
 }
 
@@ -337,8 +348,9 @@
             if (record->status.data[index] == STORED_ACTIVE && index < record->n_server &&
                 record->server[index] > 0 && record->server[index] <= state->n_servers) {
                 bool confirmed = index < record->confirmed.len && record->confirmed.data[index];
+                bool answered = index < record->answered.len && record->answered.data[index];
                 restore_active(engine, task, state->servers[record->server[index] - 1], read_at,
-                               confirmed);
+                               confirmed, answered);
             }
         }
     }
@@ -362,5 +374,6 @@
                                record, read_at);
         }
     }
+    ms_late_start_restore(engine, job, record, read_at);
     ms__batch__state_record__free_unpacked(record, NULL);
 }
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -70,6 +70,7 @@
     set_state(task, MS_BATCH_TASK_RECORDING);
     engine->orders.to_come++;
     task->server = server;
+    task->last_server = server;
     task->store_pending = false;
     task->awaits_report = false;
     task->order_pending = false;
@@ -335,6 +336,17 @@
     task->avoided_server_count++;
 }
 
+bool
+ms_batch_task_avoids(const struct ms_batch_task *task, const struct ms_batch_server *server)
+{
+    for (uint32_t i = 0; i < MIN(task->avoided_server_count, MS_AVOIDED_SERVERS_MAX); i++) {
+        if (strcmp(task->avoided_servers[i], server->id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Counts the failure of RUN for TASK itself, unless it has been counted. */
 static void
 count_own_failure(struct ms_batch_task *task, const char *server, uint32_t run)
--- a/src/batch/engine_task_order.c
+++ b/src/batch/engine_task_order.c
@@ -9,6 +9,7 @@
  */
 #include <string.h>
 
+#include "batch/engine_late_start.h"
 #include "batch/engine_private.h"
 
 #define ORDER_RETRY_MS 200 /* before an unanswered order is repeated */
@@ -217,6 +218,9 @@
     if (server == NULL) {
         return;
     }
+    if (start && result == MS_ORDER_NO_ANSWER) {
+        ms_late_start_on_no_answer(engine, server, order);
+    }
     bool other_incarnation = server->incarnation != order->incarnation;
     if (start && (result == MS_ORDER_NO_ANSWER || (other_incarnation && result == MS_ORDER_OK))) {
         ms_batch_server_note_uncertain_run(engine, server);
--- a/src/wire/batch.pb-c.c
+++ b/src/wire/batch.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &ms__batch__occurrence_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ms__batch__late_start_record__init
+                     (Ms__Batch__LateStartRecord         *message)
+{
+  static const Ms__Batch__LateStartRecord init_value = MS__BATCH__LATE_START_RECORD__INIT;
+  *message = init_value;
+}
+size_t ms__batch__late_start_record__get_packed_size
+                     (const Ms__Batch__LateStartRecord *message)
+{
+  assert(message->base.descriptor == &ms__batch__late_start_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ms__batch__late_start_record__pack
+                     (const Ms__Batch__LateStartRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ms__batch__late_start_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ms__batch__late_start_record__pack_to_buffer
+                     (const Ms__Batch__LateStartRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ms__batch__late_start_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ms__Batch__LateStartRecord *
+       ms__batch__late_start_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ms__Batch__LateStartRecord *)
+     protobuf_c_message_unpack (&ms__batch__late_start_record__descriptor,
+                                allocator, len, data);
+}
+void   ms__batch__late_start_record__free_unpacked
+                     (Ms__Batch__LateStartRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ms__batch__late_start_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ms__batch__state_record__init
                      (Ms__Batch__StateRecord         *message)
 {
@@ -665,7 +710,7 @@
   (ProtobufCMessageInit) ms__batch__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ms__batch__occurrence_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ms__batch__occurrence_record__field_descriptors[11] =
 {
   {
     "number",
@@ -787,8 +832,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answered",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__OccurrenceRecord, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ms__batch__occurrence_record__field_indices_by_name[] = {
+  10,   /* field[10] = answered */
   6,   /* field[6] = checkpoint */
   1,   /* field[1] = complete */
   9,   /* field[9] = confirmed */
@@ -803,7 +861,7 @@
 static const ProtobufCIntRange ms__batch__occurrence_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ms__batch__occurrence_record__descriptor =
 {
@@ -813,14 +871,117 @@
   "Ms__Batch__OccurrenceRecord",
   "ms.batch",
   sizeof(Ms__Batch__OccurrenceRecord),
-  10,
+  11,
   ms__batch__occurrence_record__field_descriptors,
   ms__batch__occurrence_record__field_indices_by_name,
   1,  ms__batch__occurrence_record__number_ranges,
   (ProtobufCMessageInit) ms__batch__occurrence_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ms__batch__state_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ms__batch__late_start_record__field_descriptors[6] =
+{
+  {
+    "occurrence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__LateStartRecord, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__LateStartRecord, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__LateStartRecord, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__LateStartRecord, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__LateStartRecord, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__LateStartRecord, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ms__batch__late_start_record__field_indices_by_name[] = {
+  5,   /* field[5] = left_ms */
+  0,   /* field[0] = occurrence */
+  3,   /* field[3] = run */
+  4,   /* field[4] = server */
+  1,   /* field[1] = step */
+  2,   /* field[2] = task */
+};
+static const ProtobufCIntRange ms__batch__late_start_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor ms__batch__late_start_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ms.batch.LateStartRecord",
+  "LateStartRecord",
+  "Ms__Batch__LateStartRecord",
+  "ms.batch",
+  sizeof(Ms__Batch__LateStartRecord),
+  6,
+  ms__batch__late_start_record__field_descriptors,
+  ms__batch__late_start_record__field_indices_by_name,
+  1,  ms__batch__late_start_record__number_ranges,
+  (ProtobufCMessageInit) ms__batch__late_start_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ms__batch__state_record__field_descriptors[6] =
 {
   {
     "phase",
@@ -882,10 +1043,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late_starts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ms__Batch__StateRecord, n_late_starts),
+    offsetof(Ms__Batch__StateRecord, late_starts),
+    &ms__batch__late_start_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ms__batch__state_record__field_indices_by_name[] = {
   1,   /* field[1] = begun */
   4,   /* field[4] = ended_ms */
+  5,   /* field[5] = late_starts */
   3,   /* field[3] = occurrences */
   0,   /* field[0] = phase */
   2,   /* field[2] = servers */
@@ -893,7 +1067,7 @@
 static const ProtobufCIntRange ms__batch__state_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ms__batch__state_record__descriptor =
 {
@@ -903,7 +1077,7 @@
   "Ms__Batch__StateRecord",
   "ms.batch",
   sizeof(Ms__Batch__StateRecord),
-  5,
+  6,
   ms__batch__state_record__field_descriptors,
   ms__batch__state_record__field_indices_by_name,
   1,  ms__batch__state_record__number_ranges,
--- a/src/wire/batch.pb-c.h
+++ b/src/wire/batch.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Ms__Batch__StepRecord Ms__Batch__StepRecord;
 typedef struct Ms__Batch__JobRecord Ms__Batch__JobRecord;
 typedef struct Ms__Batch__OccurrenceRecord Ms__Batch__OccurrenceRecord;
+typedef struct Ms__Batch__LateStartRecord Ms__Batch__LateStartRecord;
 typedef struct Ms__Batch__StateRecord Ms__Batch__StateRecord;
 typedef struct Ms__Batch__HostRecord Ms__Batch__HostRecord;
 typedef struct Ms__Batch__LeadRecord Ms__Batch__LeadRecord;
@@ -130,10 +131,41 @@
    * and holds no longer lease than the leader has requested.
    */
   ProtobufCBinaryData confirmed;
+  /*
+   * The same for tasks that are not `confirmed`.  1: its server has answered the start of its run.
+   */
+  ProtobufCBinaryData answered;
 };
 #define MS__BATCH__OCCURRENCE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ms__batch__occurrence_record__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, {0,NULL} }
+    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, {0,NULL} }
+
+
+/*
+ * A copy of a start order that has no answer and may still be carried out by its server.
+ */
+struct  Ms__Batch__LateStartRecord
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  /*
+   * index within the step
+   */
+  uint32_t task;
+  uint32_t run;
+  /*
+   * index into StateRecord.servers, plus one
+   */
+  uint32_t server;
+  /*
+   * from when the record was written; later it can be carried out no more
+   */
+  int64_t left_ms;
+};
+#define MS__BATCH__LATE_START_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ms__batch__late_start_record__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -164,10 +196,15 @@
    * not used
    */
   int64_t ended_ms;
+  /*
+   * also if the job has ended
+   */
+  size_t n_late_starts;
+  Ms__Batch__LateStartRecord **late_starts;
 };
 #define MS__BATCH__STATE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ms__batch__state_record__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -270,6 +307,25 @@
 void   ms__batch__occurrence_record__free_unpacked
                      (Ms__Batch__OccurrenceRecord *message,
                       ProtobufCAllocator *allocator);
+/* Ms__Batch__LateStartRecord methods */
+void   ms__batch__late_start_record__init
+                     (Ms__Batch__LateStartRecord         *message);
+size_t ms__batch__late_start_record__get_packed_size
+                     (const Ms__Batch__LateStartRecord   *message);
+size_t ms__batch__late_start_record__pack
+                     (const Ms__Batch__LateStartRecord   *message,
+                      uint8_t             *out);
+size_t ms__batch__late_start_record__pack_to_buffer
+                     (const Ms__Batch__LateStartRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Ms__Batch__LateStartRecord *
+       ms__batch__late_start_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ms__batch__late_start_record__free_unpacked
+                     (Ms__Batch__LateStartRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Ms__Batch__StateRecord methods */
 void   ms__batch__state_record__init
                      (Ms__Batch__StateRecord         *message);
@@ -338,6 +394,9 @@
 typedef void (*Ms__Batch__OccurrenceRecord_Closure)
                  (const Ms__Batch__OccurrenceRecord *message,
                   void *closure_data);
+typedef void (*Ms__Batch__LateStartRecord_Closure)
+                 (const Ms__Batch__LateStartRecord *message,
+                  void *closure_data);
 typedef void (*Ms__Batch__StateRecord_Closure)
                  (const Ms__Batch__StateRecord *message,
                   void *closure_data);
@@ -356,6 +415,7 @@
 extern const ProtobufCMessageDescriptor ms__batch__step_record__descriptor;
 extern const ProtobufCMessageDescriptor ms__batch__job_record__descriptor;
 extern const ProtobufCMessageDescriptor ms__batch__occurrence_record__descriptor;
+extern const ProtobufCMessageDescriptor ms__batch__late_start_record__descriptor;
 extern const ProtobufCMessageDescriptor ms__batch__state_record__descriptor;
 extern const ProtobufCMessageDescriptor ms__batch__host_record__descriptor;
 extern const ProtobufCMessageDescriptor ms__batch__lead_record__descriptor;
--- a/tests/batch/open_faults.c
+++ b/tests/batch/open_faults.c
@@ -83,6 +83,7 @@
     tcase_set_timeout(cases, TEST_TIMEOUT_S);
     tcase_add_test(cases, wide_gang_is_not_starved_by_small_tasks_while_capacity_is_ample);
     suite_add_tcase(suite, cases);
+    suite_add_tcase(suite, late_copy_open_cases());
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
--- a/tests/batch/simulated_server.c
+++ b/tests/batch/simulated_server.c
@@ -215,7 +215,7 @@
         const GArray *runs = simulator->servers[s].runs;
         for (guint i = 0; i < runs->len; i++) {
             const struct run *run = &g_array_index(runs, struct run, i);
-            if (!run->unfenced && strcmp(run->task, task) == 0) {
+            if (strcmp(run->task, task) == 0) {
                 simulator_report_violation(simulator, "two runs at the same time", task);
             }
         }
@@ -224,10 +224,8 @@
     struct ms_resources allocated = step->task_resources;
     for (guint i = 0; i < server->runs->len; i++) {
         const struct run *run = &g_array_index(server->runs, struct run, i);
-        if (!run->unfenced) {
-            const struct ms_step *other = simulator_find_step(simulator, run->task);
-            ms_resources_add(&allocated, &other->task_resources, 1);
-        }
+        const struct ms_step *other = simulator_find_step(simulator, run->task);
+        ms_resources_add(&allocated, &other->task_resources, 1);
     }
     if (!ms_resources_fit(&server->entry.capacity, &allocated)) {
         simulator_report_violation(simulator, "capacity of the server exceeded", task);
@@ -252,16 +250,7 @@
         return MS_ORDER_DEADLINE_PASSED;
     }
     simulator_trace(simulator, server, "start", action->task);
-    /*
-     * A server that has just restarted has not seen any fence: until its first
-     * lease renewal it cannot refuse a delayed order, so such a start is not checked, and its
-     * run does not count when other starts are checked until the engine has seen it in a report.
-     */
-    bool unfenced_late =
-        order->delayed && server->fence <= action->fence && server->renewal_count == 0;
-    if (!unfenced_late) {
-        check_start(simulator, server, order);
-    }
+    check_start(simulator, server, order);
     if (!order->delayed) {
         simulator_check_start_time(simulator, server, action);
     }
@@ -269,8 +258,7 @@
     struct run run = {.run = action->run,
                       .started_at = simulator->now,
                       .begun_at = simulator->now,
-                      .gang = step->gang,
-                      .unfenced = unfenced_late};
+                      .gang = step->gang};
     g_strlcpy(run.task, action->task, sizeof(run.task));
     run.will_fail = simulator_chance(simulator, simulator->faults.run_failure);
     run.ends_at = step->gang ? INT64_MAX : simulator->now + run_time_ms(simulator, run.task, false);
@@ -480,7 +468,6 @@
     server->last_end_position = 0;
     server->last_void_position = 0;
     server->fence = 0;
-    server->renewal_count = 0;
     server->lease_deadline = 0;
     server->clock_started_at = simulator->now;
 }
--- a/tests/batch/simulator.c
+++ b/tests/batch/simulator.c
@@ -247,7 +247,6 @@
                 simulated_server_acknowledge_ends(simulator, server, answer->action->ack_position);
                 server->lease_deadline = MAX(server->lease_deadline, answer->action->deadline_ms);
                 answer->report = simulated_server_report(simulator, server);
-                server->renewal_count += !order->delayed;
                 break;
             }
             server->lease_deadline = MIN(server->lease_deadline,
@@ -260,11 +259,6 @@
     if (answer_lost) {
         simulator_note_fault(simulator, simulator->now + ORDER_TIMEOUT_MS);
     }
-    bool engine_sees_runs =
-        reachable && !answer_lost && answer->report != NULL && server->renewal_count > 1;
-    for (guint i = 0; engine_sees_runs && i < server->runs->len; i++) {
-        g_array_index(server->runs, struct run, i).unfenced = false;
-    }
     if (!reachable || answer_lost) {
         answer->result = MS_ORDER_NO_ANSWER;
         answer->clock_ms = 0;
--- a/tests/batch/simulator_caps.c
+++ b/tests/batch/simulator_caps.c
@@ -152,7 +152,7 @@
         for (guint k = 0; k < runs->len; k++) {
             const struct run *run = &g_array_index(runs, struct run, k);
             const struct ms_batch_spec *spec = find_spec(simulator, run->task);
-            if (!run->unfenced && spec != NULL && strcmp(spec->account, account) == 0) {
+            if (spec != NULL && strcmp(spec->account, account) == 0) {
                 ms_resources_add(&used, &simulator_find_step(simulator, run->task)->task_resources,
                                  1);
             }
--- a/tests/batch/simulator_private.h
+++ b/tests/batch/simulator_private.h
@@ -33,14 +33,12 @@
     int64_t begun_at; /* when it started; does not move */
     int64_t rate;     /* of its progress, in percent of the normal one; 0: not yet known */
     int64_t lag;      /* hundredths of a millisecond by which it is late */
-    bool unfenced;    /* a late order that nothing could refuse; see simulated_server_start() */
 };
 
 /* A backend server; simulated_server_clear() resets the state that a restart loses. */
 struct simulated_server {
     struct ms_directory_entry entry;
     uint64_t fence;           /* highest fencing token seen; orders with a lower one are refused */
-    uint32_t renewal_count;   /* lease renewals in this incarnation */
     int64_t clock_started_at; /* when its clock, which starts anew with it, was 0 */
     int64_t entry_due_at;     /* when the directory shows its latest start; 0: it does */
     bool shows_former;        /* until then the directory shows the start and the clock of before */
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -396,6 +396,7 @@
     suite_add_tcase(suite, fence_cases());
     suite_add_tcase(suite, successor_cases());
     suite_add_tcase(suite, late_cases());
+    suite_add_tcase(suite, late_copy_cases());
     suite_add_tcase(suite, server_cases());
     suite_add_tcase(suite, closed_cases());
     return suite;
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -52,5 +52,8 @@
 TCase *fence_cases(void);
 TCase *successor_cases(void);
 TCase *late_cases(void);
+TCase *late_copy_cases(void);
+/* Tests of faults that are not mended yet, for open_faults.c. */
+TCase *late_copy_open_cases(void);
 
 #endif
--- a/tests/batch/unit_lost_answer.c
+++ b/tests/batch/unit_lost_answer.c
@@ -19,6 +19,9 @@
 #define SETTLE_MS 2000    /* before the job of the test is added */
 #define QUIET_MS 8000     /* no call is slow, and no start on its way any more */
 #define SCENARIO_MS 16000 /* by then the job has to be done */
+/* The same if its server drains: no copy of the start may come any more before it runs elsewhere.
+ */
+#define DRAINED_SCENARIO_MS (SCENARIO_MS + MS_ORDER_TIMEOUT_MS + MS_ORDER_LATE_MS)
 #define CALLS_MAX 64
 #define RUNS_MAX 8
 #define OTHER "other." /* tasks with one run on each server, which keeps reports coming */
@@ -530,7 +533,8 @@
     }
     run(&fixture, fixture.disturbed_at + QUIET_MS);
     if (!fixture.job_done) {
-        run(&fixture, fixture.disturbed_at + SCENARIO_MS);
+        run(&fixture,
+            fixture.disturbed_at + (scenario->drains ? DRAINED_SCENARIO_MS : SCENARIO_MS));
     }
     if (fixture.runs_at_once > 1 || !fixture.job_done) {
         ck_abort_msg("runs at once: %zu, done: %d; gang %d closed %d drains %d next_copy %d "
