--- a/src/batch/engine.h
+++ b/src/batch/engine.h
@@ -30,6 +30,7 @@
 
 #include <glib.h>
 
+#include "batch/advice_pacing.h"
 #include "batch/policy.h"
 #include "batch/server_types.h"
 #include "batch/job_table.h"
@@ -83,10 +84,11 @@
     char checkpoint[MS_CHECKPOINT_MAX]; /* START: where to resume, or "" */
     char ticket[MS_TICKET_MAX];         /* START on an advised queue, else "" */
     GPtrArray *candidates;              /* QUERY_ADVICE: ids of servers */
+    struct ms_advice_call advice_call;  /* QUERY_ADVICE */
     /* START, RENEW_LEASE: end of the lease on the server's clock; 0: the lease is not extended. */
     int64_t deadline_ms;
     uint64_t ack_position; /* RENEW_LEASE: last acknowledged end of a run */
-    int64_t queued_at;     /* START, STOP: when the engine queued it */
+    int64_t queued_at;     /* START, STOP, QUERY_ADVICE: when the engine queued it */
     uint32_t orders_ahead; /* START, STOP: orders that were unanswered then */
     int64_t queue_wait_ms; /* START: from when the task was ready until it was placed */
     /* RENEW_LEASE: how long the server may wait for a run to end before it answers. */
@@ -199,6 +201,10 @@
     uint32_t orders_unanswered; /* starts and stops that were queued and have no answer yet */
     int64_t oldest_order_ms;    /* age of the oldest of them that a task waits for, 0: none */
     uint32_t orders_held_total; /* passes that held back starts because orders were behind */
+    uint32_t advice_asked;      /* calls to the advice service in this term */
+    uint32_t advice_answered;   /* of these: answered */
+    uint32_t advice_given_up;   /* of these: given up by their time limit */
+    int64_t advice_took_ms;     /* time of the last one that was answered */
 };
 
 void ms_engine_stats(const struct ms_engine *engine, struct ms_engine_stats *stats);
--- a/src/batch/engine_advice.c
+++ b/src/batch/engine_advice.c
@@ -4,18 +4,16 @@
  * Before a step of such a queue starts, the service is asked about some servers that
  * could run it.  It returns those that may, each with a ticket that the start order
  * carries.  The answer about a server applies to all tasks of the step and to one incarnation
- * of the server; tickets expire.  The service is slow, handles one request at a time and
- * rejects requests that queue up, so only a few are sent at once.
+ * of the server; tickets expire.  The service is slow and handles one call of a host at a time:
+ * advice_pacing.h says when it is called, and about how many servers.
  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "batch/engine_private.h"
 
-#define REQUEST_SERVERS_MAX 30 /* servers in one request */
-#define PENDING_REQUESTS_MAX 4 /* requests without an answer at any time */
-#define RETRY_MS 300           /* delay after a failed request, or if there is none to send */
-#define TICKET_MARGIN_MS 500   /* a ticket is not used this shortly before it expires */
+#define RETRY_MS 300         /* delay if there is no server to ask about */
+#define TICKET_MARGIN_MS 500 /* a ticket is not used this shortly before it expires */
 
 /* Cached answer of the service about a server for one step. */
 struct ms_advice_entry {
@@ -101,9 +99,9 @@
     return strcmp(a->server->id, b->server->id);
 }
 
-/* Ids of the servers to ask about, the best first; owned by the caller. */
+/* Ids of at most COUNT servers to ask about, the best first; owned by the caller. */
 static GPtrArray *
-choose_candidates(const struct ms_engine *engine, const struct ms_batch_step *step)
+choose_candidates(const struct ms_engine *engine, const struct ms_batch_step *step, uint32_t count)
 {
     GArray *found = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
@@ -120,37 +118,98 @@
         }
     }
     g_array_sort(found, compare_candidates);
-    for (guint i = 0; i < MIN(found->len, REQUEST_SERVERS_MAX); i++) {
+    for (guint i = 0; i < MIN(found->len, count); i++) {
         g_ptr_array_add(ids, g_strdup(g_array_index(found, struct candidate, i).server->id));
     }
     g_array_unref(found);
     return ids;
 }
 
-void
-ms_advice_request(struct ms_engine *engine, struct ms_batch_step *step)
+/* Sends a call for STEP.  Returns false if the service may not be called now. */
+static bool
+ask(struct ms_engine *engine, struct ms_batch_step *step)
 {
     const struct ms_queue_rule *queue = queue_of(step);
-    if (queue == NULL || !queue->uses_advice || step->waiting == 0 || step->advice_pending ||
-        engine->now < step->advice_retry_at ||
-        engine->advice_pending_count >= PENDING_REQUESTS_MAX) {
-        return;
-    }
-    GPtrArray *candidates = choose_candidates(engine, step);
+    struct ms_advice_pacing *pacing = &engine->advice_pacing;
+    struct ms_advice_call call;
+    GPtrArray *candidates =
+        choose_candidates(engine, step, ms_advice_call_size(pacing, queue, step->waiting));
     if (candidates->len == 0) {
         g_ptr_array_unref(candidates);
         /* There are valid answers about all suitable servers. */
         step->advice_retry_at = engine->now + RETRY_MS;
-        return;
+        return true;
+    }
+    if (!ms_advice_begin_call(pacing, queue, candidates->len, engine->now, &call)) {
+        g_ptr_array_unref(candidates);
+        return false;
     }
     struct ms_engine_action *action = ms_engine_push_action(engine, MS_ENGINE_QUERY_ADVICE, NULL);
     g_snprintf(action->task, sizeof(action->task), "%s.%u.%u", step->occurrence->job->id,
                step->occurrence->index, step->index);
     action->candidates = candidates;
+    action->advice_call = call;
+    action->queued_at = engine->now;
     step->advice_pending = true;
-    engine->advice_pending_count++;
-    ms_engine_log_event(engine, "event=advice_asked step=%s servers=%u", action->task,
-                        candidates->len);
+    ms_engine_log_event(engine,
+                        "event=advice_asked step=%s servers=%u service_ms=%" G_GINT64_FORMAT
+                        " ahead_ms=%" G_GINT64_FORMAT " limit_ms=%" G_GINT64_FORMAT
+                        " valid_ms=%" G_GINT64_FORMAT,
+                        action->task, candidates->len, call.service_ms, call.ahead_ms,
+                        call.limit_ms, queue->ticket_valid_ms);
+    return true;
+}
+
+/* How much a step lacks advice: those that lack most are asked for first. */
+enum advice_need {
+    NEED_FIRST_ANSWER = 0, /* the service has never answered for it */
+    NEED_TICKETS,          /* it has no valid ticket */
+    NEED_MORE_SERVERS,     /* its tickets are for servers without room */
+    NEED_COUNT
+};
+
+static enum advice_need
+advice_need(const struct ms_engine *engine, const struct ms_batch_step *step)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (step->advice == NULL) {
+        return NEED_FIRST_ANSWER;
+    }
+    g_hash_table_iter_init(&iterator, step->advice);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct ms_advice_entry *entry = value;
+        if (entry->allowed && engine->now < entry->valid_until) {
+            return NEED_MORE_SERVERS;
+        }
+    }
+    return NEED_TICKETS;
+}
+
+/* Whether the service is to be asked for STEP, which has no call under way. */
+static bool
+wants_advice(const struct ms_engine *engine, const struct ms_batch_step *step)
+{
+    const struct ms_queue_rule *queue = queue_of(step);
+    return queue != NULL && queue->uses_advice && step->waiting > 0 && !step->advice_pending &&
+           engine->now >= step->advice_retry_at;
+}
+
+void
+ms_advice_request(struct ms_engine *engine, const GPtrArray *steps)
+{
+    if (engine->now < engine->advice_pacing.retry_at) {
+        return;
+    }
+    for (int need = NEED_FIRST_ANSWER; need < NEED_COUNT; need++) {
+        for (guint i = 0; i < steps->len; i++) {
+            struct ms_batch_step *step = g_ptr_array_index(steps, i);
+            if (wants_advice(engine, step) && advice_need(engine, step) == (enum advice_need)need &&
+                !ask(engine, step)) {
+                return;
+            }
+        }
+    }
 }
 
 /* The step of a QUERY_ADVICE action, or NULL if it no longer exists. */
@@ -208,20 +267,27 @@
     if (!ms_engine_sent_action(engine, query)) {
         return;
     }
-    engine->advice_pending_count--;
+    struct ms_advice_pacing *pacing = &engine->advice_pacing;
+    int64_t took_ms = engine->now - query->queued_at;
+    enum ms_advice_end end = rows != NULL                            ? MS_ADVICE_ANSWERED
+                             : took_ms < query->advice_call.limit_ms ? MS_ADVICE_REFUSED
+                                                                     : MS_ADVICE_GIVEN_UP;
+    ms_advice_end_call(pacing, &query->advice_call, end, took_ms, engine->now);
     struct ms_batch_step *step = find_step(engine, query);
-    ms_engine_log_event(engine, "event=advice_answer step=%s good=%d", query->task,
-                        rows != NULL ? (int)rows->len : -1);
+    ms_engine_log_event(engine,
+                        "event=advice_answer step=%s good=%d took_ms=%" G_GINT64_FORMAT
+                        " given_up=%d slowness_percent=%" G_GINT64_FORMAT,
+                        query->task, rows != NULL ? (int)rows->len : -1, took_ms,
+                        end == MS_ADVICE_GIVEN_UP, pacing->slowness_percent);
+    engine->placement_due = true;
     if (step == NULL) {
         return; /* it is complete */
     }
     step->advice_pending = false;
     if (rows == NULL || queue_of(step) == NULL) {
-        step->advice_retry_at = engine->now + RETRY_MS;
         return;
     }
     for (guint i = 0; i < query->candidates->len; i++) {
         cache_advice(engine, step, g_ptr_array_index(query->candidates, i), rows);
     }
-    engine->placement_due = true;
 }
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -548,8 +548,8 @@
     ms_explain_begin_pass(&pass, steps);
     for (guint i = 0; i < steps->len; i++) {
         place_step(&pass, g_ptr_array_index(steps, i));
-        ms_advice_request(engine, g_ptr_array_index(steps, i));
     }
+    ms_advice_request(engine, steps);
     engine->orders_held = pass.orders_held;
     engine->orders_held_total += pass.orders_held;
     ms_explain_end_pass(&pass, steps);
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -257,16 +257,16 @@
     uint32_t units_waiting;         /* units that the last pass could not place */
     uint32_t units_over_share;      /* of these: those that their account's share or rate delays */
     uint32_t jobs_without_queue;    /* open jobs whose queue the policy does not have */
-    uint32_t advice_pending_count;  /* requests to the advice service without an answer */
-    uint32_t snapshot_number;       /* number of the latest directory snapshot */
-    uint32_t late_answer_count;     /* answers to actions of earlier terms of this host */
-    bool has_weights;               /* an account of the policy has a weight */
-    bool dirty_urgent;              /* a dirty job has to be stored without delay */
-    bool store_pending;             /* a STORE awaits ms_engine_on_stored() */
-    bool placement_due;             /* a change may allow a task to be placed */
-    bool orders_held;               /* the last pass held back starts for orders that are behind */
-    bool stepped_down;              /* STEP_DOWN was queued */
-    GQueue *actions;                /* struct ms_engine_action, oldest first */
+    struct ms_advice_pacing advice_pacing; /* calls to the advice service */
+    uint32_t snapshot_number;              /* number of the latest directory snapshot */
+    uint32_t late_answer_count;            /* answers to actions of earlier terms of this host */
+    bool has_weights;                      /* an account of the policy has a weight */
+    bool dirty_urgent;                     /* a dirty job has to be stored without delay */
+    bool store_pending;                    /* a STORE awaits ms_engine_on_stored() */
+    bool placement_due;                    /* a change may allow a task to be placed */
+    bool orders_held;  /* the last pass held back starts for orders that are behind */
+    bool stepped_down; /* STEP_DOWN was queued */
+    GQueue *actions;   /* struct ms_engine_action, oldest first */
     void (*log_callback)(void *opaque, const char *text);
     void *log_opaque;
 
@@ -508,8 +508,11 @@
                              const struct ms_batch_server *server);
 /* SERVER has refused the ticket: it is not used again. */
 void ms_advice_invalidate_ticket(struct ms_batch_step *step, const struct ms_batch_server *server);
-/* Asks the advice service about servers for waiting tasks of STEP, if its queue is advised. */
-void ms_advice_request(struct ms_engine *engine, struct ms_batch_step *step);
+/*
+ * Asks the advice service about servers for waiting tasks of STEPS (struct ms_batch_step), most
+ * urgent first, whose queues are advised.
+ */
+void ms_advice_request(struct ms_engine *engine, const GPtrArray *steps);
 
 /* engine_report.c */
 /* Processes the REPORT of SERVER, which was requested at SENT_AT. */
--- a/src/batch/engine_stats.c
+++ b/src/batch/engine_stats.c
@@ -45,6 +45,10 @@
     stats->units_over_share = engine->units_over_share;
     stats->orders_unanswered = engine->orders.unanswered;
     stats->orders_held_total = engine->orders_held_total;
+    stats->advice_asked = engine->advice_pacing.asked_total;
+    stats->advice_answered = engine->advice_pacing.answered_total;
+    stats->advice_given_up = engine->advice_pacing.given_up_total;
+    stats->advice_took_ms = engine->advice_pacing.last_took_ms;
     int64_t ordered_at = oldest_order_at(engine);
     stats->oldest_order_ms = ordered_at != INT64_MAX ? engine->now - ordered_at : 0;
     if (engine->oldest_unplaced_since > 0) {
--- a/src/batch/policy.h
+++ b/src/batch/policy.h
@@ -25,9 +25,12 @@
     /* A job should take at most `stretch` times its critical path, plus `target_ms`. */
     double stretch;
     int64_t target_ms;
-    bool allow_anonymous;    /* accepts requests without an API key */
-    bool uses_advice;        /* the advice service selects the servers for each step */
-    int64_t ticket_valid_ms; /* if USES_ADVICE: how long a ticket is valid after the answer */
+    bool allow_anonymous; /* accepts requests without an API key */
+    bool uses_advice;     /* the advice service selects the servers for each step */
+    /* If USES_ADVICE: the time of one call to it, and how long a ticket is valid after that. */
+    int64_t advice_decide_ms;
+    int64_t advice_each_ms; /* for each server that the call names */
+    int64_t ticket_valid_ms;
 };
 
 struct ms_account_rule {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -147,6 +147,10 @@
     ms_counter_set(entry->counters, MS_GAUGE_ORDERS_UNANSWERED, stats.orders_unanswered);
     ms_counter_set(entry->counters, MS_GAUGE_OLDEST_ORDER_MS, (uint64_t)stats.oldest_order_ms);
     ms_counter_set(entry->counters, MS_GAUGE_ORDERS_HELD_PASSES, stats.orders_held_total);
+    ms_counter_set(entry->counters, MS_GAUGE_ADVICE_ASKED, stats.advice_asked);
+    ms_counter_set(entry->counters, MS_GAUGE_ADVICE_ANSWERED, stats.advice_answered);
+    ms_counter_set(entry->counters, MS_GAUGE_ADVICE_GIVEN_UP, stats.advice_given_up);
+    ms_counter_set(entry->counters, MS_GAUGE_ADVICE_TOOK_MS, (uint64_t)stats.advice_took_ms);
     ms_counter_set(entry->counters, MS_GAUGE_JOBS_WAITING, stats.units_waiting);
     ms_counter_set(entry->counters, MS_GAUGE_UNITS_OVER_SHARE, stats.units_over_share);
     ms_counter_set(entry->counters, MS_GAUGE_LONGEST_WAIT_MS, (uint64_t)stats.longest_wait_ms);
--- a/tests/batch/unit_advice.c
+++ b/tests/batch/unit_advice.c
@@ -261,6 +261,8 @@
     struct ms_policy *policy = ms_policy_decode(bytes, error, sizeof(error));
     ck_assert_ptr_nonnull(policy);
     ck_assert(policy->queues[0].uses_advice);
+    ck_assert_int_eq(policy->queues[0].advice_decide_ms, 10);
+    ck_assert_int_eq(policy->queues[0].advice_each_ms, 2);
     ck_assert_int_eq(policy->queues[0].ticket_valid_ms, 4000);
     ck_assert(!policy->queues[1].uses_advice);
     ms_policy_free(policy);
