Batch: tickets of a short validity are used

Callers would see: no job of a queue whose tickets hold for 500 ms or less ever starts.

Cause: a ticket counted as expired 500 ms early, whatever its validity. The margin is now at most a quarter of the validity.

tickets_of_a_short_validity_are_used failed before (0 of 1 jobs in 5 s) and passes.

--- a/src/batch/engine_advice.c
+++ b/src/batch/engine_advice.c
@@ -12,8 +12,9 @@
 
 #include "batch/engine_private.h"
 
-#define RETRY_MS 300         /* delay if there is no server to ask about */
-#define TICKET_MARGIN_MS 500 /* a ticket is not used this shortly before it expires */
+#define RETRY_MS 300          /* delay if there is no server to ask about */
+#define TICKET_MARGIN_MS 500  /* a ticket is not used this shortly before it expires */
+#define TICKET_MARGIN_PARTS 4 /* nor in the last of so many parts of a shorter validity */
 
 /* Cached answer of the service about a server for one step. */
 struct ms_advice_entry {
@@ -249,8 +250,9 @@
     entry->incarnation = server->incarnation;
     entry->allowed = row != NULL;
     if (row != NULL) {
-        int64_t valid_ms = MAX(queue_of(step)->ticket_valid_ms - TICKET_MARGIN_MS, 0);
-        entry->valid_until = engine->now + valid_ms;
+        int64_t valid_ms = queue_of(step)->ticket_valid_ms;
+        entry->valid_until =
+            engine->now + valid_ms - MIN(TICKET_MARGIN_MS, valid_ms / TICKET_MARGIN_PARTS);
         g_strlcpy(entry->ticket, row->ticket, sizeof(entry->ticket));
     }
     if (step->advice == NULL) {
--- a/tests/batch/unit_advice_pacing.c
+++ b/tests/batch/unit_advice_pacing.c
@@ -309,6 +309,19 @@
 }
 END_TEST
 
+/* Guards against tickets that are never used, as they count as expired from the beginning. */
+START_TEST(tickets_of_a_short_validity_are_used)
+{
+    struct fixture fixture;
+    fixture_init(&fixture,
+                 (struct service){.decide_ms = 100, .each_ms = 10, .valid_ms = 400, .slowness = 1});
+    add_job(&fixture, 1);
+    run(&fixture, 5000);
+    ck_assert_uint_eq(count_started(&fixture), 1);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 /*
  * Guards against steps that get no answer as more urgent ones, which the service advises nobody
  * for, are asked for again and again.
@@ -390,6 +403,7 @@
     tcase_add_test(cases, jobs_start_if_one_call_takes_longer_than_the_margin);
     tcase_add_test(cases, jobs_start_if_the_service_is_slower_than_its_rule);
     tcase_add_test(cases, jobs_start_if_the_rule_tells_no_times);
+    tcase_add_test(cases, tickets_of_a_short_validity_are_used);
     tcase_add_test(cases, each_step_gets_a_first_answer_in_turn);
     tcase_add_test(cases, one_long_call_is_sent_at_a_time);
     tcase_add_test(cases, calls_shrink_after_one_was_given_up);
