--- a/src/batch/engine_job.c
+++ b/src/batch/engine_job.c
@@ -168,6 +168,9 @@
         /* An earlier leader has not removed its records yet: ended_retention_ms starts anew. */
         ms_engine_note_job_ended(engine, job);
         ms_batch_job_resolve_queue(engine, job);
+        if (stored->phase == MS_PHASE_OPEN) {
+            ms_engine_mark_dirty(engine, job, false); /* what has cancelled it may be removed */
+        }
         /* Its runs that have not ended yet use resources, and are stopped. */
         if (stored->state != NULL) {
             ms_engine_restore_job(engine, job, stored->state, stored->state_read_at);
--- a/src/batch/job_table.c
+++ b/src/batch/job_table.c
@@ -25,6 +25,7 @@
     struct ms_job_table *table = g_new0(struct ms_job_table, 1);
     table->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
     table->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    table->early_cancels = ms_early_cancels_new();
     return table;
 }
 
@@ -36,6 +37,7 @@
     }
     g_hash_table_destroy(table->jobs);
     g_hash_table_destroy(table->hosts);
+    ms_early_cancels_free(table->early_cancels);
     g_free(table);
 }
 
@@ -87,6 +89,7 @@
 ms_job_table_end_snapshot(struct ms_job_table *table)
 {
     g_hash_table_foreach_remove(table->hosts, is_missing_host, table);
+    ms_early_cancels_drop_missing(table->early_cancels, table->snapshot_number);
     return g_hash_table_foreach_remove(table->jobs, is_missing_job, table);
 }
 
@@ -158,9 +161,34 @@
         return MS_CHANGED_UNREADABLE;
     }
     job->accepted = true;
+    job->cancelled |= ms_early_cancels_match(table->early_cancels, id, &job->spec);
     return MS_CHANGED_ACCEPTED;
 }
 
+/* An early cancellation also applies to a job that was accepted just before it. */
+static enum ms_table_change
+apply_early_cancel(struct ms_job_table *table, const char *key, const uint8_t *value, size_t length,
+                   struct ms_stored_job **job_out)
+{
+    if (length == 0) {
+        ms_early_cancels_remove(table->early_cancels, key);
+        return MS_CHANGED_NOTHING;
+    }
+    const struct ms_early_cancel *item =
+        ms_early_cancels_apply(table->early_cancels, key, value, length, table->snapshot_number);
+    if (item == NULL) {
+        return MS_CHANGED_UNREADABLE;
+    }
+    struct ms_stored_job *job = ms_job_table_find(table, item->id);
+    if (job == NULL || !job->accepted || job->cancelled ||
+        !ms_early_cancels_match(table->early_cancels, item->id, &job->spec)) {
+        return MS_CHANGED_EARLY_CANCEL;
+    }
+    job->cancelled = true;
+    *job_out = job;
+    return MS_CHANGED_CANCELLED;
+}
+
 static enum ms_table_change
 apply_state(struct ms_job_table *table, const char *id, const uint8_t *value, size_t length,
             struct ms_stored_job **job_out)
@@ -193,6 +221,9 @@
     if (g_str_has_prefix(key, MS_KEY_HOST)) {
         return apply_host(table, id, value, length);
     }
+    if (g_str_has_prefix(key, MS_KEY_EARLY_CANCEL)) {
+        return apply_early_cancel(table, id, value, length, job);
+    }
     if (strlen(key) < 3 || strlen(id) >= MS_JOB_ID_MAX) {
         return MS_CHANGED_UNREADABLE;
     }
--- a/src/batch/job_table.h
+++ b/src/batch/job_table.h
@@ -9,6 +9,7 @@
  *     j/ID     a job as accepted (JobRecord); all records of a job are equal
  *     c/ID     the job was cancelled (its value has no meaning)
  *     s/ID     the job's state (StateRecord); only the leader writes it
+ *     e/ID/..  a job that was not in the log is cancelled (EarlyCancelRecord, early_cancels.h)
  *     h/NAME   an entry host is up (HostRecord); the host writes it periodically
  *
  * A record without a value removes its key.  Applying a record twice, or an accepted job
@@ -19,6 +20,7 @@
 
 #include <glib.h>
 
+#include "batch/early_cancels.h"
 #include "batch/job_spec.h"
 
 #define MS_KEY_LEADER "lead"
@@ -87,6 +89,7 @@
 struct ms_job_table {
     GHashTable *jobs;  /* id -> ms_stored_job */
     GHashTable *hosts; /* name -> ms_entry_host */
+    struct ms_early_cancels *early_cancels;
     struct ms_leader leader;
     uint32_t snapshot_number; /* number of snapshots that were begun */
 };
@@ -98,8 +101,9 @@
     MS_CHANGED_CANCELLED,
     MS_CHANGED_STATE,
     MS_CHANGED_LEADER,
-    MS_CHANGED_HOST,       /* the host's name follows MS_KEY_HOST in the record's key */
-    MS_CHANGED_UNREADABLE, /* the record is malformed and was ignored */
+    MS_CHANGED_EARLY_CANCEL, /* the item's key follows MS_KEY_EARLY_CANCEL; it has no job yet */
+    MS_CHANGED_HOST,         /* the host's name follows MS_KEY_HOST in the record's key */
+    MS_CHANGED_UNREADABLE,   /* the record is malformed and was ignored */
 };
 
 struct ms_job_table *ms_job_table_new(void);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -65,6 +65,7 @@
     switch (append->kind) {
     case MS_APPEND_ACCEPT:
     case MS_APPEND_CANCEL:
+    case MS_APPEND_EARLY_CANCEL:
         ms_requests_append_done(entry, append);
         break;
     case MS_APPEND_HOST_RECORD:
--- a/src/entry/job_calls.c
+++ b/src/entry/job_calls.c
@@ -3,7 +3,8 @@
  *
  * Queries are answered from the table of jobs, which a read of the log may have to refresh
  * before.  A cancellation of a job that is not in the table is denied only after a read that
- * began when the call had arrived, as callers take the denial for a confirmation.
+ * began when the call had arrived, and is stored first (early_cancels.c), as callers take the
+ * denial for a confirmation and the submission may still be on its way.
  */
 #include <string.h>
 
@@ -46,7 +47,12 @@
     if (known && (queue->allow_anonymous || strcmp(job->spec.account, account) == 0)) {
         return job;
     }
-    if (known || may_deny_job(entry, call)) {
+    if (!known && call->method == MS_METHOD_DELETE && may_deny_job(entry, call)) {
+        const struct ms_early_cancel_scope scope = {
+            .queue = queue->name, .account = account, .any_account = queue->allow_anonymous};
+        ms_early_cancel_store(entry, call, id, &scope);
+    }
+    else if (known || may_deny_job(entry, call)) {
         ms_requests_answer(entry, call, MS_STATUS_GONE, "no_such_job");
     }
     else {
--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -234,6 +234,12 @@
     }
 }
 
+int64_t
+ms_leader_ended_retention_ms(const struct ms_entry *entry)
+{
+    return (entry->settings->ended_retention_s + ENDED_RETENTION_MARGIN_S) * 1000;
+}
+
 static void
 create_engine(struct ms_entry *entry)
 {
@@ -244,8 +250,7 @@
     limits.gang_start_ms = (int64_t)((double)entry->settings->gang_start_max_ms * GANG_START_SHARE);
     limits.stop_grace_ms = entry->settings->stop_grace_ms;
     limits.weigh_slow_stops = entry->settings->weigh_slow_stops;
-    limits.ended_retention_ms =
-        (entry->settings->ended_retention_s + ENDED_RETENTION_MARGIN_S) * 1000;
+    limits.ended_retention_ms = ms_leader_ended_retention_ms(entry);
     int64_t earlier_leases_until = entry->term_epoch > 1 ? entry->earlier_leases_until : 0;
     ms_log(MS_LOG_NOTICE,
            "event=earlier_leases epoch=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
@@ -308,6 +313,7 @@
         break;
     case MS_APPEND_ACCEPT:
     case MS_APPEND_CANCEL:
+    case MS_APPEND_EARLY_CANCEL:
     case MS_APPEND_LEADER_CLAIM:
     case MS_APPEND_LEADER_RESIGN:
     case MS_APPEND_HOST_RECORD:
--- a/src/entry/log_streams.c
+++ b/src/entry/log_streams.c
@@ -54,6 +54,7 @@
         job->state_read_at = entry->now;
         ms_leader_job_state_applied(entry);
         break;
+    case MS_CHANGED_EARLY_CANCEL:
     case MS_CHANGED_HOST:
     case MS_CHANGED_NOTHING:
     case MS_CHANGED_UNREADABLE:
@@ -107,6 +108,10 @@
     if (change == MS_CHANGED_HOST) {
         note_host_record(entry, record->key + strlen(MS_KEY_HOST));
     }
+    if (change != MS_CHANGED_UNREADABLE && length > 0 &&
+        g_str_has_prefix(record->key, MS_KEY_EARLY_CANCEL)) {
+        ms_early_cancel_read(entry, record->key + strlen(MS_KEY_EARLY_CANCEL));
+    }
     handle_change(entry, change, job);
     if (value != NULL) {
         g_bytes_unref(value);
--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -30,6 +30,7 @@
 enum ms_append_kind {
     MS_APPEND_ACCEPT = 0,    /* the job that `call` submits */
     MS_APPEND_CANCEL,        /* the cancellation that `call` asks for */
+    MS_APPEND_EARLY_CANCEL,  /* the same, of a job that the log does not have */
     MS_APPEND_LEADER_CLAIM,  /* claim to become the leader */
     MS_APPEND_WRITER_EPOCH,  /* no record: sets the epoch of the leader's writer */
     MS_APPEND_JOB_STATE,     /* states of jobs, by the leader */
@@ -44,10 +45,11 @@
     GPtrArray *records;         /* ms_store_record */
     uint64_t epoch;             /* of the leader's writer; not used by the unfenced appender */
     uint64_t expected_end;      /* where the stream must end, or MS_KEYED_LOG_ANY_OFFSET */
-    struct ms_entry_call *call; /* ACCEPT, CANCEL; NULL once the call was answered */
-    char job_id[MS_JOB_ID_MAX]; /* ACCEPT, CANCEL: the job's id */
-    int64_t deadline_at;        /* unfenced: the append is not repeated after this */
-    int64_t queued_at;          /* when it was given to the appender */
+    struct ms_entry_call *call; /* ACCEPT, CANCEL, EARLY_CANCEL; NULL once it was answered */
+    /* ACCEPT, CANCEL: the job's id; EARLY_CANCEL: the key of struct ms_early_cancel. */
+    char record_id[MS_EARLY_CANCEL_KEY_MAX];
+    int64_t deadline_at; /* unfenced: the append is not repeated after this */
+    int64_t queued_at;   /* when it was given to the appender */
     /* The result. */
     enum ms_keyed_log_result result;
     bool may_be_stored;  /* an attempt had no answer */
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -101,6 +101,7 @@
     if (entry->leader_state == MS_PLACING &&
         entry->now - entry->last_prune_at >= PRUNE_INTERVAL_MS) {
         prune_hosts(entry);
+        ms_early_cancels_prune(entry);
     }
 }
 
--- a/src/entry/private.h
+++ b/src/entry/private.h
@@ -114,7 +114,8 @@
     uint32_t consecutive_append_failures; /* such failures since the last success */
     uint32_t forward_count;               /* calls forwarded since the start */
 
-    GHashTable *pending_appends; /* job id -> GPtrArray of ms_append of kind ACCEPT or CANCEL */
+    /* ms_append.record_id -> GPtrArray of ms_append of kind ACCEPT, CANCEL or EARLY_CANCEL */
+    GHashTable *pending_appends;
     struct ms_refused_jobs *refused_jobs;
     /* ms_entry_call: calls that wait for a read of the jobs stream. */
     GPtrArray *calls_awaiting_refresh;
@@ -139,6 +140,8 @@
 void ms_leader_append_done(struct ms_entry *entry, const struct ms_append *append);
 /* The server directory was read in full: ends MS_LISTING. */
 void ms_leader_directory_loaded(struct ms_entry *entry);
+/* For how long records of jobs that have ended, and early cancellations, are kept. */
+int64_t ms_leader_ended_retention_ms(const struct ms_entry *entry);
 /* Ends the takeover or the term, if one has begun; REASON goes to the log. */
 void ms_leader_step_down(struct ms_entry *entry, const char *reason);
 /* The same, with a record by which other hosts may claim without waiting for a timeout. */
@@ -159,7 +162,7 @@
 void ms_requests_handle(struct ms_entry *entry, struct ms_entry_call *call);
 /* The append of an acceptance or a cancellation was answered. */
 void ms_requests_append_done(struct ms_entry *entry, struct ms_append *append);
-/* A record of KIND for job ID was read from the log: answers the calls that wait for it. */
+/* A record of KIND for ID (ms_append.record_id) was read: answers the calls that wait for it. */
 void ms_requests_record_read(struct ms_entry *entry, const char *id, enum ms_append_kind kind);
 /* Resumes the calls whose read of the log is done or has timed out. */
 void ms_requests_resume_refreshed(struct ms_entry *entry);
@@ -181,9 +184,9 @@
 void ms_requests_forward_or_refuse(struct ms_entry *entry, struct ms_entry_call *call,
                                    const char *reason);
 /*
- * Appends a record with VALUE for the job ID (ACCEPT or CANCEL).  CALL is answered when
- * the append has ended or the record was read from the log, whichever is first.  While
- * another host can take CALL, attempts here end early enough to forward it.
+ * Appends a record with VALUE for ID (ms_append.record_id; ACCEPT, CANCEL or EARLY_CANCEL).  CALL
+ * is answered when the append has ended or the record was read from the log, whichever is first.
+ * While another host can take CALL, attempts here end early enough to forward it.
  */
 void ms_requests_append(struct ms_entry *entry, struct ms_entry_call *call,
                         enum ms_append_kind kind, const char *id, GBytes *value);
@@ -197,6 +200,19 @@
 void ms_job_calls_answer_queue(struct ms_entry *entry, struct ms_entry_call *call,
                                const struct ms_queue_rule *queue);
 
+/* early_cancels.c: cancellations of jobs that the log does not have. */
+
+/*
+ * Cancels the job ID, which the log does not have, for CALL by a caller with SCOPE: stores that,
+ * and then answers that there is no such job.
+ */
+void ms_early_cancel_store(struct ms_entry *entry, struct ms_entry_call *call, const char *id,
+                           const struct ms_early_cancel_scope *scope);
+/* The early cancellation KEY was read from the log: answers the calls that wait for it. */
+void ms_early_cancel_read(struct ms_entry *entry, const char *key);
+/* Removes early cancellations from the log that are old enough; the leader does this. */
+void ms_early_cancels_prune(struct ms_entry *entry);
+
 /* peers.c: other entry hosts, and forwarding of calls to them. */
 
 /* Writes this host's record, and as leader removes those of lost hosts, when that is due. */
--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -92,6 +92,29 @@
     }
 }
 
+/* Prefix of the key of the record that an append of KIND, one of a call, has. */
+static const char *
+key_prefix(enum ms_append_kind kind)
+{
+    if (kind == MS_APPEND_EARLY_CANCEL) {
+        return MS_KEY_EARLY_CANCEL;
+    }
+    return kind == MS_APPEND_ACCEPT ? MS_KEY_JOB : MS_KEY_CANCEL;
+}
+
+/* The record of KIND that CALL asked for is in the log, as REASON says for the log line. */
+static void
+answer_stored(struct ms_entry *entry, struct ms_entry_call *call, enum ms_append_kind kind,
+              const char *reason)
+{
+    if (kind != MS_APPEND_EARLY_CANCEL) {
+        ms_requests_answer(entry, call, MS_STATUS_OK, reason);
+        return;
+    }
+    call->may_have_run = false; /* whatever an earlier attempt did, there is no job */
+    ms_requests_answer(entry, call, MS_STATUS_GONE, "no_such_job");
+}
+
 void
 ms_requests_append(struct ms_entry *entry, struct ms_entry_call *call, enum ms_append_kind kind,
                    const char *id, GBytes *value)
@@ -103,8 +126,8 @@
     append->deadline_at =
         MIN(call->deadline_at, forwardable ? entry->now + APPEND_FORWARDABLE_MS
                                            : call->arrived_at + MS_CALL_ATTEMPTS_MAX_MS);
-    g_strlcpy(append->job_id, id, sizeof(append->job_id));
-    ms_append_add_record(append, kind == MS_APPEND_ACCEPT ? MS_KEY_JOB : MS_KEY_CANCEL, id, value);
+    g_strlcpy(append->record_id, id, sizeof(append->record_id));
+    ms_append_add_record(append, key_prefix(kind), id, value);
     if (!ms_appender_push(entry->unfenced_appender, append)) {
         ms_append_free(append);
         ms_counter_add(entry->counters, MS_COUNT_QUEUE_FULL, 1);
@@ -123,13 +146,13 @@
 static void
 remove_pending(struct ms_entry *entry, const struct ms_append *append)
 {
-    GPtrArray *appends = g_hash_table_lookup(entry->pending_appends, append->job_id);
+    GPtrArray *appends = g_hash_table_lookup(entry->pending_appends, append->record_id);
     if (appends == NULL) {
         return;
     }
     g_ptr_array_remove(appends, (gpointer)append);
     if (appends->len == 0) {
-        g_hash_table_remove(entry->pending_appends, append->job_id);
+        g_hash_table_remove(entry->pending_appends, append->record_id);
     }
 }
 
@@ -147,8 +170,8 @@
     }
     switch (append->result) {
     case MS_KEYED_LOG_OK:
-        ms_requests_answer(entry, call, MS_STATUS_OK,
-                           append->kind == MS_APPEND_ACCEPT ? "accepted" : "cancelled");
+        answer_stored(entry, call, append->kind,
+                      append->kind == MS_APPEND_ACCEPT ? "accepted" : "cancelled");
         break;
     case MS_KEYED_LOG_NO_ANSWER:
         call->may_have_run = true;
@@ -177,7 +200,7 @@
     for (guint i = 0; appends != NULL && i < appends->len; i++) {
         struct ms_append *append = g_ptr_array_index(appends, i);
         if (append->kind == kind && append->call != NULL) {
-            ms_requests_answer(entry, append->call, MS_STATUS_OK, "seen_in_log");
+            answer_stored(entry, append->call, kind, "seen_in_log");
             append->call = NULL;
         }
     }
--- a/src/obs/counters.c
+++ b/src/obs/counters.c
@@ -76,8 +76,7 @@
     [MS_GAUGE_ORDERS_HELD_PASSES] = {"orders_held_passes", "gauge",
                                      "Placement passes of this term that held back starts as"
                                      " orders were behind"},
-    [MS_GAUGE_ADVICE_ASKED] = {"advice_calls", "gauge",
-                               "Calls to the advice service in this term"},
+    [MS_GAUGE_ADVICE_ASKED] = {"advice_calls", "gauge", "Calls to the advice service in this term"},
     [MS_GAUGE_ADVICE_ANSWERED] = {"advice_calls_answered", "gauge",
                                   "Of these: calls that were answered"},
     [MS_GAUGE_ADVICE_GIVEN_UP] = {"advice_calls_given_up", "gauge",
--- a/src/wire/batch.pb-c.c
+++ b/src/wire/batch.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &ms__batch__state_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ms__batch__early_cancel_record__init
+                     (Ms__Batch__EarlyCancelRecord         *message)
+{
+  static const Ms__Batch__EarlyCancelRecord init_value = MS__BATCH__EARLY_CANCEL_RECORD__INIT;
+  *message = init_value;
+}
+size_t ms__batch__early_cancel_record__get_packed_size
+                     (const Ms__Batch__EarlyCancelRecord *message)
+{
+  assert(message->base.descriptor == &ms__batch__early_cancel_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ms__batch__early_cancel_record__pack
+                     (const Ms__Batch__EarlyCancelRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ms__batch__early_cancel_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ms__batch__early_cancel_record__pack_to_buffer
+                     (const Ms__Batch__EarlyCancelRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ms__batch__early_cancel_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ms__Batch__EarlyCancelRecord *
+       ms__batch__early_cancel_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ms__Batch__EarlyCancelRecord *)
+     protobuf_c_message_unpack (&ms__batch__early_cancel_record__descriptor,
+                                allocator, len, data);
+}
+void   ms__batch__early_cancel_record__free_unpacked
+                     (Ms__Batch__EarlyCancelRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ms__batch__early_cancel_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ms__batch__host_record__init
                      (Ms__Batch__HostRecord         *message)
 {
@@ -1084,6 +1129,83 @@
   (ProtobufCMessageInit) ms__batch__state_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ms__batch__early_cancel_record__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__EarlyCancelRecord, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__EarlyCancelRecord, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "account",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__EarlyCancelRecord, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "any_account",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ms__Batch__EarlyCancelRecord, any_account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ms__batch__early_cancel_record__field_indices_by_name[] = {
+  2,   /* field[2] = account */
+  3,   /* field[3] = any_account */
+  0,   /* field[0] = id */
+  1,   /* field[1] = queue */
+};
+static const ProtobufCIntRange ms__batch__early_cancel_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ms__batch__early_cancel_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ms.batch.EarlyCancelRecord",
+  "EarlyCancelRecord",
+  "Ms__Batch__EarlyCancelRecord",
+  "ms.batch",
+  sizeof(Ms__Batch__EarlyCancelRecord),
+  4,
+  ms__batch__early_cancel_record__field_descriptors,
+  ms__batch__early_cancel_record__field_indices_by_name,
+  1,  ms__batch__early_cancel_record__number_ranges,
+  (ProtobufCMessageInit) ms__batch__early_cancel_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ms__batch__host_record__field_descriptors[4] =
 {
   {
--- a/src/wire/batch.pb-c.h
+++ b/src/wire/batch.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Ms__Batch__OccurrenceRecord Ms__Batch__OccurrenceRecord;
 typedef struct Ms__Batch__LateStartRecord Ms__Batch__LateStartRecord;
 typedef struct Ms__Batch__StateRecord Ms__Batch__StateRecord;
+typedef struct Ms__Batch__EarlyCancelRecord Ms__Batch__EarlyCancelRecord;
 typedef struct Ms__Batch__HostRecord Ms__Batch__HostRecord;
 typedef struct Ms__Batch__LeadRecord Ms__Batch__LeadRecord;
 
@@ -207,6 +208,22 @@
     , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
+/*
+ * A cancellation of a job that the log does not have; see src/batch/early_cancels.h.
+ */
+struct  Ms__Batch__EarlyCancelRecord
+{
+  ProtobufCMessage base;
+  char *id;
+  char *queue;
+  char *account;
+  protobuf_c_boolean any_account;
+};
+#define MS__BATCH__EARLY_CANCEL_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ms__batch__early_cancel_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * An entry host that is up, written by itself repeatedly.
  */
@@ -345,6 +362,25 @@
 void   ms__batch__state_record__free_unpacked
                      (Ms__Batch__StateRecord *message,
                       ProtobufCAllocator *allocator);
+/* Ms__Batch__EarlyCancelRecord methods */
+void   ms__batch__early_cancel_record__init
+                     (Ms__Batch__EarlyCancelRecord         *message);
+size_t ms__batch__early_cancel_record__get_packed_size
+                     (const Ms__Batch__EarlyCancelRecord   *message);
+size_t ms__batch__early_cancel_record__pack
+                     (const Ms__Batch__EarlyCancelRecord   *message,
+                      uint8_t             *out);
+size_t ms__batch__early_cancel_record__pack_to_buffer
+                     (const Ms__Batch__EarlyCancelRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Ms__Batch__EarlyCancelRecord *
+       ms__batch__early_cancel_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ms__batch__early_cancel_record__free_unpacked
+                     (Ms__Batch__EarlyCancelRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Ms__Batch__HostRecord methods */
 void   ms__batch__host_record__init
                      (Ms__Batch__HostRecord         *message);
@@ -400,6 +436,9 @@
 typedef void (*Ms__Batch__StateRecord_Closure)
                  (const Ms__Batch__StateRecord *message,
                   void *closure_data);
+typedef void (*Ms__Batch__EarlyCancelRecord_Closure)
+                 (const Ms__Batch__EarlyCancelRecord *message,
+                  void *closure_data);
 typedef void (*Ms__Batch__HostRecord_Closure)
                  (const Ms__Batch__HostRecord *message,
                   void *closure_data);
@@ -417,6 +456,7 @@
 extern const ProtobufCMessageDescriptor ms__batch__occurrence_record__descriptor;
 extern const ProtobufCMessageDescriptor ms__batch__late_start_record__descriptor;
 extern const ProtobufCMessageDescriptor ms__batch__state_record__descriptor;
+extern const ProtobufCMessageDescriptor ms__batch__early_cancel_record__descriptor;
 extern const ProtobufCMessageDescriptor ms__batch__host_record__descriptor;
 extern const ProtobufCMessageDescriptor ms__batch__lead_record__descriptor;
 
--- a/tests/batch/unit.c
+++ b/tests/batch/unit.c
@@ -436,6 +436,7 @@
     suite_add_tcase(suite, engine_cases());
     suite_add_tcase(suite, retention_cases());
     suite_add_tcase(suite, advice_cases());
+    suite_add_tcase(suite, early_cancel_cases());
     suite_add_tcase(suite, advice_pacing_cases());
     suite_add_tcase(suite, log_cases());
     suite_add_tcase(suite, placement_cases());
--- a/tests/batch/unit.h
+++ b/tests/batch/unit.h
@@ -31,6 +31,7 @@
 TCase *engine_cases(void);
 TCase *retention_cases(void);
 TCase *advice_cases(void);
+TCase *early_cancel_cases(void);
 TCase *advice_pacing_cases(void);
 TCase *log_cases(void);
 TCase *placement_cases(void);
