--- a/src/entry/job_calls.c
+++ b/src/entry/job_calls.c
@@ -37,6 +37,17 @@
     return jobs_are_current(entry);
 }
 
+/*
+ * Whether a caller of QUEUE may see and cancel JOB: its account's own job, or, where QUEUE is open to
+ * callers without a key, a job of this queue.
+ */
+static bool
+may_see(const struct ms_stored_job *job, const struct ms_queue_rule *queue, const char *account)
+{
+    bool own = account[0] != '\0' && strcmp(job->spec.account, account) == 0;
+    return own || (queue->allow_anonymous && strcmp(job->spec.queue, queue->name) == 0);
+}
+
 /* Returns the job ID if it exists and ACCOUNT may see it; otherwise answers CALL. */
 static struct ms_stored_job *
 find_job(struct ms_entry *entry, struct ms_entry_call *call, const struct ms_queue_rule *queue,
@@ -44,7 +55,7 @@
 {
     struct ms_stored_job *job = ms_job_table_find(entry->table, id);
     bool known = job != NULL && job->accepted;
-    if (known && (queue->allow_anonymous || strcmp(job->spec.account, account) == 0)) {
+    if (known && may_see(job, queue, account)) {
         return job;
     }
     if (!known && call->method == MS_METHOD_DELETE && may_deny_job(entry, call)) {
