--- a/src/batch/engine_capacity.c
+++ b/src/batch/engine_capacity.c
@@ -21,11 +21,37 @@
     return job->queue != NULL ? job->queue->priority : UINT32_MAX;
 }
 
+/* Whether TASK, which runs until it is stopped, does all of its work. */
+static bool
+is_at_work(const struct ms_batch_task *task)
+{
+    return task->state == MS_BATCH_TASK_RUNNING && task->progress_percent >= 100;
+}
+
+/*
+ * Whether TASK, which runs until it is stopped, may be stopped for the current unit: only for one
+ * within its account's guarantee, and while fewer tasks of its step are away than may be.
+ */
+static bool
+may_stop_long_running(const struct ms_placement_pass *pass, const struct ms_batch_task *task)
+{
+    const struct ms_batch_step *step = task->step;
+    if (!pass->within_guarantee || step->spec->max_unavailable == 0) {
+        return pass->within_guarantee; /* the step has no such limit */
+    }
+    uint32_t away = 0;
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        away += &step->tasks[i] != task && !is_at_work(&step->tasks[i]);
+    }
+    return away < step->spec->max_unavailable;
+}
+
 /*
  * A task may be preempted if its priority is lower than that of the current unit.  A unit beyond
  * its account's rate may preempt tasks of its own account only, so that it does not delay others.
  * A unit within its account's guarantee that has waited long enough may also preempt tasks of the
- * top priority whose account uses more than its guarantee.
+ * top priority whose account uses more than its guarantee.  Tasks that run until they are stopped
+ * give way to guarantees only, as nothing else would ever free what they use.
  */
 bool
 ms_capacity_may_preempt(const struct ms_placement_pass *pass, const struct ms_batch_task *task)
@@ -33,7 +59,8 @@
     const struct ms_batch_job *task_job = ms_batch_task_job(task);
     const struct ms_batch_job *job = pass->unit->step->occurrence->job;
     if ((task->state != MS_BATCH_TASK_STARTING && task->state != MS_BATCH_TASK_RUNNING) ||
-        task->awaits_report || task->step->spec->long_running) {
+        task->awaits_report ||
+        (task->step->spec->long_running && !may_stop_long_running(pass, task))) {
         return false;
     }
     if (ms_batch_job_priority(task_job) > ms_batch_job_priority(job)) {
--- a/src/entry/job_calls.c
+++ b/src/entry/job_calls.c
@@ -38,8 +38,8 @@
 }
 
 /*
- * Whether a caller of QUEUE may see and cancel JOB: its account's own job, or, where QUEUE is open to
- * callers without a key, a job of this queue.
+ * Whether a caller of QUEUE may see and cancel JOB: its account's own job, or, where QUEUE is open
+ * to callers without a key, a job of this queue.
  */
 static bool
 may_see(const struct ms_stored_job *job, const struct ms_queue_rule *queue, const char *account)
--- a/tests/batch/unit_account_order.c
+++ b/tests/batch/unit_account_order.c
@@ -11,6 +11,7 @@
 #include "batch/simulator_private.h"
 #include "batch/engine_private.h"
 
+#define RECLAIM_MS 2900                 /* by which the users want a guarantee to be met */
 #define PREFIX_MAX (MS_JOB_ID_MAX - 12) /* of a job id, without its number */
 #define RANDOM_RANKS 60
 #define RANK_ID_MAX 16
@@ -499,6 +500,63 @@
 }
 END_TEST
 
+/*
+ * Load: 2 servers full of a job of "calm" with 16 tasks that run until they are stopped, of which
+ * MAX_UNAVAILABLE may be away (0: no limit); then "account", which is guaranteed 16 accelerators,
+ * sends a job of 4 tasks of QUEUE.  Returns how many lines of the next RECLAIM_MS have TEXT.
+ */
+static uint32_t
+count_beside_long_running(uint32_t max_unavailable, const char *queue, const char *text)
+{
+    char *trace = NULL;
+    size_t trace_size = 0;
+    uint32_t count = 0;
+    FILE *stream = open_memstream(&trace, &trace_size);
+    struct simulator *simulator = simulator_new(60, 2, &no_faults, stream);
+    struct ms_batch_spec spec;
+    simple_spec(&spec, "lasting", "q2", 16, 1);
+    g_strlcpy(spec.account, "calm", sizeof(spec.account));
+    spec.steps[0].long_running = true;
+    spec.steps[0].max_unavailable = max_unavailable;
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, 300);
+    simulator_stall_runs(simulator, 0, 100000);
+    simulator_stall_runs(simulator, 1, 100000);
+    simple_spec(&spec, "owed", queue, 4, 1);
+    simulator_submit_job(simulator, &spec);
+    simulator_run(simulator, RECLAIM_MS);
+    ck_assert_str_eq(simulator_violation(simulator), "");
+    simulator_free(simulator);
+    ck_assert_int_eq(fclose(stream), 0);
+    for (const char *at = trace; (at = strstr(at, text)) != NULL; at++) {
+        count++;
+    }
+    free(trace);
+    return count;
+}
+
+/* Guards against a guarantee that is never met as long-running tasks hold everything (review/15).
+ */
+START_TEST(guarantee_is_reclaimed_from_long_running_tasks)
+{
+    ck_assert_uint_ge(count_beside_long_running(0, "q0", " start owed."), 4);
+}
+END_TEST
+
+/* Work without a guarantee does not stop them, whatever its priority. */
+START_TEST(long_running_tasks_are_not_stopped_without_a_guarantee)
+{
+    ck_assert_uint_eq(count_beside_long_running(0, "q1", "reason=reclaimed"), 0);
+}
+END_TEST
+
+/* Nor does a guarantee if too many tasks of their step are away already: these are not at work. */
+START_TEST(long_running_tasks_stay_if_too_many_of_their_step_are_away)
+{
+    ck_assert_uint_eq(count_beside_long_running(4, "q0", "reason=reclaimed"), 0);
+}
+END_TEST
+
 /* Load: 1 busy server and jobs of three accounts.  Without weights the order is that of arrival. */
 START_TEST(without_weights_the_order_is_that_of_arrival)
 {
@@ -551,6 +609,9 @@
     tcase_add_test(cases, work_beyond_the_rate_does_not_preempt_other_accounts);
     tcase_add_test(cases, work_beyond_the_rate_preempts_its_own_account);
     tcase_add_test(cases, guarantee_stands_above_the_rate);
+    tcase_add_test(cases, guarantee_is_reclaimed_from_long_running_tasks);
+    tcase_add_test(cases, long_running_tasks_are_not_stopped_without_a_guarantee);
+    tcase_add_test(cases, long_running_tasks_stay_if_too_many_of_their_step_are_away);
     tcase_add_test(cases, without_weights_the_order_is_that_of_arrival);
     return cases;
 }
