--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -421,6 +421,10 @@
 /* Runs the timers of SERVER and its tasks; declares its runs lost if its lease has expired. */
 void ms_batch_server_tick(struct ms_engine *engine, struct ms_batch_server *server);
 
+/* engine_renewal.c */
+/* Queues a renewal of the lease of SERVER if one is due and none is under way. */
+void ms_batch_server_renew_if_due(struct ms_engine *engine, struct ms_batch_server *server);
+
 /* engine_attention.c: servers that a scan must not leave out. */
 /* The next scan handles SERVER. */
 void ms_attention_add(struct ms_engine *engine, const struct ms_batch_server *server);
