--- a/src/batch/engine_late_start.c
+++ b/src/batch/engine_late_start.c
@@ -167,8 +167,8 @@
 }
 
 enum ms_late_start_scope
-ms_late_start_scope(const struct ms_engine *engine, const struct ms_batch_task *task,
-                    struct ms_batch_server **server)
+ms_late_start_find_scope(const struct ms_engine *engine, const struct ms_batch_task *task,
+                         struct ms_batch_server **server)
 {
     struct task_key key = key_of(task);
     *server = NULL;
--- a/src/batch/engine_late_start.h
+++ b/src/batch/engine_late_start.h
@@ -49,9 +49,9 @@
                             const struct ms_batch_server *server);
 
 /* Where TASK may be placed; *SERVER is set to the only server, if there is one. */
-enum ms_late_start_scope ms_late_start_scope(const struct ms_engine *engine,
-                                             const struct ms_batch_task *task,
-                                             struct ms_batch_server **server);
+enum ms_late_start_scope ms_late_start_find_scope(const struct ms_engine *engine,
+                                                  const struct ms_batch_task *task,
+                                                  struct ms_batch_server **server);
 
 /*
  * SERVER has reported the end END.  If a copy of the start of its task, or of its gang, is left,
--- a/src/batch/engine_place.c
+++ b/src/batch/engine_place.c
@@ -507,7 +507,7 @@
         if (task->state != MS_BATCH_TASK_WAITING || engine->now < task->not_before) {
             continue;
         }
-        bool may_come_late = ms_late_start_scope(engine, task, &server) != MS_LATE_START_NONE;
+        bool may_come_late = ms_late_start_find_scope(engine, task, &server) != MS_LATE_START_NONE;
         gang_returns |= gang && may_come_late;
         if (gang || (task->avoided_server_count == 0 && !may_come_late)) {
             group[count++] = task;
--- a/src/batch/engine_return.c
+++ b/src/batch/engine_return.c
@@ -16,7 +16,7 @@
 server_to_return_to(const struct ms_engine *engine, const struct ms_batch_task *task)
 {
     struct ms_batch_server *server = NULL;
-    switch (ms_late_start_scope(engine, task, &server)) {
+    switch (ms_late_start_find_scope(engine, task, &server)) {
     case MS_LATE_START_NONE:
         server = task->last_server; /* of another member of a gang that has to return */
         break;
--- a/src/entry/early_cancels.c
+++ b/src/entry/early_cancels.c
@@ -5,7 +5,6 @@
 #include <string.h>
 
 #include "entry/private.h"
-#include "obs/log.h"
 
 /* Cancellations of one account that are kept at a time; they live as long as ended jobs. */
 #define ACCOUNT_MAX 1000
@@ -42,12 +41,12 @@
     ms_requests_record_read(entry, key, MS_APPEND_EARLY_CANCEL);
 }
 
-/* Whether the job of ITEM is in the log and no state there says yet that it is cancelled. */
+/* Whether ITEM, or another one, cancels its job, and no state in the log says so yet. */
 static bool
 is_needed(const struct ms_entry *entry, const struct ms_early_cancel *item)
 {
     const struct ms_stored_job *job = ms_job_table_find(entry->table, item->id);
-    return job != NULL && job->accepted && job->phase == MS_PHASE_OPEN;
+    return job != NULL && job->accepted && job->cancelled && job->phase == MS_PHASE_OPEN;
 }
 
 void
--- a/src/entry/message.h
+++ b/src/entry/message.h
@@ -36,7 +36,9 @@
     MS_APPEND_JOB_STATE,     /* states of jobs, by the leader */
     MS_APPEND_LEADER_RENEW,  /* heartbeat of the leader */
     MS_APPEND_LEADER_RESIGN, /* the leader resigns */
-    MS_APPEND_HOST_RECORD,   /* records of entry hosts: this one is up or leaves, others are lost */
+    /* Records of entry hosts: this one is up or leaves, others are lost; old early cancellations.
+     */
+    MS_APPEND_HOST_RECORD,
 };
 
 /* A request to append records to the jobs stream of the log, and its result. */
