Batch: a copy of a start that was only assumed is dropped once its run is seen

Change: a start that has had no answer is ordered again only once the log tells of that copy. So where the log tells of none, at most one was sent, and a run that its server reports was begun by it.

Tests: end_of_a_run_that_the_next_leader_has_seen_is_acknowledged_at_once, and in each scenario of unit_late_copy.c that no further copy is sent which the log does not tell of; each fails without its half of the change.

--- a/src/batch/engine.c
+++ b/src/batch/engine.c
@@ -251,6 +251,7 @@
 {
     for (uint32_t i = 0; step->active > 0 && i < step->spec->task_count; i++) {
         struct ms_batch_task *task = &step->tasks[i];
+        task->unanswered_stored |= task->unanswered_packed;
         if (task->state == MS_BATCH_TASK_RECORDING && task->store_pending) {
             task->state = MS_BATCH_TASK_STARTING;
             engine->orders.to_come--;
--- a/src/batch/engine_late_start.c
+++ b/src/batch/engine_late_start.c
@@ -92,15 +92,19 @@
     return late;
 }
 
-/* A copy of the start of RUN of the task KEY of JOB may be carried out at SERVER until UNTIL. */
+/*
+ * A copy of the start of RUN of the task KEY of JOB may be carried out at SERVER until UNTIL; it is
+ * ASSUMED, or known.
+ */
 static void
 note(struct ms_engine *engine, struct ms_batch_job *job, const struct task_key *key, uint32_t run,
-     struct ms_batch_server *server, int64_t until)
+     struct ms_batch_server *server, int64_t until, bool assumed)
 {
     if (job->spec->steps[key->step].speculative) {
         return; /* its tasks may have several runs at the same time */
     }
     struct ms_late_start *late = get_or_add(job, key, server);
+    late->assumed = assumed && (late->assumed || late->until == 0);
     late->run = MAX(late->run, run);
     late->until = MAX(late->until, until);
     ms_attention_add(engine, server);
@@ -115,10 +119,10 @@
     if (job == NULL) {
         return;
     }
-    note(engine, job, &key, order->run, server, engine->now + MS_ORDER_LATE_MS);
+    note(engine, job, &key, order->run, server, engine->now + MS_ORDER_LATE_MS, false);
     ms_engine_log_event(engine, "event=late_start_possible task=%s run=%u server=%s", order->task,
                         order->run, server->id);
-    ms_engine_mark_dirty(engine, job, false);
+    ms_engine_mark_dirty(engine, job, true); /* the next copy waits for that */
 }
 
 void
@@ -127,7 +131,7 @@
 {
     struct task_key key = key_of(task);
     note(engine, ms_batch_task_job(task), &key, task->run, server,
-         engine->created_at + MS_ORDER_TIMEOUT_MS + MS_ORDER_LATE_MS);
+         engine->created_at + MS_ORDER_TIMEOUT_MS + MS_ORDER_LATE_MS, true);
 }
 
 static void
@@ -149,6 +153,24 @@
     engine->placement_due = true;
 }
 
+void
+ms_late_start_on_seen(struct ms_engine *engine, const struct ms_batch_server *server,
+                      const char *name, uint32_t run)
+{
+    struct task_key key;
+    struct ms_batch_job *job = find_job(engine, name, &key);
+    if (job == NULL) {
+        return;
+    }
+    MS_LIST_FOREACH(link, &job->late_starts)
+    {
+        struct ms_late_start *late = of_job(link);
+        if (late->assumed && late->server == server && late->run == run && is_of_task(late, &key)) {
+            drop(engine, late, "seen");
+        }
+    }
+}
+
 void
 ms_late_start_on_lapse(struct ms_engine *engine, const struct ms_batch_task *task,
                        const struct ms_batch_server *server)
@@ -362,7 +384,8 @@
             continue;
         }
         char **fields = g_strsplit(record->servers[item->server - 1], "/", 2);
-        note(engine, job, &key, item->run, ms_engine_get_or_add_server(engine, fields[0]), until);
+        note(engine, job, &key, item->run, ms_engine_get_or_add_server(engine, fields[0]), until,
+             false);
         g_strfreev(fields);
     }
 }
--- a/src/batch/engine_late_start.h
+++ b/src/batch/engine_late_start.h
@@ -24,6 +24,7 @@
     uint32_t task;
     uint32_t run;  /* highest run that a copy names */
     int64_t until; /* the server carries out no copy after this time */
+    bool assumed;  /* the log does not exclude a copy, and does not tell of one */
 };
 
 /* Where a task that waits may be placed. */
@@ -40,6 +41,13 @@
 void ms_late_start_assume(struct ms_engine *engine, const struct ms_batch_task *task,
                           struct ms_batch_server *server);
 
+/*
+ * SERVER has reported RUN of the task NAME.  An assumed copy of its start is the one that has begun
+ * it: before a second one is sent the log tells of the first (engine_task_order.c).
+ */
+void ms_late_start_on_seen(struct ms_engine *engine, const struct ms_batch_server *server,
+                           const char *name, uint32_t run);
+
 /*
  * The lease of SERVER, which is silent, has lapsed: the run of TASK is given up.  If its start was
  * never confirmed, its copies are not waited for: most such servers are gone for good, and until a
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -57,8 +57,10 @@
     bool seen_in_report;   /* a report of the server has listed this run */
     bool start_confirmed;  /* the server has confirmed the start of this run */
     bool order_unanswered; /* a start order went unanswered, or may have, and may still arrive */
-    bool stop_confirmed;   /* STOPPING: the server has confirmed the stop order */
-    bool preempted;        /* STOPPING: preempted by more urgent work */
+    bool unanswered_packed;      /* the store in progress tells of the starts without an answer */
+    bool unanswered_stored;      /* the log does: the start may be ordered again */
+    bool stop_confirmed;         /* STOPPING: the server has confirmed the stop order */
+    bool preempted;              /* STOPPING: preempted by more urgent work */
     uint32_t preemptor_priority; /* PREEMPTED: priority of that work */
     uint32_t preemption_count;   /* how often it has been preempted */
     int64_t next_order_at;       /* no order is sent before then */
--- a/src/batch/engine_report.c
+++ b/src/batch/engine_report.c
@@ -147,6 +147,7 @@
                     const struct ms_reported_run *row, GHashTable *seen)
 {
     struct ms_batch_task *task = find_assigned_task(engine, server, row->task, row->run);
+    ms_late_start_on_seen(engine, server, row->task, row->run);
     bool ran_before = false; /* this leader did not see the run start */
     if (task == NULL) {
         task = find_waiting_task(engine, row->task, row->run);
@@ -247,6 +248,7 @@
         return;
     }
     server->ends_seen = row->position;
+    ms_late_start_on_seen(engine, server, row->task, row->run);
     const struct ms_batch_task *ended = ms_engine_find_task(engine, row->task);
     if (ended != NULL) {
         ms_batch_job_note_started(engine, ms_batch_task_job(ended));
--- a/src/batch/engine_store.c
+++ b/src/batch/engine_store.c
@@ -70,6 +70,7 @@
     if (task->state == MS_BATCH_TASK_RECORDING) {
         task->store_pending = true;
     }
+    task->unanswered_packed = task->order_unanswered;
     record->status.data[index] = (uint8_t)status;
     record->run[index] = task->run;
     record->failures[index] = task->failures;
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -80,6 +80,8 @@
     task->seen_in_report = false;
     task->start_confirmed = false;
     task->order_unanswered = false;
+    task->unanswered_packed = false;
+    task->unanswered_stored = false;
     task->last_answer_at = 0;
     task->running_since = 0;
     task->resumed_percent = 0;
--- a/src/batch/engine_task_order.c
+++ b/src/batch/engine_task_order.c
@@ -76,6 +76,9 @@
         ms_batch_task_stop_unit(engine, task, obstacle);
         return;
     }
+    if (start && task->order_unanswered && !task->unanswered_stored) {
+        return; /* the next leader has to know of the copy that may still come */
+    }
     if (start && server->fence_acknowledges) {
         /* The next incarnation, if this start reaches it, refuses late copies of that renewal. */
         ms_batch_server_raise_fence(engine, server);
@@ -117,6 +120,8 @@
         break;
     case MS_ORDER_NO_ANSWER:
         task->order_unanswered = true;
+        task->unanswered_packed = false;
+        task->unanswered_stored = false;
         task->server->unresponsive = true;
         task->server->next_renewal_at = MIN(task->server->next_renewal_at, engine->now);
         break;
--- a/tests/batch/unit_late_copy.c
+++ b/tests/batch/unit_late_copy.c
@@ -9,6 +9,7 @@
 
 #include "batch/engine.h"
 #include "batch/unit.h"
+#include "wire/batch.pb-c.h"
 
 #define TICK_MS 10
 #define TASK "job.0.0.0"
@@ -22,6 +23,7 @@
 #define LATEST_COPY_MS 12900 /* the same, about as late as a server may do so */
 #define RUN_MS 14000         /* a run that is not the first one */
 #define DONE_WITHIN_MS 60000 /* of the scenario: the longest wait for a copy, and two runs */
+#define STORE_MS 200         /* from a store to its answer */
 #define EVENTS_MAX 64
 #define ENDS_MAX 8
 #define NEVER INT64_MAX
@@ -43,6 +45,7 @@
     int64_t takeover_at;        /* the next leader begins */
     bool listed;                /* the directory shows the new start */
     bool cold;                  /* tasks are rather placed on the other server, if they may be */
+    bool first_answered;        /* the first start is carried out and answered as any other */
 };
 
 struct server {
@@ -73,7 +76,9 @@
     const struct scenario *scenario;
     struct ms_engine *engine;
     struct ms_stored_job job;
-    GBytes *state; /* of the job, as stored last */
+    GBytes *state;         /* of the job, as stored last */
+    GBytes *storing;       /* the same of the store in progress, or NULL */
+    int64_t storing_until; /* when that is done */
     int64_t now;
     struct server servers[SERVER_COUNT];
     int victim;      /* -1: none yet */
@@ -88,6 +93,7 @@
     int64_t done_at;      /* the engine has logged the end of the job */
     uint32_t start_count; /* of runs that the engine has ordered in time */
     uint32_t elsewhere;   /* of these: not on the victim */
+    uint32_t untold;      /* further copies of the first start that the log does not tell of */
 };
 
 static int64_t
@@ -167,9 +173,8 @@
     for (size_t i = 0; i < fixture->event_count; i++) {
         ms_engine_action_free(fixture->events[i].action);
     }
-    if (fixture->state != NULL) {
-        g_bytes_unref(fixture->state);
-    }
+    g_clear_pointer(&fixture->state, g_bytes_unref);
+    g_clear_pointer(&fixture->storing, g_bytes_unref);
 }
 
 /* A copy of ACTION, without what it owns. */
@@ -296,6 +301,18 @@
                                 fixture->now);
 }
 
+/* Whether the stored state of the job tells of a copy of a start. */
+static bool
+is_copy_stored(const struct fixture *fixture)
+{
+    gsize length = 0;
+    const uint8_t *data = g_bytes_get_data(fixture->state, &length);
+    Ms__Batch__StateRecord *record = ms__batch__state_record__unpack(NULL, length, data);
+    bool stored = record->n_late_starts > 0;
+    ms__batch__state_record__free_unpacked(record, NULL);
+    return stored;
+}
+
 static void
 answer_start(struct fixture *fixture, size_t index, const struct ms_engine_action *start)
 {
@@ -306,6 +323,7 @@
                   first_run ? fixture->scenario->how : MS_RUN_END_DONE);
     fixture->start_count++;
     fixture->elsewhere += (int)index != fixture->victim;
+    fixture->untold += first_run && !fixture->scenario->first_answered && !is_copy_stored(fixture);
     ms_engine_on_order_answer(fixture->engine, start, result, clock_of(fixture, server),
                               fixture->now);
 }
@@ -318,6 +336,10 @@
     fixture->sent_at = fixture->now;
     list_server(fixture, index);
     fixture->servers[index].reachable = fixture->scenario->later_copies_answered;
+    if (fixture->scenario->first_answered) {
+        answer_start(fixture, index, start);
+        return;
+    }
     add_event(fixture, fixture->now + fixture->scenario->copy_at, true, start);
     add_event(fixture, fixture->now + CALL_TIMEOUT_MS, false, start);
 }
@@ -333,14 +355,24 @@
                               fixture->now);
 }
 
+/* The log gets the state of the job, which it stores a while later. */
 static void
-keep_state(struct fixture *fixture, const struct ms_engine_action *store)
+begin_store(struct fixture *fixture, const struct ms_engine_action *store)
 {
     const struct ms_store_record *record = g_ptr_array_index(store->records, 0);
-    if (fixture->state != NULL) {
-        g_bytes_unref(fixture->state);
+    fixture->storing = g_bytes_ref(record->value);
+    fixture->storing_until = fixture->now + STORE_MS;
+}
+
+static void
+end_store(struct fixture *fixture)
+{
+    if (fixture->storing == NULL || fixture->now < fixture->storing_until) {
+        return;
     }
-    fixture->state = g_bytes_ref(record->value);
+    g_clear_pointer(&fixture->state, g_bytes_unref);
+    fixture->state = g_steal_pointer(&fixture->storing);
+    ms_engine_on_stored(fixture->engine, fixture->now);
 }
 
 static void
@@ -376,8 +408,7 @@
         answer_call(fixture, action);
         break;
     case MS_ENGINE_STORE:
-        keep_state(fixture, action);
-        ms_engine_on_stored(fixture->engine, fixture->now);
+        begin_store(fixture, action);
         break;
     case MS_ENGINE_WITHDRAW:
     case MS_ENGINE_QUERY_ADVICE:
@@ -442,6 +473,7 @@
 take_over(struct fixture *fixture)
 {
     ms_engine_free(fixture->engine);
+    g_clear_pointer(&fixture->storing, g_bytes_unref); /* lost */
     create_engine(fixture, 2);
 }
 
@@ -476,6 +508,7 @@
         end_runs(fixture, &fixture->servers[ONE]);
         end_runs(fixture, &fixture->servers[TWO]);
         handle_due_events(fixture);
+        end_store(fixture);
         ms_engine_tick(fixture->engine, fixture->now, fixture->now);
         answer_queued_actions(fixture->engine, answer, fixture);
     }
@@ -491,7 +524,8 @@
     ck_assert_msg(fixture.at_once == 0, "%u starts beside a run", fixture.at_once);
     ck_assert_msg(fixture.after_done == 0, "%u starts after an acknowledged end",
                   fixture.after_done);
-    ck_assert(fixture.copy_started); /* else the scenario shows nothing */
+    ck_assert_uint_eq(fixture.untold, 0); /* the next leader knows of each copy */
+    ck_assert(fixture.copy_started);      /* else the scenario shows nothing */
     ck_assert_int_gt(fixture.done_at, 0);
     fixture_clear(&fixture);
 }
@@ -613,6 +647,23 @@
 }
 END_TEST
 
+/* A run that the next leader has seen was begun by the only copy that the log does not tell of. */
+START_TEST(end_of_a_run_that_the_next_leader_has_seen_is_acknowledged_at_once)
+{
+    struct scenario scenario = restart_behind_cut;
+    struct fixture fixture;
+    scenario.how = MS_RUN_END_DONE;
+    scenario.first_answered = true;
+    scenario.takeover_at = 100;
+    scenario.cut_at = scenario.restart_at = scenario.back_at = NEVER;
+    fixture_init(&fixture, &scenario);
+    run(&fixture, 2500);
+    ck_assert_int_gt(fixture.done_at, 0);
+    ck_assert(fixture.done_acked);
+    fixture_clear(&fixture);
+}
+END_TEST
+
 /* A copy is waited for no longer than it can come: the victim answers all the time. */
 START_TEST(task_starts_elsewhere_once_no_copy_can_come)
 {
@@ -674,6 +725,7 @@
     tcase_add_test(cases, end_is_not_acknowledged_by_the_next_leader_while_a_copy_may_come);
     tcase_add_test(cases, task_is_not_started_elsewhere_while_a_third_incarnation_may_run_a_copy);
     tcase_add_test(cases, late_start_is_waited_for_by_the_next_leader_after_a_confirmed_run);
+    tcase_add_test(cases, end_of_a_run_that_the_next_leader_has_seen_is_acknowledged_at_once);
     tcase_add_test(cases, task_starts_elsewhere_once_no_copy_can_come);
     tcase_add_test(cases, stopped_task_returns_to_its_server_while_a_copy_may_come);
     tcase_add_test(cases, held_end_is_acknowledged_once_no_copy_can_come);
