--- a/tests/batch/unit_late_copy.c
+++ b/tests/batch/unit_late_copy.c
@@ -96,6 +96,15 @@
     uint32_t untold;      /* further copies of the first start that the log does not tell of */
 };
 
+static void
+drop_bytes(GBytes **bytes)
+{
+    if (*bytes != NULL) {
+        g_bytes_unref(*bytes);
+        *bytes = NULL;
+    }
+}
+
 static int64_t
 clock_of(const struct fixture *fixture, const struct server *server)
 {
@@ -173,8 +182,8 @@
     for (size_t i = 0; i < fixture->event_count; i++) {
         ms_engine_action_free(fixture->events[i].action);
     }
-    g_clear_pointer(&fixture->state, g_bytes_unref);
-    g_clear_pointer(&fixture->storing, g_bytes_unref);
+    drop_bytes(&fixture->state);
+    drop_bytes(&fixture->storing);
 }
 
 /* A copy of ACTION, without what it owns. */
@@ -370,8 +379,9 @@
     if (fixture->storing == NULL || fixture->now < fixture->storing_until) {
         return;
     }
-    g_clear_pointer(&fixture->state, g_bytes_unref);
-    fixture->state = g_steal_pointer(&fixture->storing);
+    drop_bytes(&fixture->state);
+    fixture->state = fixture->storing;
+    fixture->storing = NULL;
     ms_engine_on_stored(fixture->engine, fixture->now);
 }
 
@@ -473,7 +483,7 @@
 take_over(struct fixture *fixture)
 {
     ms_engine_free(fixture->engine);
-    g_clear_pointer(&fixture->storing, g_bytes_unref); /* lost */
+    drop_bytes(&fixture->storing); /* lost */
     create_engine(fixture, 2);
 }
 
