Batch: a task that has failed returns to its server while a copy of its start may come

Cause: waiting was taken for the lesser evil after any failure. Most failures are the task's own: it returns at once now, unless jobs fail there one after the other, or it has failed there twice.

--- a/src/batch/engine_plan.c
+++ b/src/batch/engine_plan.c
@@ -42,7 +42,7 @@
     if (engine->now < server->suspect_until) {
         penalty += PENALTY_SUSPECT;
     }
-    if (ms_batch_task_avoids(task, server)) {
+    if (ms_batch_task_avoid_count(task, server) > 0) {
         penalty += 2 * PENALTY_SUSPECT;
     }
     if (server->entry.warmup_remaining_ms > 0) {
--- a/src/batch/engine_private.h
+++ b/src/batch/engine_private.h
@@ -322,8 +322,9 @@
 /* Assigns TASK, which has no server, to SERVER; it is RECORDING then. */
 void ms_batch_task_assign(struct ms_engine *engine, struct ms_batch_task *task,
                           struct ms_batch_server *server);
-/* Whether TASK has failed on SERVER or was refused by it. */
-bool ms_batch_task_avoids(const struct ms_batch_task *task, const struct ms_batch_server *server);
+/* How often TASK has failed on SERVER or was refused by it, of the times that it remembers. */
+uint32_t ms_batch_task_avoid_count(const struct ms_batch_task *task,
+                                   const struct ms_batch_server *server);
 /* Whether RUN of TASK was declared lost and, as far as is known, has not failed since. */
 bool ms_batch_task_is_lost_run(const struct ms_batch_task *task, uint32_t run);
 /* Takes TASK off its server, if any; STATE is WAITING or DONE. */
--- a/src/batch/engine_return.c
+++ b/src/batch/engine_return.c
@@ -8,10 +8,21 @@
 #include "batch/engine_late_start.h"
 #include "batch/engine_placement.h"
 
+#define FAILURES_THERE_MAX 2 /* failures and refusals of a task after which it waits instead */
+
 /*
- * The server that TASK may return to, NULL: none.  One where it has failed would only use up its
- * attempts, but a task that runs until it is stopped has no limit on these.
+ * Whether TASK had better wait than return to SERVER, which seems to fail whatever it runs: that
+ * would use up the attempts, of which a task that runs until it is stopped has no limit.
  */
+static bool
+would_fail_there(const struct ms_batch_task *task, const struct ms_batch_server *server)
+{
+    bool others_fail = server->consecutive_failed_jobs > 1;
+    bool fails_again = ms_batch_task_avoid_count(task, server) >= FAILURES_THERE_MAX;
+    return !task->step->spec->long_running && (others_fail || fails_again);
+}
+
+/* The server that TASK may return to, NULL: none. */
 static struct ms_batch_server *
 server_to_return_to(const struct ms_engine *engine, const struct ms_batch_task *task)
 {
@@ -25,8 +36,8 @@
     case MS_LATE_START_NOWHERE:
         return NULL;
     }
-    bool suitable = server != NULL && ms_batch_server_usable(engine, server) &&
-                    (task->step->spec->long_running || !ms_batch_task_avoids(task, server));
+    bool suitable =
+        server != NULL && ms_batch_server_usable(engine, server) && !would_fail_there(task, server);
     return suitable ? server : NULL;
 }
 
--- a/src/batch/engine_task.c
+++ b/src/batch/engine_task.c
@@ -338,15 +338,14 @@
     task->avoided_server_count++;
 }
 
-bool
-ms_batch_task_avoids(const struct ms_batch_task *task, const struct ms_batch_server *server)
+uint32_t
+ms_batch_task_avoid_count(const struct ms_batch_task *task, const struct ms_batch_server *server)
 {
+    uint32_t count = 0;
     for (uint32_t i = 0; i < MIN(task->avoided_server_count, MS_AVOIDED_SERVERS_MAX); i++) {
-        if (strcmp(task->avoided_servers[i], server->id) == 0) {
-            return true;
-        }
+        count += strcmp(task->avoided_servers[i], server->id) == 0;
     }
-    return false;
+    return count;
 }
 
 /* Counts the failure of RUN for TASK itself, unless it has been counted. */
